--- /dev/null
+++ b/internal/table/process.go
@@ -0,0 +1,116 @@
+package table
+
+import "time"
+
+// Role is what a daemon does.
+type Role uint8
+
+// Roles of daemons.
+const (
+	RoleRouter Role = iota + 1
+	RoleAgent
+)
+
+// String returns the name used in settings.
+func (r Role) String() string {
+	if r == RoleAgent {
+		return "agent"
+	}
+	return "router"
+}
+
+// ProcessState is what this process believes about another one.
+type ProcessState uint8
+
+// States of processes.
+const (
+	// ProcessUnknown has been listed but never heard from.
+	ProcessUnknown ProcessState = iota
+	ProcessLive
+	// ProcessSuspect has not been heard from for several heartbeat intervals.
+	ProcessSuspect
+	ProcessLeaving
+	// ProcessGone has left the platform's list and is silent.
+	ProcessGone
+)
+
+// String returns the lower-case name of the state.
+func (s ProcessState) String() string {
+	return [...]string{"unknown", "live", "suspect", "leaving", "gone"}[s]
+}
+
+// Process is a daemon as this process knows it, itself included.
+type Process struct {
+	Holder
+	Role    Role
+	Region  string
+	Domain  string
+	Address string
+	State   ProcessState
+	// Connected is true while a session is open.
+	Connected bool
+	LastHeard Instant
+	// Generation is the configuration the process last said it enforces.
+	Generation Generation
+	// Listed and ListedLeaving repeat the platform's membership list.
+	Listed        bool
+	ListedLeaving bool
+	// NoticeLeaving is set by the process's own leaving notice.
+	NoticeLeaving bool
+	// PeerClock is the peer's monotonic clock as last received, PeerClockAt the
+	// local time of receipt. PeerClock + (t - PeerClockAt) is never ahead of the
+	// peer's clock at local time t.
+	PeerClock   Instant
+	PeerClockAt Instant
+}
+
+// EndpointState is whether an endpoint may get new work.
+type EndpointState uint8
+
+// States of endpoints.
+const (
+	EndpointLive EndpointState = iota
+	EndpointLeaving
+	EndpointDown
+)
+
+// String returns the lower-case name of the state.
+func (s EndpointState) String() string {
+	return [...]string{"live", "leaving", "down"}[s]
+}
+
+// Endpoint is a model engine or plain service instance.
+type Endpoint struct {
+	ID            EndpointID
+	Agent         ProcessID
+	Service       ServiceName
+	Slots         int
+	ChecksFencing bool
+	Region        string
+	Domain        string
+	State         EndpointState
+	// Reason says why the endpoint is not live, or why it is ejected.
+	Reason string
+
+	// InFlight and InFlightTokens are this router's own work at the endpoint.
+	InFlight       int
+	InFlightQuick  int
+	InFlightTokens Tokens
+	// The agent's view over all routers, from its last heartbeat or reply.
+	AgentInFlight int
+	AgentTokens   Tokens
+	AgentHeard    Instant
+	// ReportTokens is the engine's own load report, ReportAge its age then.
+	ReportTokens Tokens
+	ReportAge    time.Duration
+
+	// Moving averages observed by this router.
+	FirstTokenTime time.Duration
+	TokenTime      time.Duration
+	Samples        int
+
+	Ejected       bool
+	ProbeAt       Instant
+	ProbeInterval time.Duration
+	Probing       bool
+}
--- /dev/null
+++ b/internal/table/request.go
@@ -0,0 +1,201 @@
+package table
+
+import "time"
+
+// RequestState is the stage of a request in its router.
+type RequestState uint8
+
+// States of requests, in the usual order.
+const (
+	// RequestAdmitted passed the rules and waits for deduplication.
+	RequestAdmitted RequestState = iota
+	// RequestClaiming waits for an at-most-once claim or a key lookup.
+	RequestClaiming
+	// RequestReserving waits for budget.
+	RequestReserving
+	// RequestQueued waits for an endpoint.
+	RequestQueued
+	// RequestRunning has an attempt at an endpoint.
+	RequestRunning
+	// RequestBackoff waits until NotBefore for its next attempt.
+	RequestBackoff
+	// RequestEnded has an outcome; the reply is given in the same tick.
+	RequestEnded
+	requestStates
+)
+
+// Class separates short work from work that would hold it up.
+type Class uint8
+
+// Classes of requests.
+const (
+	ClassQuick Class = iota
+	ClassLong
+)
+
+// String returns the lower-case name of the class.
+func (c Class) String() string {
+	if c == ClassLong {
+		return "long"
+	}
+	return "quick"
+}
+
+// Ran says whether work was run. Its values are those of the caller API.
+type Ran uint8
+
+// Values of Ran.
+const (
+	// NotRun means that nothing was run and nothing will be run later.
+	NotRun Ran = iota + 1
+	// DidRun means that the work was run, at least in part.
+	DidRun
+	// RanUnknown means that it cannot be known.
+	RanUnknown
+)
+
+// Code is the machine-readable reason of a refusal.
+type Code string
+
+// Codes of refusals.
+const (
+	CodeUnauthenticated   Code = "UNAUTHENTICATED"
+	CodeForbidden         Code = "FORBIDDEN"
+	CodeBadRequest        Code = "BAD_REQUEST"
+	CodeUnknownService    Code = "UNKNOWN_SERVICE"
+	CodeRateLimited       Code = "RATE_LIMITED"
+	CodeConcurrency       Code = "CONCURRENCY"
+	CodeDeadline          Code = "DEADLINE"
+	CodeBudgetExhausted   Code = "BUDGET_EXHAUSTED"
+	CodeBudgetUnreachable Code = "BUDGET_UNREACHABLE"
+	CodeQuarantined       Code = "QUARANTINED"
+	CodeNoEndpoint        Code = "NO_ENDPOINT"
+	CodeBusy              Code = "BUSY"
+	CodeDraining          Code = "DRAINING"
+	CodeNotReady          Code = "NOT_READY"
+	CodeFenced            Code = "FENCED"
+	CodeExpired           Code = "EXPIRED"
+	CodeEndpointFailed    Code = "ENDPOINT_FAILED"
+	CodeClaimUnavailable  Code = "CLAIM_UNAVAILABLE"
+	CodeKeyInUse          Code = "KEY_IN_USE"
+	CodeKeyMismatch       Code = "KEY_MISMATCH"
+	CodeKeyLost           Code = "KEY_LOST"
+	CodePromptTooLong     Code = "PROMPT_TOO_LONG"
+	CodeCancelled         Code = "CANCELLED"
+)
+
+// Outcome is how a request ended.
+type Outcome struct {
+	OK         bool
+	Code       Code
+	Reason     string
+	Ran        Ran
+	RetryAfter time.Duration
+	// Prompt and Output are the true token counts over all attempts.
+	Prompt  Tokens
+	Output  Tokens
+	Charged Tokens
+	// Replayed is true when the answer was kept from an earlier run.
+	Replayed bool
+}
+
+// Request is a caller's request in progress at this router.
+type Request struct {
+	ID        RequestID
+	Customer  CustomerID
+	Budget    BudgetID
+	Service   ServiceName
+	Kind      ServiceKind
+	Operation string
+	// Idempotent is false for calls that must run at most once.
+	Idempotent bool
+	// CallerKey is true when the caller chose the key itself.
+	CallerKey bool
+	// Retry is true when the caller says it sent the request before.
+	Retry       bool
+	Fingerprint Fingerprint
+	Class       Class
+	Priority    int
+	// PromptTokens is an upper estimate of the prompt until the engine counts it.
+	PromptTokens Tokens
+	MaxOutput    Tokens
+	Arrived      Instant
+	// Deadline is when the first token must arrive, or Never.
+	Deadline Instant
+
+	// state is changed by RequestTable.Move only.
+	state RequestState
+	// Reserved is held from the budget until the end.
+	Reserved Tokens
+	// Reserve is the amount the budget system is asked to hold.
+	Reserve Tokens
+
+	Attempt    uint32
+	Attempts   int
+	Endpoint   EndpointID
+	Agent      Holder
+	Dispatched Instant
+	// FirstToken is zero until the first token of any attempt.
+	FirstToken Instant
+	NotBefore  Instant
+	// Delivered counts output tokens passed to the caller, over all attempts.
+	Delivered Tokens
+	// PromptRun counts prompt tokens once the first attempt started to run.
+	PromptRun Tokens
+	// Pinned restricts the request to one agent, for keys bound to it.
+	Pinned Holder
+	// ReplayOnly asks the pinned agent for a kept answer and never for a run.
+	ReplayOnly bool
+	// Alone asks for an endpoint without other work, for crash suspects.
+	Alone bool
+	// Tried are endpoints that failed this request.
+	Tried []EndpointID
+	// Disconnected is when the caller went away, or zero.
+	Disconnected Instant
+
+	Outcome Outcome
+}
+
+// State returns the stage of the request.
+func (r *Request) State() RequestState { return r.state }
+
+// RequestTable is the table of requests with a work list per state.
+type RequestTable struct {
+	Table[RequestID, Request]
+	byState [requestStates]Set[RequestID]
+}
+
+// Insert adds a request in the given state.
+func (t *RequestTable) Insert(r Request, s RequestState) *Request {
+	r.state = s
+	row := t.Put(r.ID, r)
+	t.byState[s].Add(r.ID)
+	return row
+}
+
+// Move puts a request into another state, at the end of that state's list.
+func (t *RequestTable) Move(r *Request, s RequestState) {
+	t.byState[r.state].Remove(r.ID)
+	r.state = s
+	t.byState[s].Add(r.ID)
+}
+
+// End records the outcome and moves the request to RequestEnded.
+func (t *RequestTable) End(r *Request, o Outcome) {
+	r.Outcome = o
+	t.Move(r, RequestEnded)
+}
+
+// Remove deletes a request.
+func (t *RequestTable) Remove(id RequestID) {
+	if r := t.Get(id); r != nil {
+		t.byState[r.state].Remove(id)
+		t.Delete(id)
+	}
+}
+
+// In returns the requests in a state, oldest in that state first, as a copy.
+func (t *RequestTable) In(s RequestState) []RequestID { return t.byState[s].Keys() }
+
+// Count returns the number of requests in a state.
+func (t *RequestTable) Count(s RequestState) int { return t.byState[s].Len() }
--- /dev/null
+++ b/internal/world/world.go
@@ -0,0 +1,151 @@
+// Package world holds the state of one process: tables, inbox and outbox.
+//
+// A system is a function over a World. Only the control thread calls systems,
+// so a World needs no locks.
+package world
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"laburnumroad.dev/laburnumroad/internal/command"
+	"laburnumroad.dev/laburnumroad/internal/event"
+	"laburnumroad.dev/laburnumroad/internal/table"
+)
+
+// System is one decision step of a tick.
+type System interface {
+	Run(w *World)
+}
+
+// SystemFunc makes a System of a function without state.
+type SystemFunc func(w *World)
+
+// Run implements System.
+func (f SystemFunc) Run(w *World) { f(w) }
+
+// Params are the settings of the process that systems need.
+type Params struct {
+	Self              table.Process
+	Shards            uint32
+	GrantLifetime     time.Duration
+	SettleInterval    time.Duration
+	AnswerRetention   time.Duration
+	DetachGrace       time.Duration
+	DrainTimeout      time.Duration
+	HeartbeatInterval time.Duration
+	// ExplainLimit bounds the decisions kept for explain.
+	ExplainLimit int
+}
+
+// Tables are the entities of the process.
+type Tables struct {
+	Processes table.Table[table.ProcessID, table.Process]
+	Endpoints table.Table[table.EndpointID, table.Endpoint]
+	Customers table.Table[table.CustomerID, table.Customer]
+	Services  table.Table[table.ServiceName, table.Service]
+	Limits    table.Table[table.RuleKey, table.Limits]
+	Shards    table.Table[table.ShardID, table.Shard]
+	Budgets   table.Table[table.BudgetID, table.Budget]
+	Requests  table.RequestTable
+	// Replies maps a request to the handler that waits for it.
+	Replies  table.Table[table.RequestID, uint64]
+	Fences   table.Table[table.Holder, table.Instant]
+	Suspects table.Table[table.Fingerprint, table.Suspect]
+	Runs     table.Table[table.RequestID, table.Run]
+	Charges  table.Table[table.ChargeKey, table.Charge]
+	Counters table.Table[string, int64]
+}
+
+// World is the state of one process and the input and output of one tick.
+type World struct {
+	Tables
+	Params Params
+	// Now is the time of the tick.
+	Now  table.Instant
+	Rand *rand.Rand
+	In   event.Inbox
+	Out  command.Outbox
+
+	// Fleet is the configuration in force.
+	Fleet table.Fleet
+	// PlatformUp says whether the platform answered last, since PlatformSince.
+	PlatformUp    bool
+	PlatformSince table.Instant
+	// Draining is true after the start of a graceful shutdown.
+	Draining bool
+	// Decisions are the decisions of this tick, for explain.
+	Decisions []table.Decision
+
+	wake table.Instant
+}
+
+// New returns an empty world.
+func New(p Params, seed uint64) *World {
+	return &World{
+		Params: p,
+		Rand:   rand.New(rand.NewPCG(seed, uint64(p.Self.Incarnation))),
+		wake:   table.Never,
+	}
+}
+
+// Self returns the holder that this process acts as.
+func (w *World) Self() table.Holder { return w.Params.Self.Holder }
+
+// WakeAt asks for a tick at time t at the latest.
+func (w *World) WakeAt(t table.Instant) {
+	if t < w.wake {
+		w.wake = t
+	}
+}
+
+// NextWake returns when the next tick is due without an event.
+func (w *World) NextWake() table.Instant { return w.wake }
+
+// Tick runs the systems once, in order. The caller has filled the inbox; it
+// empties the outbox afterwards with Clear.
+func (w *World) Tick(now table.Instant, systems []System) {
+	w.Now = now
+	w.wake = table.Never
+	for _, s := range systems {
+		s.Run(w)
+	}
+	w.In.Reset()
+}
+
+// Clear empties the outbox after its commands were carried out.
+func (w *World) Clear() {
+	w.Out.Reset()
+	w.Decisions = w.Decisions[:0]
+}
+
+// Count adds one to a counter.
+func (w *World) Count(name string) { w.CountN(name, 1) }
+
+// CountN adds n to a counter.
+func (w *World) CountN(name string, n int64) {
+	if c := w.Counters.Get(name); c != nil {
+		*c += n
+		return
+	}
+	w.Counters.Put(name, n)
+}
+
+// Explain records a decision about a request.
+func (w *World) Explain(id table.RequestID, system, decision string, inputs ...table.Input) {
+	w.Decisions = append(w.Decisions, table.Decision{
+		At: w.Now, Request: id, System: system, Decision: decision, Inputs: inputs,
+	})
+}
+
+// Change records a change of state for the log.
+func (w *World) Change(subject, id, from, to, reason string) {
+	w.Out.Changes = append(w.Out.Changes, command.Change{
+		Subject: subject, ID: id, From: from, To: to, Reason: reason,
+	})
+}
+
+// Refuse ends a request that was not run.
+func (w *World) Refuse(r *table.Request, code table.Code, reason string, retryAfter time.Duration) {
+	w.Requests.End(r, table.Outcome{Code: code, Reason: reason, Ran: table.NotRun, RetryAfter: retryAfter})
+}
