--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -167,8 +167,13 @@
 	AgentInFlight int
 }
 
-// SessionUp says that a session with a process is open.
-type SessionUp struct{ Process table.Process }
+// SessionUp says that a session with a process is open. Clock is the peer's
+// clock in its Hello.
+type SessionUp struct {
+	Process   table.Process
+	Clock     table.Instant
+	Endpoints []table.Endpoint
+}
 
 // SessionDown says that a session ended.
 type SessionDown struct{ Peer table.Holder }
--- /dev/null
+++ b/internal/system/membership/membership.go
@@ -0,0 +1,326 @@
+// Package membership decides which processes and endpoints are live, suspect,
+// leaving or gone, and keeps sessions and heartbeats going.
+package membership
+
+import (
+	"time"
+
+	"laburnumroad.dev/laburnumroad/internal/command"
+	"laburnumroad.dev/laburnumroad/internal/event"
+	"laburnumroad.dev/laburnumroad/internal/table"
+	"laburnumroad.dev/laburnumroad/internal/world"
+)
+
+const (
+	// suspectAfter is the number of silent heartbeat intervals after which a
+	// process is suspect.
+	suspectAfter = 3
+	// goneAfter is how long a process must be silent and off the platform's
+	// list before it counts as gone.
+	goneAfter = 10 * time.Second
+	// manySessions is the number of sessions above which heartbeats slow down,
+	// to keep control traffic within 20 KB/s.
+	manySessions = 100
+	slowFactor   = 3
+	// firstRedial and lastRedial bound the delay between attempts to connect.
+	firstRedial = 200 * time.Millisecond
+	lastRedial  = 5 * time.Second
+)
+
+// System keeps the schedule of heartbeats and dials.
+type System struct {
+	nextBeat table.Instant
+	dials    table.Table[table.ProcessID, dial]
+	// leaving is what the last heartbeat said, so that a change is sent at once.
+	leaving bool
+	drained table.Table[string, string]
+}
+
+type dial struct {
+	next  table.Instant
+	delay time.Duration
+}
+
+// New returns the system.
+func New() *System { return &System{} }
+
+// Run implements world.System.
+func (s *System) Run(w *world.World) {
+	readLists(w)
+	readSessions(w)
+	readHeartbeats(w)
+	readEngines(w)
+	changed := s.readDrains(w)
+	if now := w.Now; now >= s.nextBeat || changed || s.leaving != w.Draining {
+		s.updateStates(w)
+		s.dialPeers(w)
+		s.sendHeartbeat(w)
+		s.nextBeat = now.Add(interval(w))
+	} else if len(w.In.SessionUps)+len(w.In.SessionDowns)+len(w.In.ProcessLists)+len(w.In.MemberLists)+len(w.In.Heartbeats) > 0 {
+		s.updateStates(w)
+		s.dialPeers(w)
+	}
+	w.WakeAt(s.nextBeat)
+}
+
+func interval(w *world.World) time.Duration {
+	connected := 0
+	w.Processes.Each(func(_ table.ProcessID, p *table.Process) {
+		if p.Connected {
+			connected++
+		}
+	})
+	if connected > manySessions {
+		return w.Params.HeartbeatInterval * slowFactor
+	}
+	return w.Params.HeartbeatInterval
+}
+
+func readLists(w *world.World) {
+	for _, l := range w.In.ProcessLists {
+		for _, p := range l.Processes {
+			upsertListed(w, p)
+		}
+		for _, e := range l.Endpoints {
+			upsertEndpoint(w, e)
+		}
+	}
+	for _, l := range w.In.MemberLists {
+		readMembers(w, l)
+	}
+}
+
+func readMembers(w *world.World, l event.MemberList) {
+	w.Processes.Each(func(_ table.ProcessID, p *table.Process) { p.Listed, p.ListedLeaving = false, false })
+	for _, m := range l.Members {
+		if p := w.Processes.Get(m.Process); p != nil {
+			p.Listed, p.ListedLeaving = true, m.Leaving
+		}
+	}
+}
+
+// upsertListed takes a process object. An object is older than what the process
+// says itself, so a connected process keeps its row.
+func upsertListed(w *world.World, p table.Process) {
+	if p.ID() == w.Self().Process {
+		return
+	}
+	old := w.Processes.Get(p.ID())
+	if old == nil {
+		p.LastHeard = w.Now
+		w.Processes.Put(p.ID(), p)
+		return
+	}
+	if old.Connected || old.Incarnation == p.Incarnation {
+		return
+	}
+	p.Listed, p.ListedLeaving, p.LastHeard = old.Listed, old.ListedLeaving, w.Now
+	*old = p
+}
+
+func upsertEndpoint(w *world.World, e table.Endpoint) {
+	old := w.Endpoints.Get(e.ID)
+	if old == nil {
+		w.Endpoints.Put(e.ID, e)
+		return
+	}
+	old.Agent, old.Service, old.Slots = e.Agent, e.Service, e.Slots
+	old.Region, old.Domain, old.ChecksFencing = e.Region, e.Domain, e.ChecksFencing
+}
+
+func readSessions(w *world.World) {
+	for _, up := range w.In.SessionUps {
+		p := up.Process
+		p.Connected, p.LastHeard, p.State = true, w.Now, table.ProcessLive
+		p.PeerClock, p.PeerClockAt = up.Clock, w.Now
+		if old := w.Processes.Get(p.ID()); old != nil {
+			p.Listed, p.ListedLeaving = old.Listed, old.ListedLeaving
+			reportState(w, old, p.State, "session opened")
+		}
+		w.Processes.Put(p.ID(), p)
+		for _, e := range up.Endpoints {
+			upsertEndpoint(w, e)
+		}
+	}
+	for _, down := range w.In.SessionDowns {
+		if p := w.Processes.Get(down.Peer.Process); p != nil && p.Holder == down.Peer {
+			p.Connected = false
+		}
+	}
+}
+
+func readHeartbeats(w *world.World) {
+	for _, h := range w.In.Heartbeats {
+		p := w.Processes.Get(h.Peer.Process)
+		if p == nil || p.Holder != h.Peer {
+			continue
+		}
+		p.LastHeard, p.Generation, p.NoticeLeaving = w.Now, h.Generation, h.Leaving
+		p.PeerClock, p.PeerClockAt = h.Clock, w.Now
+		for _, l := range h.Endpoints {
+			readLoad(w, p, l)
+		}
+	}
+}
+
+func readLoad(w *world.World, p *table.Process, l event.EndpointLoad) {
+	e := w.Endpoints.Get(l.Endpoint)
+	if e == nil || e.Agent != p.ID() {
+		return
+	}
+	e.Slots, e.AgentInFlight, e.AgentTokens, e.AgentHeard = l.Slots, l.InFlight, l.InFlightTokens, w.Now
+	e.ReportTokens, e.ReportAge = l.ReportTokens, l.ReportAge
+	setEndpointState(w, e, l.State, "agent's heartbeat")
+}
+
+// readEngines keeps the state of an agent's own endpoints.
+func readEngines(w *world.World) {
+	for _, r := range w.In.EngineStates {
+		e := w.Endpoints.Get(r.Endpoint)
+		if e == nil {
+			continue
+		}
+		e.ReportTokens, e.ReportAge = r.ReportTokens, r.ReportAge
+		switch {
+		case !r.Up:
+			setEndpointState(w, e, table.EndpointDown, "engine does not answer")
+		case e.State == table.EndpointDown:
+			setEndpointState(w, e, table.EndpointLive, "engine answers")
+		}
+	}
+}
+
+func setEndpointState(w *world.World, e *table.Endpoint, s table.EndpointState, reason string) {
+	if e.State == s {
+		return
+	}
+	w.Change("endpoint", string(e.ID), e.State.String(), s.String(), reason)
+	w.Count("endpoint_" + s.String())
+	e.State, e.Reason = s, reason
+}
+
+// readDrains marks own endpoints, or this process, as leaving by order.
+func (s *System) readDrains(w *world.World) bool {
+	changed := false
+	for _, d := range w.In.Drains {
+		e := w.Endpoints.Get(table.EndpointID(d.Target))
+		if e == nil || e.Agent != w.Self().Process {
+			continue
+		}
+		changed = true
+		if d.Undo {
+			s.drained.Delete(d.Target)
+			setEndpointState(w, e, table.EndpointLive, "drain taken back: "+d.Reason)
+			continue
+		}
+		s.drained.Put(d.Target, d.Reason)
+		setEndpointState(w, e, table.EndpointLeaving, "drained by operator: "+d.Reason)
+	}
+	return changed
+}
+
+func (s *System) updateStates(w *world.World) {
+	silent := interval(w) * suspectAfter
+	w.Processes.Each(func(id table.ProcessID, p *table.Process) {
+		if id == w.Self().Process {
+			return
+		}
+		state, reason := stateOf(w, p, silent)
+		reportState(w, p, state, reason)
+		p.State = state
+	})
+}
+
+func stateOf(w *world.World, p *table.Process, silent time.Duration) (table.ProcessState, string) {
+	quiet := w.Now.Sub(p.LastHeard)
+	switch {
+	case !p.Connected && !p.Listed && quiet > goneAfter:
+		return table.ProcessGone, "off the platform's list and silent"
+	case p.NoticeLeaving:
+		return table.ProcessLeaving, "leaving notice"
+	case p.ListedLeaving:
+		return table.ProcessLeaving, "platform's list"
+	case quiet > silent:
+		return table.ProcessSuspect, "no heartbeat"
+	case p.Connected:
+		return table.ProcessLive, "heartbeat"
+	case p.State == table.ProcessUnknown:
+		return table.ProcessUnknown, "listed"
+	default:
+		return table.ProcessSuspect, "session closed"
+	}
+}
+
+func reportState(w *world.World, p *table.Process, s table.ProcessState, reason string) {
+	if p.State == s {
+		return
+	}
+	w.Change("process", string(p.ID()), p.State.String(), s.String(), reason)
+	w.Count("process_" + s.String())
+}
+
+// dialPeers opens missing sessions. A router dials agents, and routers with a
+// higher id, so that two processes never dial each other.
+func (s *System) dialPeers(w *world.World) {
+	if w.Params.Self.Role != table.RoleRouter || w.Draining {
+		return
+	}
+	w.Processes.Each(func(id table.ProcessID, p *table.Process) {
+		if p.Connected || p.State == table.ProcessGone || p.Address == "" || !dials(w.Self().Process, p) {
+			s.dials.Delete(id)
+			return
+		}
+		s.dialPeer(w, p)
+	})
+}
+
+func dials(self table.ProcessID, p *table.Process) bool {
+	return p.Role == table.RoleAgent || p.ID() > self
+}
+
+func (s *System) dialPeer(w *world.World, p *table.Process) {
+	d := s.dials.Get(p.ID())
+	if d == nil {
+		d = s.dials.Put(p.ID(), dial{next: w.Now, delay: firstRedial})
+	}
+	if d.next <= w.Now {
+		w.Out.Dials = append(w.Out.Dials, command.Dial{Process: p.ID(), Address: p.Address})
+		w.Count("dials")
+		jitter := time.Duration(w.Rand.Int64N(int64(d.delay)))
+		d.next = w.Now.Add(d.delay + jitter)
+		d.delay = min(2*d.delay, lastRedial)
+	}
+	w.WakeAt(d.next)
+}
+
+func (s *System) sendHeartbeat(w *world.World) {
+	s.leaving = w.Draining
+	w.Out.Heartbeats = append(w.Out.Heartbeats, command.SendHeartbeat{Heartbeat: event.Heartbeat{
+		Peer:       w.Self(),
+		Clock:      w.Now,
+		Generation: w.Fleet.Generation,
+		Leaving:    w.Draining,
+		Endpoints:  ownLoads(w),
+	}})
+}
+
+func ownLoads(w *world.World) []event.EndpointLoad {
+	if w.Params.Self.Role != table.RoleAgent {
+		return nil
+	}
+	var loads []event.EndpointLoad
+	w.Endpoints.Each(func(id table.EndpointID, e *table.Endpoint) {
+		if e.Agent != w.Self().Process {
+			return
+		}
+		state := e.State
+		if w.Draining {
+			state = table.EndpointLeaving
+		}
+		loads = append(loads, event.EndpointLoad{
+			Endpoint: id, State: state, Slots: e.Slots, InFlight: e.InFlight,
+			InFlightTokens: e.InFlightTokens, ReportTokens: e.ReportTokens, ReportAge: e.ReportAge,
+		})
+	})
+	return loads
+}
--- a/internal/table/process.go
+++ b/internal/table/process.go
@@ -41,7 +41,7 @@
 
 // Process is a daemon as this process knows it, itself included.
 type Process struct {
-	Holder
+	Holder `msgpack:",inline"`
 	Role    Role
 	Region  string
 	Domain  string
@@ -64,6 +64,9 @@
 	PeerClockAt Instant
 }
 
+// ID returns the process's id.
+func (p *Process) ID() ProcessID { return p.Process }
+
 // EndpointState is whether an endpoint may get new work.
 type EndpointState uint8
 
--- a/internal/table/request.go
+++ b/internal/table/request.go
@@ -116,6 +116,8 @@
 	Fingerprint Fingerprint
 	Class       Class
 	Priority    int
+	// Position is how many tokens of the answer the caller already has.
+	Position Tokens
 	// PromptTokens is an upper estimate of the prompt until the engine counts it.
 	PromptTokens Tokens
 	MaxOutput    Tokens
