--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -63,6 +63,7 @@
 	StatusReplies  []StatusReply
 	ExplainReplies []ExplainReply
 	DrainReplies   []DrainReply
+	Drains         []SendDrain
 
 	// Process.
 	Changes []Change
@@ -355,3 +356,9 @@
 
 // Exit ends the process after the last stream.
 type Exit struct{ Reason string }
+
+// SendDrain passes an operator's drain order on to the agent of an endpoint.
+type SendDrain struct {
+	To    table.ProcessID
+	Order event.DrainOrder
+}
--- a/internal/system/membership/membership.go
+++ b/internal/system/membership/membership.go
@@ -33,7 +33,6 @@
 	dials    table.Table[table.ProcessID, dial]
 	// leaving is what the last heartbeat said, so that a change is sent at once.
 	leaving bool
-	drained table.Table[string, string]
 }
 
 type dial struct {
@@ -199,24 +198,51 @@
 	e.State, e.Reason = s, reason
 }
 
-// readDrains marks own endpoints, or this process, as leaving by order.
+// readDrains marks own endpoints as leaving by order of an operator. A router
+// passes the order on to the endpoint's agent.
 func (s *System) readDrains(w *world.World) bool {
 	changed := false
 	for _, d := range w.In.Drains {
-		e := w.Endpoints.Get(table.EndpointID(d.Target))
-		if e == nil || e.Agent != w.Self().Process {
+		if w.Params.Self.Role == table.RoleAgent {
+			s.drainOwn(w, d)
+			changed = true
 			continue
 		}
-		changed = true
+		forwardDrain(w, d)
+	}
+	return changed
+}
+
+// drainOwn takes the id of one endpoint, or of this agent for all of them.
+func (s *System) drainOwn(w *world.World, d event.DrainOrder) {
+	w.Endpoints.Each(func(id table.EndpointID, e *table.Endpoint) {
+		if d.Target != string(id) && d.Target != string(w.Self().Process) {
+			return
+		}
 		if d.Undo {
-			s.drained.Delete(d.Target)
 			setEndpointState(w, e, table.EndpointLive, "drain taken back: "+d.Reason)
-			continue
+			return
 		}
-		s.drained.Put(d.Target, d.Reason)
 		setEndpointState(w, e, table.EndpointLeaving, "drained by operator: "+d.Reason)
+	})
+}
+
+func forwardDrain(w *world.World, d event.DrainOrder) {
+	reply := command.DrainReply{Reply: d.Reply}
+	agent := table.ProcessID(d.Target)
+	if e := w.Endpoints.Get(table.EndpointID(d.Target)); e != nil {
+		agent = e.Agent
 	}
-	return changed
+	p := w.Processes.Get(agent)
+	switch {
+	case p == nil || p.Role != table.RoleAgent:
+		reply.Reason = "no endpoint or agent has this id"
+	case !p.Connected:
+		reply.Reason = "no session with agent " + string(agent)
+	default:
+		w.Out.Drains = append(w.Out.Drains, command.SendDrain{To: agent, Order: d})
+	}
+	w.Out.DrainReplies = append(w.Out.DrainReplies, reply)
 }
 
 func (s *System) updateStates(w *world.World) {
--- a/internal/table/process.go
+++ b/internal/table/process.go
@@ -41,7 +41,7 @@
 
 // Process is a daemon as this process knows it, itself included.
 type Process struct {
-	Holder `msgpack:",inline"`
+	Holder
 	Role    Role
 	Region  string
 	Domain  string
