Add timers and ledger state to the tables

Systems must not scan 21,000 budgets per tick. Timers is a work list ordered by time; Set keeps its list by pointer, because a row that a Table moves would otherwise break the list's links.

--- a/internal/table/budget.go
+++ b/internal/table/budget.go
@@ -1,11 +1,19 @@
 package table
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // LedgerGrant is a grant as recorded in the ledger.
 type LedgerGrant struct {
 	Holder Holder
 	Amount Tokens
+	// Settled is what the holder has settled or withheld of this budget since
+	// its start. Recovery compares it with the charges at the agents, which
+	// count from the holder's start too.
+	Settled Tokens
 }
 
 // LedgerBudget is one budget as recorded in the ledger. Invariant of every
@@ -30,6 +38,16 @@
 	return free
 }
 
+// GrantOf returns the grant of a holder; its amount is 0 if there is none.
+func (b *LedgerBudget) GrantOf(h Holder) LedgerGrant {
+	for _, g := range b.Grants {
+		if g.Holder == h {
+			return g
+		}
+	}
+	return LedgerGrant{Holder: h}
+}
+
 // LedgerWriter records the last write sequence of one writer. After a lost
 // answer the writer reads it back to learn whether its write took effect.
 type LedgerWriter struct {
@@ -38,11 +56,74 @@
 }
 
 // ShardContent is the value of a ledger shard object. Budgets are sorted by id.
+// A content is never changed once it was read or sent; writers copy it.
 type ShardContent struct {
 	Budgets []LedgerBudget
 	Writers []LedgerWriter
 }
 
+// Find returns the budget's row, or nil.
+func (c *ShardContent) Find(id BudgetID) *LedgerBudget {
+	i, ok := c.search(id)
+	if !ok {
+		return nil
+	}
+	return &c.Budgets[i]
+}
+
+// Insert returns the budget's row, which it adds if absent.
+func (c *ShardContent) Insert(id BudgetID) *LedgerBudget {
+	i, ok := c.search(id)
+	if !ok {
+		c.Budgets = slices.Insert(c.Budgets, i, LedgerBudget{ID: id})
+	}
+	return &c.Budgets[i]
+}
+
+func (c *ShardContent) search(id BudgetID) (int, bool) {
+	return slices.BinarySearchFunc(c.Budgets, id, func(b LedgerBudget, id BudgetID) int { return cmp.Compare(b.ID, id) })
+}
+
+// SequenceOf returns the last write sequence of a writer.
+func (c *ShardContent) SequenceOf(h Holder) uint64 {
+	for _, w := range c.Writers {
+		if w.Holder == h {
+			return w.Sequence
+		}
+	}
+	return 0
+}
+
+// TopUp is an order to add to a budget that waits for its ledger write.
+type TopUp struct {
+	Reply  uint64
+	Budget BudgetID
+	Amount Tokens
+	ID     string
+	Since  Instant
+}
+
+// BudgetChange is what a ledger write changes for this router's own budget row.
+type BudgetChange struct {
+	Budget   BudgetID
+	Granted  Tokens
+	Settle   Tokens
+	Withhold Tokens
+}
+
+// ShardPending is a write whose outcome is not known yet. The same write is
+// sent again until the ledger shows that it took effect or that it never can.
+type ShardPending struct {
+	Sequence uint64
+	Version  uint64
+	Content  ShardContent
+	Changes  []BudgetChange
+	TopUps   []TopUp
+	SentAt   Instant
+	// Unsure is true after a lost answer, until the shard was read back.
+	Unsure bool
+}
+
 // Shard is a ledger shard as this router knows it.
 type Shard struct {
 	ID ShardID
@@ -50,16 +131,29 @@
 	Version uint64
 	Known   bool
 	Content ShardContent
-	ReadAt  Instant
+	// ReadAt is when the last read or write that gave Content was sent.
+	ReadAt Instant
 	// Reading and Writing are true while a call to the platform is open.
 	Reading bool
 	Writing bool
+	// Asked is true while a read is wanted for an operator or a recovery.
+	Asked bool
+	// CalledAt is when the open call was sent.
+	CalledAt Instant
 	// Sequence is this router's last write sequence for the shard.
 	Sequence  uint64
 	WrittenAt Instant
+	Pending   *ShardPending
+	// Dirty holds this router's budgets whose rows differ from the ledger.
+	Dirty Set[BudgetID]
+	// Held holds this router's budgets that have a grant in the ledger.
+	Held Set[BudgetID]
+	// TopUps wait for the next write.
+	TopUps []TopUp
 	// NextTry delays the next call after a failure.
-	NextTry Instant
-	Backoff time.Duration
+	NextTry   Instant
+	Backoff   time.Duration
+	Conflicts int
 }
 
 // Budget is what this router holds of one budget. Invariant: what the router
@@ -73,19 +167,43 @@
 	// SliceIn is held by slices from other routers, SliceOut passed to others.
 	SliceIn  Tokens
 	SliceOut Tokens
+	// Returning is given back by a ledger write whose outcome is not known.
+	Returning Tokens
 	// Reserved is held for requests in progress.
 	Reserved Tokens
 	// Spent is billed but not yet settled in the ledger.
-	Spent   Tokens
+	Spent Tokens
+	// Settled is what this router has settled or withheld since its start.
+	Settled Tokens
 	Expires Instant
 	// Demand is the recent spend rate in tokens per second.
 	Demand   float64
 	DemandAt Instant
+	// Reservation is the size of a recent large reservation.
+	Reservation Tokens
+	// Target is what the router wants to hold.
+	Target Tokens
+	// Need is the smallest addition that serves a waiting request.
+	Need Tokens
+	// Waiting is the sum of the reservations of waiting requests, since NeedSince.
+	Waiting   Tokens
+	NeedSince Instant
+	// Release asks to return all that is not in use.
+	Release bool
 	// Short is true while requests wait for more of this budget.
 	Short bool
+	// Low is true while the own grant is far below Target; LowAt is when the
+	// ledger was last asked for more because of that.
+	Low   bool
+	LowAt Instant
+	// UsedAt is when a request last reserved or settled.
+	UsedAt Instant
 }
 
 // Held returns what the router may still reserve.
-func (b *Budget) Held() Tokens {
-	return b.Granted + b.SliceIn - b.SliceOut - b.Reserved - b.Spent
+func (b *Budget) Held() Tokens { return b.Own() + b.SliceIn }
+
+// Own returns what the router may still reserve from its own ledger grant.
+func (b *Budget) Own() Tokens {
+	return b.Granted - b.SliceOut - b.Returning - b.Reserved - b.Spent
 }
--- a/internal/table/request.go
+++ b/internal/table/request.go
@@ -129,6 +129,12 @@
 	Reserved Tokens
 	// Reserve is the amount the budget system is asked to hold.
 	Reserve Tokens
+	// Grant is the holder of the ledger grant that pays for the request, and
+	// GrantExpires its deadline when the reservation was made.
+	Grant        Holder
+	GrantExpires Instant
+	// ReserveSince is when the request began to wait for budget, or zero.
+	ReserveSince Instant
 
 	Attempt    uint32
 	Attempts   int
--- a/internal/table/set.go
+++ b/internal/table/set.go
@@ -3,10 +3,11 @@
 import "container/list"
 
 // Set is a set that iterates in insertion order, with constant-time Add and
-// Remove. Systems use it as a work list: the rows that need attention.
+// Remove. Systems use it as a work list: the rows that need attention. A Set
+// may be part of a row: a copy of the row refers to the same members.
 type Set[K comparable] struct {
 	nodes map[K]*list.Element
-	order list.List
+	order *list.List
 }
 
 // Len returns the number of members.
@@ -25,6 +26,7 @@
 	}
 	if s.nodes == nil {
 		s.nodes = make(map[K]*list.Element)
+		s.order = list.New()
 	}
 	s.nodes[k] = s.order.PushBack(k)
 }
@@ -43,6 +45,9 @@
 // change the set while it iterates.
 func (s *Set[K]) Keys() []K {
 	keys := make([]K, 0, len(s.nodes))
+	if len(s.nodes) == 0 {
+		return keys
+	}
 	for e := s.order.Front(); e != nil; e = e.Next() {
 		keys = append(keys, e.Value.(K))
 	}
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -47,7 +47,12 @@
 	Limits    table.Table[table.RuleKey, table.Limits]
 	Shards    table.Table[table.ShardID, table.Shard]
 	Budgets   table.Table[table.BudgetID, table.Budget]
-	Requests  table.RequestTable
+	// ShardTimers and BudgetTimers say when a row needs attention next.
+	ShardTimers  table.Timers[table.ShardID]
+	BudgetTimers table.Timers[table.BudgetID]
+	// ShortBudgets are the budgets that requests wait for.
+	ShortBudgets table.Set[table.BudgetID]
+	Requests     table.RequestTable
 	// Replies maps a request to the handler that waits for it.
 	Replies  table.Table[table.RequestID, uint64]
 	Fences   table.Table[table.Holder, table.Instant]
