--- /dev/null
+++ b/internal/system/ledger/query.go
@@ -0,0 +1,100 @@
+package ledger
+
+import (
+	"time"
+
+	"laburnumroad.dev/laburnumroad/internal/command"
+	"laburnumroad.dev/laburnumroad/internal/event"
+	"laburnumroad.dev/laburnumroad/internal/table"
+	"laburnumroad.dev/laburnumroad/internal/world"
+)
+
+const (
+	// queryReads bounds the reads that one query has open.
+	queryReads = 32
+	// queryAge is the age up to which a known shard answers a query.
+	queryAge = 10 * time.Second
+	// queryTimeout bounds the wait for the platform; after it, the query is
+	// answered from the shards that are known.
+	queryTimeout = 5 * time.Second
+)
+
+// query is an operator's question for budgets. Any shard may hold a budget of
+// any customer, so it covers all shards.
+type query struct {
+	event.BudgetQuery
+	since table.Instant
+	next  table.ShardID
+	open  table.Set[table.ShardID]
+}
+
+func newQuery(w *world.World, e event.BudgetQuery) query {
+	return query{BudgetQuery: e, since: w.Now}
+}
+
+func (l *system) continueQueries(w *world.World) {
+	var open []query
+	for _, q := range l.queries {
+		if q.advance(w) || w.Now >= q.since.Add(queryTimeout) {
+			q.answer(w)
+			continue
+		}
+		w.WakeAt(q.since.Add(queryTimeout))
+		open = append(open, q)
+	}
+	l.queries = open
+}
+
+// advance asks for the next shards and reports whether all were read.
+func (q *query) advance(w *world.World) bool {
+	for _, id := range q.open.Keys() {
+		if !Shard(w, id).Asked {
+			q.open.Remove(id)
+		}
+	}
+	for q.open.Len() < queryReads && uint32(q.next) < w.Params.Shards {
+		s := Shard(w, q.next)
+		if !s.Known || s.ReadAt.Add(queryAge) < q.since {
+			s.Asked = true
+			Touch(w, s.ID, w.Now)
+			q.open.Add(s.ID)
+		}
+		q.next++
+	}
+	return q.open.Len() == 0
+}
+
+func (q *query) answer(w *world.World) {
+	reply := command.BudgetReply{Reply: q.Reply}
+	for id := range table.ShardID(w.Params.Shards) {
+		s := w.Shards.Get(id)
+		if s == nil || !s.Known {
+			continue
+		}
+		for _, row := range s.Content.Budgets {
+			if q.Customer == "" || row.ID.Customer() == q.Customer {
+				reply.Budgets = append(reply.Budgets, info(w, row))
+			}
+		}
+		forget(s)
+	}
+	w.Out.BudgetReplies = append(w.Out.BudgetReplies, reply)
+}
+
+func info(w *world.World, row table.LedgerBudget) command.BudgetInfo {
+	out := command.BudgetInfo{Ledger: row, Local: table.Budget{ID: row.ID}}
+	if b := w.Budgets.Get(row.ID); b != nil {
+		out.Local = *b
+	}
+	return out
+}
+
+// forget drops a content that this router has no use for, to bound its memory.
+// The version stays, so that an older content is never taken over later.
+func forget(s *table.Shard) {
+	if s.Dirty.Len() > 0 || s.Held.Len() > 0 || s.Pending != nil || len(s.TopUps) > 0 {
+		return
+	}
+	s.Known = false
+	s.Content = table.ShardContent{}
+}
