Add the budget system with own grants

Requests reserve from the router's ledger grant, wait for a larger one, and are settled once at their end.

--- /dev/null
+++ b/internal/system/budget/budget.go
@@ -0,0 +1,106 @@
+// Package budget decides which requests may spend, how much this router wants
+// to hold of each budget, and what each ended request is charged.
+//
+// A request spends only from what the router holds: an amount is reserved
+// before the request is queued and settled once when it has ended.
+package budget
+
+import (
+	"time"
+
+	"laburnumroad.dev/laburnumroad/internal/system/ledger"
+	"laburnumroad.dev/laburnumroad/internal/table"
+	"laburnumroad.dev/laburnumroad/internal/world"
+)
+
+const (
+	// reserveTimeout bounds the wait for a grant or a slice.
+	reserveTimeout = 2 * time.Second
+	// retryAfter is what a refused caller is told when more may come.
+	retryAfter = time.Second
+	// idleShare is the part of the grant lifetime after which the grant of an
+	// unused budget goes back to the ledger.
+	idleShare = 2
+)
+
+// New returns the budget system.
+func New() world.System { return &system{} }
+
+type system struct {
+	// draining is true once the grants were released for a shutdown.
+	draining bool
+}
+
+// Run implements world.System.
+func (s *system) Run(w *world.World) {
+	settleEnded(w)
+	checkDue(w)
+	reserveAll(w)
+	if w.Draining && !s.draining {
+		s.draining = true
+		releaseAll(w)
+	}
+	w.WakeAt(w.BudgetTimers.Next())
+}
+
+// checkDue runs before reserveAll, which sets the timers of waiting requests again.
+func checkDue(w *world.World) {
+	for {
+		id, ok := w.BudgetTimers.Pop(w.Now)
+		if !ok {
+			return
+		}
+		if b := w.Budgets.Get(id); b != nil {
+			checkIdle(w, b)
+		}
+	}
+}
+
+// row returns the row of a budget, which it adds if absent.
+func row(w *world.World, id table.BudgetID) *table.Budget {
+	if b := w.Budgets.Get(id); b != nil {
+		return b
+	}
+	b := w.Budgets.Put(id, table.Budget{ID: id, Shard: ledger.ShardOf(w, id), UsedAt: w.Now, DemandAt: w.Now})
+	w.BudgetTimers.Set(id, idleAt(w, b))
+	return b
+}
+
+func idleAt(w *world.World, b *table.Budget) table.Instant {
+	return b.UsedAt.Add(w.Params.GrantLifetime / idleShare)
+}
+
+// checkIdle returns the grant of an unused budget, and drops its row once
+// nothing refers to it any more.
+func checkIdle(w *world.World, b *table.Budget) {
+	at := idleAt(w, b)
+	if at > w.Now || b.Short || b.Reserved > 0 {
+		w.BudgetTimers.Set(b.ID, max(at, w.Now.Add(reserveTimeout)))
+		return
+	}
+	if b.Granted == 0 && b.Settled == 0 {
+		w.Budgets.Delete(b.ID)
+		return
+	}
+	release(w, b)
+}
+
+// release asks the ledger to take back what is not in use.
+func release(w *world.World, b *table.Budget) {
+	if b.Granted == 0 {
+		return
+	}
+	b.Release = true
+	ledger.MarkDirty(w, b)
+}
+
+// releaseAll returns all unused grants; it runs once, at the start of a drain.
+func releaseAll(w *world.World) {
+	w.Budgets.Each(func(_ table.BudgetID, b *table.Budget) {
+		if b.Granted == 0 {
+			return
+		}
+		release(w, b)
+		ledger.Touch(w, b.Shard, w.Now)
+	})
+}
--- /dev/null
+++ b/internal/system/budget/demand.go
@@ -0,0 +1,48 @@
+package budget
+
+import (
+	"math"
+	"time"
+
+	"laburnumroad.dev/laburnumroad/internal/table"
+	"laburnumroad.dev/laburnumroad/internal/world"
+)
+
+const (
+	// defaultHorizon is the time of demand that a grant covers.
+	defaultHorizon = time.Minute
+	// minReservations is the least number of reservations that a grant covers.
+	minReservations = 4
+	// reservationDecay is how fast a large reservation is forgotten, per request.
+	reservationDecay = 0.98
+	// lowShare is the part of the target below which more is asked for early.
+	lowShare = 4
+	// lowInterval bounds how often a low budget asks.
+	lowInterval = time.Second
+)
+
+func horizon(w *world.World) time.Duration {
+	if h := w.Fleet.Defaults.GrantHorizon; h > 0 {
+		return h
+	}
+	return defaultHorizon
+}
+
+// addDemand updates the moving average of the spend rate.
+func addDemand(w *world.World, b *table.Budget, spent table.Tokens) {
+	h := horizon(w).Seconds()
+	elapsed := w.Now.Sub(b.DemandAt).Seconds()
+	b.Demand = b.Demand*math.Exp(-elapsed/h) + float64(spent)/h
+	b.DemandAt = w.Now
+}
+
+func noteReservation(b *table.Budget, reserve table.Tokens) {
+	decayed := table.Tokens(float64(b.Reservation) * reservationDecay)
+	b.Reservation = max(decayed, reserve)
+}
+
+// setTarget sets how much the router wants to hold.
+func setTarget(w *world.World, b *table.Budget) {
+	demand := table.Tokens(b.Demand * horizon(w).Seconds())
+	b.Target = max(demand, minReservations*b.Reservation, b.Waiting)
+}
