table: index queued requests and account attempts

Routing must not scan all requests at each event. RequestTable now keeps a queue per service and class with a lane per customer (start-time fair queueing, then priority and age), an index of deadlines, and the number of requests per customer.

Request.Work records what an attempt added to its endpoint, so that exactly that is taken off again. Request.Ran and RanSoFar keep what is certain about earlier attempts, which a refusal must state truly.

Accept.Attach tells traffic that a caller came back to its running request. EndpointLoad.InFlightQuick lets a router see how much of an agent's work is long.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -76,6 +76,10 @@
 type Accept struct {
 	Reply   uint64
 	Request table.RequestID
+	// Attach is true when the request is in progress and its first handler's
+	// caller went away: the new handler gets the answer behind Position.
+	Attach   bool
+	Position table.Tokens
 }
 
 // Dispatch sends an attempt to an agent. Traffic adds the prompt and, behind
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -179,6 +179,7 @@
 	State          table.EndpointState
 	Slots          int
 	InFlight       int
+	InFlightQuick  int
 	InFlightTokens table.Tokens
 	ReportTokens   table.Tokens
 	ReportAge      time.Duration
--- a/internal/table/fleet.go
+++ b/internal/table/fleet.go
@@ -25,7 +25,8 @@
 	Operations map[string]Operation
 	// MeanOutput is the learned mean of output tokens per request.
 	MeanOutput float64
-	// RetryTokens is the retry budget's token bucket.
+	// RetryTokens is the retry budget's token bucket, counted from its burst: 0
+	// when full, and negative by what was used.
 	RetryTokens float64
 }
 
--- a/internal/table/process.go
+++ b/internal/table/process.go
@@ -96,6 +96,15 @@
 	InFlight       int
 	InFlightQuick  int
 	InFlightTokens Tokens
+	// OthersInFlight, OthersLong and OthersTokens are the other routers' work:
+	// what the agent last said, less this router's own work at that time.
+	OthersInFlight int
+	OthersLong     int
+	OthersTokens   Tokens
+	// BusyUntil and BusyDelay hold back work of a class, by class, after the
+	// agent refused it as busy.
+	BusyUntil [2]Instant
+	BusyDelay [2]time.Duration
 	// The agent's view over all routers, from its last heartbeat or reply.
 	AgentInFlight int
 	AgentTokens   Tokens
@@ -108,6 +117,15 @@
 	FirstTokenTime time.Duration
 	TokenTime      time.Duration
 	Samples        int
+	// Failures counts broken attempts since the last good one.
+	Failures int
+	// Waiting counts attempts without a first token; WaitingSince is when the
+	// endpoint last gave a sign of life before them.
+	Waiting      int
+	WaitingSince Instant
+	// HeldFor is a request that must run alone and waits for the endpoint to
+	// become idle.
+	HeldFor RequestID
 
 	Ejected       bool
 	ProbeAt       Instant
--- a/internal/table/request.go
+++ b/internal/table/request.go
@@ -116,6 +116,8 @@
 	Fingerprint Fingerprint
 	Class       Class
 	Priority    int
+	// Position is how many tokens of the answer the caller already has.
+	Position Tokens
 	// PromptTokens is an upper estimate of the prompt until the engine counts it.
 	PromptTokens Tokens
 	MaxOutput    Tokens
@@ -152,17 +154,78 @@
 	Tried []EndpointID
 	// Disconnected is when the caller went away, or zero.
 	Disconnected Instant
+	// Cancelled is true once the current attempt was ordered to stop.
+	Cancelled bool
+	// Ran is what the ended attempts are known to have done; 0 if they all were
+	// certainly not run.
+	Ran Ran
+	// Rejections counts attempts that a busy agent refused, in a row.
+	Rejections int
+	// Work is what routing accounted to the endpoint of the current attempt.
+	Work Work
 
 	Outcome Outcome
+	// queued numbers the request's last entry into the queue.
+	queued uint64
+}
+
+// Work is the load of one attempt at its endpoint. It is empty when nothing is
+// accounted.
+type Work struct {
+	Attempt  uint32
+	Endpoint EndpointID
+	Agent    Holder
+	Class    Class
+	Tokens   Tokens
+	// MarkAt and MarkTokens are the last progress seen, for the token time.
+	MarkAt     Instant
+	MarkTokens Tokens
 }
 
 // State returns the stage of the request.
 func (r *Request) State() RequestState { return r.state }
 
-// RequestTable is the table of requests with a work list per state.
+// RanSoFar says what is certain about the attempts made. A key that is bound to
+// an agent may have been run for another router.
+func (r *Request) RanSoFar() Ran {
+	switch {
+	case r.Delivered > 0, r.PromptRun > 0, r.FirstToken != 0, r.Ran == DidRun:
+		return DidRun
+	case r.Ran == RanUnknown, r.Retry, r.Pinned != Holder{}, r.state == RequestRunning, r.state == RequestClaiming:
+		return RanUnknown
+	}
+	return NotRun
+}
+
+// Failure returns the outcome of a request that ends without a whole answer.
+// What was produced is billed.
+func (r *Request) Failure(code Code, reason string) Outcome {
+	o := Outcome{Code: code, Reason: reason, Ran: r.RanSoFar(), Output: r.Delivered}
+	if o.Ran == DidRun {
+		o.Prompt = r.BilledPrompt()
+	}
+	return o
+}
+
+// BilledPrompt returns the prompt tokens of work that ran: the engine's count,
+// or the estimate when the count was lost with its session.
+func (r *Request) BilledPrompt() Tokens {
+	if r.PromptRun == 0 && r.Kind == ServiceModel {
+		return r.PromptTokens
+	}
+	return r.PromptRun
+}
+
+// RequestTable is the table of requests with a work list per state, the queue of
+// each service and class, and the count of each customer's requests.
 type RequestTable struct {
 	Table[RequestID, Request]
-	byState [requestStates]Set[RequestID]
+	byState    [requestStates]Set[RequestID]
+	byCustomer map[CustomerID]int
+	queueIndex
+
+	// Detached are requests whose caller went away and may come back.
+	Detached Set[RequestID]
 }
 
 // Insert adds a request in the given state.
@@ -170,14 +233,24 @@
 	r.state = s
 	row := t.Put(r.ID, r)
 	t.byState[s].Add(r.ID)
+	if t.byCustomer == nil {
+		t.byCustomer = make(map[CustomerID]int)
+	}
+	t.byCustomer[r.Customer]++
+	t.entered(row)
 	return row
 }
 
+// OfCustomer returns the number of a customer's requests in progress.
+func (t *RequestTable) OfCustomer(c CustomerID) int { return t.byCustomer[c] }
+
 // Move puts a request into another state, at the end of that state's list.
 func (t *RequestTable) Move(r *Request, s RequestState) {
 	t.byState[r.state].Remove(r.ID)
+	t.left(r)
 	r.state = s
 	t.byState[s].Add(r.ID)
+	t.entered(r)
 }
 
 // End records the outcome and moves the request to RequestEnded.
@@ -188,10 +261,18 @@
 
 // Remove deletes a request.
 func (t *RequestTable) Remove(id RequestID) {
-	if r := t.Get(id); r != nil {
-		t.byState[r.state].Remove(id)
-		t.Delete(id)
+	r := t.Get(id)
+	if r == nil {
+		return
+	}
+	t.byState[r.state].Remove(id)
+	t.left(r)
+	t.Detached.Remove(id)
+	t.byCustomer[r.Customer]--
+	if t.byCustomer[r.Customer] == 0 {
+		delete(t.byCustomer, r.Customer)
 	}
+	t.Delete(id)
 }
 
 // In returns the requests in a state, oldest in that state first, as a copy.
