--- /dev/null
+++ b/internal/system/admission/check.go
@@ -0,0 +1,108 @@
+package admission
+
+import (
+	"crypto/subtle"
+	"fmt"
+	"slices"
+	"time"
+
+	"laburnumroad.dev/laburnumroad/internal/table"
+	"laburnumroad.dev/laburnumroad/internal/world"
+)
+
+// identify finds the customer, the service and the limits of an arrival.
+func (c *candidate) identify(w *world.World) refusal {
+	a := c.arrival
+	if w.Fleet.Generation == 0 {
+		return refusal{table.CodeNotReady, "the router has no configuration yet", notReadyRetry}
+	}
+	c.customer = customerOf(w, a.KeyHash)
+	if c.customer == nil {
+		return refusal{code: table.CodeUnauthenticated, reason: "the key is not known"}
+	}
+	c.service = w.Services.Get(a.Service)
+	if c.service == nil {
+		return refusal{code: table.CodeUnknownService, reason: fmt.Sprintf("there is no service %q", a.Service)}
+	}
+	c.limits = w.Limits.Get(table.RuleKey{Customer: c.customer.ID, Service: a.Service})
+	if c.limits == nil || !slices.Contains(c.customer.Services, a.Service) {
+		return refusal{code: table.CodeForbidden, reason: fmt.Sprintf("the customer may not use service %q", a.Service)}
+	}
+	if a.Key == "" || len(a.Key) > maxKeyLength {
+		return refusal{code: table.CodeBadRequest, reason: fmt.Sprintf("a key has 1 to %d bytes", maxKeyLength)}
+	}
+	c.id = table.MakeRequestID(c.customer.ID, a.Key)
+	return refusal{}
+}
+
+// customerOf compares with every known hash, and each in constant time, so that
+// the time taken tells nothing about the hashes.
+func customerOf(w *world.World, hash table.KeyHash) *table.Customer {
+	var found *table.Customer
+	w.Customers.Each(func(_ table.CustomerID, c *table.Customer) {
+		for i := range c.KeyHashes {
+			if subtle.ConstantTimeCompare(c.KeyHashes[i][:], hash[:]) == 1 {
+				found = c
+			}
+		}
+	})
+	return found
+}
+
+// checkShape refuses requests that no endpoint of the service could run.
+func (c *candidate) checkShape(*world.World) refusal {
+	a := c.arrival
+	bad := func(reason string) refusal { return refusal{code: table.CodeBadRequest, reason: reason} }
+	switch {
+	case a.Kind != c.service.Kind:
+		return bad(fmt.Sprintf("service %q is of the other kind", a.Service))
+	case a.PromptTokens < 0, a.MaxOutput < 0, a.Position < 0, a.Deadline < 0:
+		return bad("a number is negative")
+	case a.Priority < 0, a.Priority > maxPriority:
+		return bad(fmt.Sprintf("priority is not in 0..%d", maxPriority))
+	case c.service.Kind == table.ServiceModel && c.maxOutput() == 0:
+		return bad("there is no output limit")
+	}
+	if c.service.Kind == table.ServicePlain {
+		if _, ok := c.service.Operations[a.Operation]; !ok {
+			return bad(fmt.Sprintf("service %q has no operation %q", a.Service, a.Operation))
+		}
+	}
+	return refusal{}
+}
+
+func (c *candidate) checkDraining(w *world.World) refusal {
+	if !w.Draining {
+		return refusal{}
+	}
+	return refusal{table.CodeDraining, "this router is shutting down", drainingRetry}
+}
+
+func (c *candidate) checkConcurrency(w *world.World) refusal {
+	limit := c.limits.Concurrency
+	if limit == 0 || w.Requests.OfCustomer(c.customer.ID) < limit {
+		return refusal{}
+	}
+	return refusal{table.CodeConcurrency, fmt.Sprintf("%d requests are in progress at this router", limit), concurrencyRetry}
+}
+
+// checkRate takes one request from the customer's token bucket. It is the last
+// check, so that refused requests take nothing.
+func (c *candidate) checkRate(w *world.World) refusal {
+	rate, burst := c.limits.RequestsPerSecond, float64(max(1, c.limits.Burst))
+	if rate <= 0 {
+		return refusal{}
+	}
+	level := burst
+	if c.customer.RateAt != 0 {
+		level = min(burst, c.customer.RateTokens+rate*w.Now.Sub(c.customer.RateAt).Seconds())
+	}
+	c.customer.RateAt = w.Now
+	if level < 1 {
+		c.customer.RateTokens = level
+		wait := time.Duration((1 - level) / rate * float64(time.Second))
+		return refusal{table.CodeRateLimited, fmt.Sprintf("the limit is %g requests/s", rate), wait}
+	}
+	c.customer.RateTokens = level - 1
+	return refusal{}
+}
