--- /dev/null
+++ b/internal/system/routing/dispatch.go
@@ -0,0 +1,89 @@
+package routing
+
+import (
+	"strconv"
+
+	"laburnumroad.dev/laburnumroad/internal/command"
+	"laburnumroad.dev/laburnumroad/internal/table"
+	"laburnumroad.dev/laburnumroad/internal/world"
+)
+
+// dispatch starts an attempt at an endpoint.
+func dispatch(w *world.World, r *table.Request, e *table.Endpoint, considered []scored) {
+	work := expectedTokens(w, r)
+	w.Requests.Charge(r, chargeCustomer(w, r, work))
+	start(w, r, w.Processes.Get(e.Agent), e.ID)
+	occupy(w, r, e, work)
+	explainDispatch(w, r, considered)
+}
+
+// dispatchReplay asks an agent for a kept answer, which takes no slot.
+func dispatchReplay(w *world.World, r *table.Request, agent *table.Process) {
+	start(w, r, agent, "")
+	explainDispatch(w, r, nil)
+}
+
+// start sends the request's next attempt.
+func start(w *world.World, r *table.Request, agent *table.Process, endpoint table.EndpointID) {
+	r.Attempt++
+	r.Attempts++
+	r.Endpoint = endpoint
+	r.Agent = agent.Holder
+	r.Dispatched = w.Now
+	w.Requests.Move(r, table.RequestRunning)
+	w.Out.Dispatches = append(w.Out.Dispatches, command.Dispatch{
+		To: agent.Holder, Request: r.ID, Attempt: r.Attempt, Endpoint: endpoint,
+		Service: r.Service, Kind: r.Kind, Operation: r.Operation, Budget: r.Budget,
+		Fingerprint: r.Fingerprint, Idempotent: r.Idempotent, Class: r.Class,
+		Alone: r.Alone, ReplayOnly: r.ReplayOnly,
+		Limit: r.Reserved, Priority: r.Priority, MaxOutput: r.MaxOutput - r.Delivered,
+		Expires: expires(w, r, agent),
+	})
+	w.Count("routing.dispatched." + r.Class.String())
+}
+
+// chargeCustomer adds the work to the customer's total and returns its weighted
+// amount.
+func chargeCustomer(w *world.World, r *table.Request, work table.Tokens) float64 {
+	c := w.Customers.Get(r.Customer)
+	if c == nil {
+		return float64(work)
+	}
+	weighted := float64(work)
+	if c.Weight > 0 {
+		weighted /= c.Weight
+	}
+	c.Served += weighted
+	return weighted
+}
+
+// expires converts the grant's deadline into the agent's clock. The result is
+// never later than the true deadline. Work that spends nothing needs none.
+func expires(w *world.World, r *table.Request, agent *table.Process) table.Instant {
+	b := w.Budgets.Get(r.Budget)
+	if r.ReplayOnly || r.Reserved == 0 || b == nil {
+		return table.Never
+	}
+	return agent.PeerClock.Add(b.Expires.Sub(agent.PeerClockAt))
+}
+
+// grantExpired reports whether what the request reserved may no longer be spent.
+func grantExpired(w *world.World, r *table.Request) bool {
+	if r.Reserved == 0 {
+		return false
+	}
+	b := w.Budgets.Get(r.Budget)
+	return b == nil || b.Expires <= w.Now
+}
+
+func explainDispatch(w *world.World, r *table.Request, considered []scored) {
+	inputs := []table.Input{
+		{Name: "attempt", Value: strconv.FormatUint(uint64(r.Attempt), 10)},
+		{Name: "class", Value: r.Class.String()},
+		{Name: "queued", Value: w.Now.Sub(r.Arrived).String()},
+	}
+	for _, c := range considered {
+		inputs = append(inputs, table.Input{Name: "candidate " + string(c.endpoint.ID), Value: c.wait.String()})
+	}
+	w.Explain(r.ID, System, "sent to "+string(r.Agent.Process)+" "+string(r.Endpoint), inputs...)
+}
