Add the gate of the agent

The gate is the last check before an endpoint runs work: fences, grant and key deadlines, leaving, slots and run-once. It keeps the records of what ran and the charges that recovery asks for.

A dispatch carries the nonce of its call and the deadline of its claim. The nonce lets an agent refuse one call of a key and run another; the deadline says how long the agent must remember the key.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -50,12 +50,11 @@
 	FenceResults  []SendFenceResult
 
 	// Work at an agent.
-	Runs       []Run
-	Rejects    []Reject
-	Replays    []Replay
-	StopRuns   []StopRun
-	Forgets    []Forget
-	IssuedKeys []IssuedKey
+	Runs     []Run
+	Rejects  []Reject
+	Replays  []Replay
+	StopRuns []StopRun
+	Forgets  []Forget
 
 	// Operators.
 	TopUpReplies   []TopUpReply
@@ -99,6 +98,9 @@
 	MaxOutput   table.Tokens
 	// Expires is the grant's deadline in the agent's clock.
 	Expires table.Instant
+	// Nonce and KeyUntil are those of the request.
+	Nonce    uint64
+	KeyUntil table.Instant
 }
 
 // CancelRun ends an attempt at an agent.
@@ -280,6 +282,9 @@
 	Request  table.RequestID
 	Attempt  uint32
 	Position table.Tokens
+	// SameCall is true when the run was started by the same call of the same
+	// router. That router bills it; any other gets it as a replayed answer.
+	SameCall bool
 }
 
 // StopRun cancels a run at its endpoint.
@@ -288,13 +293,6 @@
 // Forget frees a kept answer.
 type Forget struct{ Request table.RequestID }
 
-// IssuedKey answers a router that asked for an issued key.
-type IssuedKey struct {
-	To   table.Holder
-	Call uint64
-	Key  string
-}
-
 // TopUpReply answers a TopUp.
 type TopUpReply struct {
 	Reply     uint64
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -370,8 +370,12 @@
 	From    table.Holder
 	Call    uint64
 	Request table.RequestID
-	// Refuse turns a key that was never seen into one that can never run.
+	// Refuse turns a key that was never run into one that only the call with
+	// this Nonce can run, or none if Nonce is 0.
 	Refuse bool
+	Nonce  uint64
+	// KeyUntil is the deadline of the key's claim in the agent's clock, or 0.
+	KeyUntil table.Instant
 }
 
 // LookupResult answers a Lookup.
@@ -382,6 +386,8 @@
 	Found       bool
 	State       table.RunState
 	Fingerprint table.Fingerprint
+	// Forgotten is true when the key may have run and been forgotten since.
+	Forgotten bool
 }
 
 // Dispatch is an attempt that arrived at an agent. Session identifies where
@@ -409,6 +415,10 @@
 	MaxOutput table.Tokens
 	// Expires is the grant's deadline in this agent's clock.
 	Expires table.Instant
+	// Nonce names the call at its router; see table.Request.
+	Nonce uint64
+	// KeyUntil is the claim's deadline in this agent's clock, or 0.
+	KeyUntil table.Instant
 }
 
 // RunCancel ends a run at an agent.
--- /dev/null
+++ b/internal/system/gate/gate_test.go
@@ -0,0 +1,244 @@
+package gate
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"laburnumroad.dev/laburnumroad/internal/command"
+	"laburnumroad.dev/laburnumroad/internal/event"
+	"laburnumroad.dev/laburnumroad/internal/table"
+	"laburnumroad.dev/laburnumroad/internal/world"
+)
+
+var (
+	self   = table.Holder{Process: "a1", Incarnation: 7}
+	router = table.Holder{Process: "r1", Incarnation: 1}
+	other  = table.Holder{Process: "r2", Incarnation: 2}
+)
+
+// agent is a ready agent with one endpoint of two slots.
+type agent struct {
+	t *testing.T
+	w *world.World
+}
+
+func newAgent(t *testing.T) *agent {
+	w := world.New(world.Params{
+		Self: table.Process{Holder: self, Role: table.RoleAgent}, AnswerRetention: 10 * time.Minute,
+	}, 1)
+	w.Endpoints.Put("e1", table.Endpoint{ID: "e1", Agent: "a1", Service: "svc", Slots: 2})
+	return &agent{t: t, w: w}
+}
+
+func readyAgent(t *testing.T) *agent {
+	a := newAgent(t)
+	a.tick(event.Registered{})
+	a.tick(event.FenceList{Status: event.CallOK})
+	return a
+}
+
+func (a *agent) tick(events ...event.Event) command.Outbox {
+	return a.tickAt(a.w.Now+1, events...)
+}
+
+func (a *agent) tickAt(now table.Instant, events ...event.Event) command.Outbox {
+	for _, e := range events {
+		e.AddTo(&a.w.In)
+	}
+	a.w.Tick(now, []world.System{world.SystemFunc(Run)})
+	out := a.w.Out
+	a.w.Clear()
+	return out
+}
+
+func (a *agent) dispatch(id table.RequestID) event.Dispatch {
+	return event.Dispatch{
+		Session: 1, Holder: router, Agent: self, Request: id, Attempt: 1, Endpoint: "e1", Service: "svc",
+		Kind: table.ServicePlain, Budget: "c/b", Fingerprint: 5, Limit: 10, Nonce: 11,
+		Expires: a.w.Now.Add(time.Minute),
+	}
+}
+
+func (a *agent) requireReject(out command.Outbox, code table.Code, ran table.Ran) {
+	a.t.Helper()
+	require.Empty(a.t, out.Runs)
+	require.Len(a.t, out.Rejects, 1)
+	require.Equal(a.t, code, out.Rejects[0].Code)
+	require.Equal(a.t, ran, out.Rejects[0].Ran)
+}
+
+// Guards against work of a fenced router that is accepted in the gap between
+// the agent's start and its knowledge of the fences.
+func TestNothingRunsBeforeFencesAreRead(t *testing.T) {
+	a := newAgent(t)
+	a.requireReject(a.tick(a.dispatch("c/k1")), table.CodeNotReady, table.NotRun)
+	out := a.tick(event.FenceList{Status: event.CallOK}, event.Registered{})
+	require.Len(t, out.ReadFences, 1)
+	a.requireReject(a.tick(a.dispatch("c/k2")), table.CodeNotReady, table.NotRun)
+	a.requireReject(a.tick(event.FenceList{Status: event.CallNotApplied}, a.dispatch("c/k3")), table.CodeNotReady, table.NotRun)
+	require.Len(t, a.tickAt(a.w.Now.Add(fenceRetry)).ReadFences, 1)
+	out = a.tick(event.FenceList{Status: event.CallOK, Holders: []table.Holder{other}}, a.dispatch("c/k4"))
+	require.Len(t, out.Runs, 1)
+	d := a.dispatch("c/k5")
+	d.Holder = other
+	a.requireReject(a.tick(d), table.CodeFenced, table.NotRun)
+}
+
+// Guards against work that runs although the last check must stop it.
+func TestRefusalsBeforeRun(t *testing.T) {
+	cases := map[string]struct {
+		change func(a *agent, d *event.Dispatch)
+		code   table.Code
+		ran    table.Ran
+	}{
+		"other incarnation": {func(_ *agent, d *event.Dispatch) { d.Agent.Incarnation++ }, table.CodeNotReady, table.NotRun},
+		"expired grant":     {func(a *agent, d *event.Dispatch) { d.Expires = a.w.Now }, table.CodeExpired, table.NotRun},
+		"leaving endpoint": {func(a *agent, _ *event.Dispatch) { a.w.Endpoints.Get("e1").State = table.EndpointLeaving },
+			table.CodeDraining, table.NotRun},
+		"draining agent": {func(a *agent, _ *event.Dispatch) { a.w.Draining = true }, table.CodeDraining, table.NotRun},
+		"down endpoint": {func(a *agent, _ *event.Dispatch) { a.tick(event.EngineState{Endpoint: "e1"}) },
+			table.CodeEndpointFailed, table.NotRun},
+		"unknown endpoint": {func(_ *agent, d *event.Dispatch) { d.Endpoint = "e9" }, table.CodeNoEndpoint, table.NotRun},
+		"quarantined": {func(a *agent, _ *event.Dispatch) {
+			a.w.Suspects.Put(5, table.Suspect{Quarantined: true, Until: a.w.Now.Add(time.Minute)})
+		}, table.CodeQuarantined, table.NotRun},
+		"replay of unknown key": {func(_ *agent, d *event.Dispatch) { d.ReplayOnly = true }, table.CodeKeyLost, table.RanUnknown},
+		"claim past its deadline": {func(a *agent, d *event.Dispatch) {
+			a.tickAt(a.w.Now.Add(time.Second))
+			d.KeyUntil = a.w.Now.Add(-time.Millisecond)
+		}, table.CodeKeyLost, table.RanUnknown},
+		"issued key of an earlier start": {func(a *agent, d *event.Dispatch) {
+			key := table.IssuedKey{Agent: table.Holder{Process: "a1", Incarnation: 6}, Until: a.w.Now.Add(time.Hour)}
+			d.Request = table.MakeRequestID("c", key.String())
+		}, table.CodeKeyLost, table.RanUnknown},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			a := readyAgent(t)
+			d := a.dispatch("c/k")
+			c.change(a, &d)
+			a.requireReject(a.tick(d), c.code, c.ran)
+		})
+	}
+}
+
+// Guards against work above an endpoint's slots, and beside a request that must
+// run alone.
+func TestSlotsAndAlone(t *testing.T) {
+	a := readyAgent(t)
+	require.Len(t, a.tick(a.dispatch("c/k1"), a.dispatch("c/k2")).Runs, 2)
+	out := a.tick(a.dispatch("c/k3"))
+	a.requireReject(out, table.CodeBusy, table.NotRun)
+	require.Equal(t, 2, out.Rejects[0].InFlight)
+	a.tick(event.RunEnd{Request: "c/k1", Attempt: 1, Status: event.RunDone})
+	alone := a.dispatch("c/k4")
+	alone.Alone = true
+	a.requireReject(a.tick(alone), table.CodeBusy, table.NotRun)
+	a.tick(event.RunEnd{Request: "c/k2", Attempt: 1, Status: event.RunDone})
+	alone.Attempt = 2
+	require.Len(t, a.tick(alone).Runs, 1)
+	a.requireReject(a.tick(a.dispatch("c/k5")), table.CodeBusy, table.NotRun)
+}
+
+// Guards against a second run of a call that must not repeat.
+func TestCallRunsOnce(t *testing.T) {
+	a := readyAgent(t)
+	require.Len(t, a.tick(a.dispatch("c/k")).Runs, 1)
+	require.Empty(t, a.tick(a.dispatch("c/k")).Runs, "duplicate of the running attempt")
+	retry := a.dispatch("c/k")
+	retry.Holder, retry.Session = other, 2
+	require.Len(t, a.tick(retry).Replays, 1)
+	a.tick(event.RunEnd{Request: "c/k", Attempt: 1, Status: event.RunBroken})
+	retry.Attempt = 2
+	a.requireReject(a.tick(retry), table.CodeEndpointFailed, table.RanUnknown)
+}
+
+// Guards against the late duplicate of a refused attempt that runs once the
+// slot is free, after its caller was told that it was not run.
+func TestRefusedAttemptNeverRunsLater(t *testing.T) {
+	a := readyAgent(t)
+	a.tick(a.dispatch("c/k1"), a.dispatch("c/k2"))
+	late := a.dispatch("c/k3")
+	a.requireReject(a.tick(late), table.CodeBusy, table.NotRun)
+	a.tick(event.RunEnd{Request: "c/k1", Attempt: 1, Status: event.RunDone})
+	a.requireReject(a.tick(late), table.CodeExpired, table.NotRun)
+	late.Attempt = 2
+	require.Len(t, a.tick(late).Runs, 1)
+}
+
+// Guards against an answer given to a request with other content.
+func TestKeyOfAnotherRequestIsRefused(t *testing.T) {
+	a := readyAgent(t)
+	a.tick(a.dispatch("c/k"))
+	d := a.dispatch("c/k")
+	d.Fingerprint, d.Nonce = 6, 12
+	out := a.tick(d)
+	a.requireReject(out, table.CodeKeyMismatch, table.NotRun)
+	require.Empty(t, out.Replays)
+}
+
+// Guards against a late dispatch of a key whose call was told that it never ran.
+func TestLookupRefusesUnknownKey(t *testing.T) {
+	a := readyAgent(t)
+	out := a.tick(event.Lookup{From: other, Request: "c/k", Refuse: true, Nonce: 99})
+	require.False(t, out.LookupResults[0].Result.Found)
+	a.requireReject(a.tick(a.dispatch("c/k")), table.CodeKeyInUse, table.NotRun)
+	chosen := a.dispatch("c/k")
+	chosen.Holder, chosen.Nonce = other, 99
+	require.Len(t, a.tick(chosen).Runs, 1)
+	out = a.tick(event.Lookup{From: router, Request: "c/k", Refuse: true})
+	require.True(t, out.LookupResults[0].Result.Found)
+}
+
+// Guards against "never seen" for a key that ran and was forgotten.
+func TestForgottenKeyIsNotReportedAsUnseen(t *testing.T) {
+	a := readyAgent(t)
+	d := a.dispatch("c/k")
+	d.KeyUntil = a.w.Now.Add(time.Hour)
+	a.tick(d)
+	a.tick(event.RunEnd{Request: "c/k", Attempt: 1, Status: event.RunDone})
+	a.tickAt(d.KeyUntil.Add(-time.Second))
+	require.NotNil(t, a.w.Runs.Get("c/k"), "kept until the claim's deadline")
+	out := a.tickAt(d.KeyUntil.Add(time.Second), event.Lookup{From: other, Request: "c/k", Refuse: true, KeyUntil: d.KeyUntil})
+	require.True(t, out.LookupResults[0].Result.Found, "not expired before the lookup in the same tick")
+	require.Len(t, out.Forgets, 1)
+	out = a.tick(event.Lookup{From: other, Request: "c/k", Refuse: true, KeyUntil: d.KeyUntil})
+	require.True(t, out.LookupResults[0].Result.Forgotten)
+	a.requireReject(a.tick(d), table.CodeKeyLost, table.RanUnknown)
+}
+
+// Guards against a broken generate request that cannot continue, and against a
+// late duplicate of its broken attempt.
+func TestBrokenGenerateRunsAgainWithHigherAttempt(t *testing.T) {
+	a := readyAgent(t)
+	d := a.dispatch("c/k")
+	d.Kind = table.ServiceModel
+	a.tick(d)
+	a.tick(event.RunEnd{Request: "c/k", Attempt: 1, Status: event.RunBroken, Prompt: 3, Output: 2})
+	a.requireReject(a.tick(d), table.CodeEndpointFailed, table.DidRun)
+	d.Attempt, d.Position = 2, 2
+	out := a.tick(d)
+	require.Len(t, out.Runs, 1)
+	require.EqualValues(t, 2, out.Runs[0].Position)
+}
+
+// Guards against grants recovered without the cost of runs that were still in
+// progress, or broken, when the router was fenced.
+func TestFenceReportsAllCharges(t *testing.T) {
+	a := readyAgent(t)
+	one, two := a.dispatch("c/k1"), a.dispatch("c/k2")
+	one.Kind, two.Kind = table.ServiceModel, table.ServiceModel
+	a.tick(one, two)
+	a.tick(event.RunEnd{Request: "c/k1", Attempt: 1, Status: event.RunBroken, Prompt: 3, Output: 2})
+	out := a.tick(event.Fence{From: other, Call: 4, Holder: router})
+	require.Equal(t, event.FenceResult{
+		Agent: self, Call: 4, Holder: router, Running: true, Charges: []event.HolderCharge{{Budget: "c/b", Spent: 5}},
+	}, out.FenceResults[0].Result)
+	out = a.tick(event.RunEnd{Request: "c/k2", Attempt: 1, Status: event.RunDone, Prompt: 4, Output: 100})
+	require.Equal(t, event.FenceResult{
+		Agent: self, Call: 4, Holder: router, Charges: []event.HolderCharge{{Budget: "c/b", Spent: 15}},
+	}, out.FenceResults[0].Result, "never more than the limit of 10")
+	a.requireReject(a.tick(a.dispatch("c/k3")), table.CodeFenced, table.NotRun)
+}
--- /dev/null
+++ b/internal/system/gate/runs.go
@@ -0,0 +1,167 @@
+package gate
+
+import (
+	"slices"
+
+	"laburnumroad.dev/laburnumroad/internal/command"
+	"laburnumroad.dev/laburnumroad/internal/event"
+	"laburnumroad.dev/laburnumroad/internal/table"
+	"laburnumroad.dev/laburnumroad/internal/world"
+)
+
+// run starts a run and charges its limit to the holder until it ends.
+func run(w *world.World, d *event.Dispatch) {
+	row := w.Runs.Get(d.Request)
+	if row == nil {
+		row = w.Runs.Put(d.Request, table.Run{ID: d.Request})
+	}
+	setRun(w, row, d)
+	w.Out.Runs = append(w.Out.Runs, command.Run{
+		Session: d.Session, Request: d.Request, Attempt: d.Attempt, Endpoint: d.Endpoint,
+		Kind: d.Kind, Operation: d.Operation, Limit: d.Limit, MaxOutput: d.MaxOutput,
+		Priority: d.Priority, Position: d.Position, Fence: uint64(d.Holder.Incarnation),
+	})
+	ep := w.Endpoints.Get(d.Endpoint)
+	ep.InFlight++
+	ep.InFlightTokens += d.Limit
+	runs := w.EndpointRuns.Get(d.Endpoint)
+	if runs == nil {
+		runs = w.EndpointRuns.Put(d.Endpoint, table.EndpointRuns{})
+	}
+	runs.Running = append(runs.Running, d.Request)
+	runs.Alone = d.Alone
+	charge := chargeOf(w, d.Holder, d.Budget)
+	charge.Running += d.Limit
+	charge.LastUse = w.Now
+	holderWork(w, d.Holder).Running++
+	w.Count("gate.run")
+}
+
+func setRun(w *world.World, row *table.Run, d *event.Dispatch) {
+	row.State = table.RunRunning
+	row.Holder, row.Nonce, row.Attempt, row.Session = d.Holder, d.Nonce, d.Attempt, d.Session
+	row.Budget, row.Endpoint, row.Service, row.Kind = d.Budget, d.Endpoint, d.Service, d.Kind
+	row.Fingerprint, row.Idempotent = d.Fingerprint, d.Idempotent || d.Kind == table.ServiceModel
+	row.Limit, row.Position, row.Alone = d.Limit, d.Position, d.Alone
+	row.Prompt, row.Output = 0, 0
+	row.Expires, row.Started = d.Expires, w.Now
+	row.Keep = max(row.Keep, d.KeyUntil)
+	if key, ok := table.ParseIssuedKey(d.Request.Key()); ok {
+		row.Keep = max(row.Keep, key.Until)
+	}
+}
+
+// keep makes sure that a row is not forgotten before t.
+func keep(w *world.World, row *table.Run, t table.Instant) {
+	row.Keep = max(row.Keep, t)
+	w.RunExpiry.Set(row.ID, row.Keep)
+}
+
+func chargeOf(w *world.World, h table.Holder, b table.BudgetID) *table.Charge {
+	key := table.ChargeKey{Holder: h, Budget: b}
+	if c := w.Charges.Get(key); c != nil {
+		return c
+	}
+	work := holderWork(w, h)
+	work.Budgets = append(work.Budgets, b)
+	return w.Charges.Put(key, table.Charge{})
+}
+
+func holderWork(w *world.World, h table.Holder) *table.HolderWork {
+	if work := w.HolderWork.Get(h); work != nil {
+		return work
+	}
+	return w.HolderWork.Put(h, table.HolderWork{})
+}
+
+func applyProgress(w *world.World) {
+	for _, e := range w.In.RunProgress {
+		row := w.Runs.Get(e.Request)
+		if row == nil || row.State != table.RunRunning {
+			continue
+		}
+		row.Prompt, row.Output = max(row.Prompt, e.Prompt), max(row.Output, e.Output)
+	}
+}
+
+func applyRunEnds(w *world.World) {
+	for _, e := range w.In.RunEnds {
+		row := w.Runs.Get(e.Request)
+		if row == nil || row.State != table.RunRunning || row.Attempt != e.Attempt {
+			continue
+		}
+		end(w, row, e)
+	}
+}
+
+func end(w *world.World, row *table.Run, e event.RunEnd) {
+	row.Prompt, row.Output = max(row.Prompt, e.Prompt), max(row.Output, e.Output)
+	row.State = stateAfter(e.Status)
+	if e.Status == event.RunNotRun {
+		row.Prompt, row.Output = 0, 0
+		addRejected(row, table.RejectedAttempt{Holder: row.Holder, Nonce: row.Nonce, Attempt: row.Attempt})
+	}
+	keep(w, row, max(w.Now.Add(w.Params.AnswerRetention), row.Expires))
+	freeEndpoint(w, row)
+	settle(w, row)
+	w.Count("gate.end")
+}
+
+func stateAfter(s event.RunStatus) table.RunState {
+	switch s {
+	case event.RunDone:
+		return table.RunDone
+	case event.RunNotRun:
+		return table.RunRejected
+	}
+	return table.RunFailed
+}
+
+// settle moves a run's charge from its limit to what it produced.
+func settle(w *world.World, row *table.Run) {
+	charge := chargeOf(w, row.Holder, row.Budget)
+	charge.Running -= row.Limit
+	charge.Spent += cost(row)
+	charge.LastUse = w.Now
+	work := holderWork(w, row.Holder)
+	work.Running--
+	if work.Running == 0 {
+		answerAsking(w, row.Holder)
+	}
+}
+
+// cost is never more than the limit. A plain call costs its whole limit, which
+// is its price, once it was done.
+func cost(row *table.Run) table.Tokens {
+	if row.Kind == table.ServicePlain && row.State == table.RunDone {
+		return row.Limit
+	}
+	return min(row.Limit, row.Prompt+row.Output)
+}
+
+func freeEndpoint(w *world.World, row *table.Run) {
+	if ep := w.Endpoints.Get(row.Endpoint); ep != nil {
+		ep.InFlight--
+		ep.InFlightTokens -= row.Limit
+	}
+	runs := w.EndpointRuns.Get(row.Endpoint)
+	if runs == nil {
+		return
+	}
+	if i := slices.Index(runs.Running, row.ID); i >= 0 {
+		runs.Running = slices.Delete(runs.Running, i, i+1)
+	}
+	runs.Alone = false
+}
+
+// applyCancels stops runs for the call that started them. A call that only gets
+// a replay leaves the run alone.
+func applyCancels(w *world.World) {
+	for _, c := range w.In.RunCancels {
+		row := w.Runs.Get(c.Request)
+		if row == nil || row.State != table.RunRunning || row.Holder != c.Holder || row.Attempt > c.Attempt {
+			continue
+		}
+		w.Out.StopRuns = append(w.Out.StopRuns, command.StopRun{Request: c.Request})
+	}
+}
--- a/internal/table/request.go
+++ b/internal/table/request.go
@@ -148,6 +148,11 @@
 	ReplayOnly bool
 	// Alone asks for an endpoint without other work, for crash suspects.
 	Alone bool
+	// Nonce names this call: agents and claims tell it from other calls with
+	// the same key.
+	Nonce uint64
+	// KeyUntil is the claim's deadline in the pinned agent's clock, or 0.
+	KeyUntil Instant
 	// Tried are endpoints that failed this request.
 	Tried []EndpointID
 	// Disconnected is when the caller went away, or zero.
--- a/internal/table/run.go
+++ b/internal/table/run.go
@@ -13,12 +13,12 @@
 	RunFailed
 	// RunRefused is a key that must never run here.
 	RunRefused
-	// RunIssued is a key this agent issued that was not used yet.
-	RunIssued
+	// RunRejected had attempts refused before they ran; others may still run.
+	RunRejected
 )
 
-// Run is what an agent knows of one request id. Invariant: a non-idempotent
-// request id reaches RunRunning at most once in an incarnation.
+// Run is what an agent knows of one request id. Invariant: the endpoint runs a
+// non-idempotent request id at most once in an incarnation of the agent.
 type Run struct {
 	ID          RequestID
 	State       RunState
@@ -37,8 +37,86 @@
 	Expires  Instant
 	Started  Instant
 	Alone    bool
+	Kind     ServiceKind
+	// Session gets the output of the attempt.
+	Session uint64
+	// Nonce names the call at a router that runs the key. In RunRefused it is
+	// the only call that may still run it, or 0.
+	Nonce uint64
+	// Rejected are the refused attempts, which a late duplicate must not run.
+	Rejected []RejectedAttempt
+	// Keep is when the row may be forgotten, unless the run is in progress.
+	Keep Instant
 }
 
+// Ran reports whether the endpoint may have run any part of the key.
+func (r *Run) Ran() bool {
+	return r != nil && r.State != RunRefused && r.State != RunRejected
+}
+
+// RejectedAttempt is the highest attempt of one call that was refused.
+type RejectedAttempt struct {
+	Holder  Holder
+	Nonce   uint64
+	Attempt uint32
+}
+
+// EndpointRuns are the runs in progress at an endpoint of this agent.
+type EndpointRuns struct {
+	Running []RequestID
+	// Alone is true while a run that must not share the endpoint is in progress.
+	Alone bool
+	// Broken are runs that ended early a moment ago. They count as running when
+	// the endpoint's death is noticed after their streams ended.
+	Broken []BrokenRun
+}
+
+// BrokenRun is a run that ended early.
+type BrokenRun struct {
+	Fingerprint Fingerprint
+	At          Instant
+}
+
+// HolderWork is what an agent runs for one holder.
+type HolderWork struct {
+	Running int
+	Budgets []BudgetID
+	// Asking are the fence calls to answer again when the last run ended.
+	Asking []FenceCall
+}
+
+// FenceCall is a router's open question about a fenced holder.
+type FenceCall struct {
+	From Holder
+	Call uint64
+}
+
+// AgentTables are the rows that only an agent has.
+type AgentTables struct {
+	EndpointRuns Table[EndpointID, EndpointRuns]
+	HolderWork   Table[Holder, HolderWork]
+	// RunExpiry says when a row of runs may be forgotten.
+	RunExpiry Timers[RequestID]
+	// ChargeExpiry says when the charges of a fenced holder may be forgotten.
+	ChargeExpiry Timers[Holder]
+	Readiness    Readiness
+	// FenceReadAt is when to read the fence list again, or zero.
+	FenceReadAt Instant
+}
+
+// Readiness is how far an agent's start has come.
+type Readiness uint8
+
+// Steps of an agent's start, in order.
+const (
+	// Starting has not registered its process object yet.
+	Starting Readiness = iota
+	// ReadingFences is registered and has asked for the fence list.
+	ReadingFences
+	// Ready refuses all fenced holders and accepts work.
+	Ready
+)
+
 // ChargeKey identifies a charge record at an agent.
 type ChargeKey struct {
 	Holder Holder
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -55,6 +55,8 @@
 	Runs     table.Table[table.RequestID, table.Run]
 	Charges  table.Table[table.ChargeKey, table.Charge]
 	Counters table.Table[string, int64]
+	table.AgentTables
+	History table.History
 }
 
 // World is the state of one process and the input and output of one tick.
