--- /dev/null
+++ b/internal/system/explain/explain_test.go
@@ -0,0 +1,32 @@
+package explain
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"laburnumroad.dev/laburnumroad/internal/event"
+	"laburnumroad.dev/laburnumroad/internal/table"
+	"laburnumroad.dev/laburnumroad/internal/world"
+)
+
+// Guards against memory that grows with the number of requests, and against
+// decisions of other requests in the reply.
+func TestHistoryIsBoundedAndFoundByIDOrKey(t *testing.T) {
+	w := world.New(world.Params{ExplainLimit: 4}, 1)
+	for i, id := range []table.RequestID{"c/old", "c/k", "d/k", "c/k", "c/z"} {
+		w.Explain(id, "test", string(rune('a'+i)))
+		w.Tick(table.Instant(i), []world.System{world.SystemFunc(Run)})
+		w.Clear()
+	}
+	for name, want := range map[string]string{"c/k": "bd", "k": "bd", "d/k": "c", "old": "", "nothing": ""} {
+		event.ExplainQuery{Reply: 1, Request: name}.AddTo(&w.In)
+		w.Tick(9, []world.System{world.SystemFunc(Run)})
+		got := ""
+		for _, d := range w.Out.ExplainReplies[0].Decisions {
+			got += d.Decision
+		}
+		require.Equal(t, want, got, name)
+		w.Clear()
+	}
+}
