--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -38,7 +38,16 @@
 	signal  chan struct{}
 
 	// Publish, if set, is called on the control thread after each tick.
-	Publish func(w *world.World)
+	Publish func(w *world.World, spent Spent)
+	spent   Spent
+}
+
+// Spent is what the control thread has used so far.
+type Spent struct {
+	Ticks uint64
+	// Busy is the time inside ticks, Longest the longest single tick.
+	Busy    time.Duration
+	Longest time.Duration
 }
 
 // NewLoop returns a loop over w. Start it with Run.
@@ -92,10 +101,18 @@
 	for _, e := range events {
 		e.AddTo(&l.world.In)
 	}
-	l.world.Tick(l.clock(), l.systems)
+	start := l.clock()
+	l.world.Tick(start, l.systems)
 	l.sink.Flush(&l.world.Out)
+	l.world.Clear()
+	l.account(l.clock().Sub(start))
 	if l.Publish != nil {
-		l.Publish(l.world)
+		l.Publish(l.world, l.spent)
 	}
-	l.world.Clear()
+}
+
+func (l *Loop) account(took time.Duration) {
+	l.spent.Ticks++
+	l.spent.Busy += took
+	l.spent.Longest = max(l.spent.Longest, took)
 }
--- /dev/null
+++ b/internal/daemon/flush.go
@@ -0,0 +1,199 @@
+package daemon
+
+import (
+	"context"
+
+	"laburnumroad.dev/laburnumroad/internal/command"
+	"laburnumroad.dev/laburnumroad/internal/event"
+	"laburnumroad.dev/laburnumroad/internal/table"
+	"laburnumroad.dev/laburnumroad/internal/traffic/wire"
+)
+
+// Flush implements control.Sink: it hands the commands of a tick to traffic.
+func (d *Daemon) Flush(out *command.Outbox) {
+	d.store.Flush(out)
+	d.flushSessions(out)
+	d.flushMessages(out)
+	if d.runner != nil {
+		d.flushRuns(out)
+	}
+	if d.relay != nil {
+		d.flushRequests(out)
+		d.flushOperators(out)
+	}
+	for _, c := range out.Changes {
+		d.log.Info().Str("subject", c.Subject).Str("id", c.ID).Str("from", c.From).Str("to", c.To).
+			Str("reason", c.Reason).Msg("state changed")
+	}
+	for _, c := range out.Exits {
+		d.finish(c.Reason)
+	}
+}
+
+func (d *Daemon) flushRequests(out *command.Outbox) {
+	for _, c := range out.Accepts {
+		d.relay.Directory.Accept(c)
+	}
+	for _, c := range out.Dispatches {
+		d.dispatch(c)
+	}
+	for _, c := range out.CancelRuns {
+		// A closed session ends the attempt anyway.
+		_ = d.peers.sendHolder(c.To, wire.TypeCancel, &wire.Cancel{Request: c.Request, Attempt: c.Attempt})
+	}
+	for _, c := range out.Replies {
+		d.relay.Directory.Reply(c)
+	}
+	for _, c := range out.KeyReplies {
+		d.caller.Keys.Answer(c.Reply, c)
+	}
+	for _, c := range out.CancelDone {
+		d.caller.Cancels.Answer(c.Reply, c)
+	}
+}
+
+// dispatch reports an attempt whose request has no goroutine any more.
+func (d *Daemon) dispatch(c command.Dispatch) {
+	if d.relay.Directory.Dispatch(c) {
+		return
+	}
+	d.loop.Post(event.AttemptEnd{
+		Request: c.Request, Attempt: c.Attempt, Status: event.AttemptRejected, Code: table.CodeCancelled,
+		Reason: "the caller's handler has ended", Ran: table.NotRun,
+	})
+}
+
+func (d *Daemon) flushOperators(out *command.Outbox) {
+	for _, c := range out.TopUpReplies {
+		d.operator.TopUps.Answer(c.Reply, c)
+	}
+	for _, c := range out.BudgetReplies {
+		d.operator.Budgets.Answer(c.Reply, c)
+	}
+	for _, c := range out.StatusReplies {
+		d.operator.Statuses.Answer(c.Reply, c)
+	}
+	for _, c := range out.ExplainReplies {
+		d.operator.Explains.Answer(c.Reply, c)
+	}
+	for _, c := range out.DrainReplies {
+		d.operator.Drains.Answer(c.Reply, c)
+	}
+	for _, c := range out.Drains {
+		d.peers.send(c.To, wire.TypeDrain, &wire.Drain{Target: c.Order.Target, Undo: c.Order.Undo, Reason: c.Order.Reason})
+	}
+}
+
+func (d *Daemon) flushRuns(out *command.Outbox) {
+	for _, c := range out.Runs {
+		d.runner.Run(c)
+	}
+	for _, c := range out.Rejects {
+		d.runner.Reject(c)
+	}
+	for _, c := range out.Replays {
+		d.runner.Replay(c)
+	}
+	for _, c := range out.StopRuns {
+		d.runner.Stop(c)
+	}
+	for _, c := range out.Forgets {
+		d.runner.Forget(c)
+	}
+}
+
+func (d *Daemon) flushSessions(out *command.Outbox) {
+	for _, c := range out.Dials {
+		d.dial(c)
+	}
+	for _, c := range out.Hangups {
+		if s := d.peers.get(c.Process); s != nil {
+			s.Close()
+		}
+	}
+	for i := range out.Heartbeats {
+		c := &out.Heartbeats[i]
+		if c.To != "" {
+			d.peers.send(c.To, wire.TypeHeartbeat, &c.Heartbeat)
+			continue
+		}
+		for _, s := range d.peers.all() {
+			_ = s.Send(wire.TypeHeartbeat, &c.Heartbeat)
+		}
+	}
+	for i := range out.Crashes {
+		for _, s := range d.peers.all() {
+			_ = s.Send(wire.TypeCrash, &out.Crashes[i].Crash)
+		}
+	}
+	for _, c := range out.ConfigAsks {
+		d.peers.send(c.To, wire.TypeConfigRequest, &wire.ConfigRequest{})
+	}
+}
+
+func (d *Daemon) dial(c command.Dial) {
+	if !d.peers.beginDial(c.Process) {
+		return
+	}
+	go func() {
+		defer d.peers.endDial(c.Process)
+		// Membership tries again; the state change of the process is the log line.
+		_ = d.node.Dial(d.ctx, c.Address)
+	}()
+}
+
+func (d *Daemon) flushMessages(out *command.Outbox) {
+	for i := range out.SliceRequests {
+		d.peers.send(out.SliceRequests[i].To, wire.TypeSliceRequest, &out.SliceRequests[i].Request)
+	}
+	for i := range out.SliceGrants {
+		_ = d.peers.sendHolder(out.SliceGrants[i].To, wire.TypeSliceGrant, &out.SliceGrants[i].Grant)
+	}
+	for i := range out.SliceReports {
+		_ = d.peers.sendHolder(out.SliceReports[i].To, wire.TypeSliceReport, &out.SliceReports[i].Report)
+	}
+	for i := range out.KeyRecords {
+		d.peers.send(out.KeyRecords[i].To, wire.TypeKeyRecord, &out.KeyRecords[i].Record)
+	}
+	for i := range out.KeyQueries {
+		d.peers.send(out.KeyQueries[i].To, wire.TypeKeyQuery, &out.KeyQueries[i].Query)
+	}
+	for i := range out.KeyResults {
+		_ = d.peers.sendHolder(out.KeyResults[i].To, wire.TypeKeyResult, &out.KeyResults[i].Result)
+	}
+	for i := range out.Lookups {
+		d.peers.send(out.Lookups[i].To, wire.TypeLookup, &out.Lookups[i].Lookup)
+	}
+	for i := range out.LookupResults {
+		_ = d.peers.sendHolder(out.LookupResults[i].To, wire.TypeLookupResult, &out.LookupResults[i].Result)
+	}
+	for i := range out.Fences {
+		d.peers.send(out.Fences[i].To, wire.TypeFence, &out.Fences[i].Fence)
+	}
+	for i := range out.FenceResults {
+		_ = d.peers.sendHolder(out.FenceResults[i].To, wire.TypeFenceResult, &out.FenceResults[i].Result)
+	}
+}
+
+// seenConfig checks a configuration and posts it. A configuration that is not
+// valid is refused as a whole, and the one in force stays.
+func (d *Daemon) seenConfig(g table.Generation, text string, from table.ProcessID) {
+	if g == 0 || g <= d.metrics.current.Load().Generation {
+		return
+	}
+	fleet, err := d.parseFleet(g, text)
+	if err != nil {
+		d.log.Error().Uint64("generation", uint64(g)).Err(err).Msg("configuration refused")
+		return
+	}
+	d.loop.Post(event.ConfigSeen{Fleet: fleet, From: from})
+}
+
+// start runs fn on a goroutine that Run waits for.
+func (d *Daemon) start(fn func(ctx context.Context)) {
+	d.wg.Add(1)
+	go func() {
+		defer d.wg.Done()
+		fn(d.ctx)
+	}()
+}
--- /dev/null
+++ b/internal/daemon/receive.go
@@ -0,0 +1,119 @@
+package daemon
+
+import (
+	"github.com/pkg/errors"
+
+	"laburnumroad.dev/laburnumroad/internal/event"
+	"laburnumroad.dev/laburnumroad/internal/traffic/wire"
+)
+
+// receive turns a frame into an event. The sender's identity always comes from
+// the session, never from the message.
+func (d *Daemon) receive(s *wire.Session, f wire.Frame) error {
+	switch f.Type {
+	case wire.TypeHeartbeat:
+		return post(d, f, func(h *event.Heartbeat) { h.Peer = s.Holder() })
+	case wire.TypeConfigRequest:
+		return d.sendConfig(s)
+	case wire.TypeConfigBody:
+		return d.receiveConfig(s, f)
+	}
+	if d.runner != nil {
+		return d.receiveAtAgent(s, f)
+	}
+	return d.receiveAtRouter(s, f)
+}
+
+func (d *Daemon) receiveAtRouter(s *wire.Session, f wire.Frame) error {
+	from := s.Holder()
+	switch f.Type {
+	case wire.TypeChunk:
+		c, err := wire.Decode[wire.Chunk](f)
+		if err == nil {
+			d.relay.Directory.Chunk(c)
+		}
+		return err
+	case wire.TypeEnd:
+		e, err := wire.Decode[wire.End](f)
+		if err == nil {
+			d.relay.Directory.End(e)
+		}
+		return err
+	case wire.TypeLookupResult:
+		return post(d, f, func(e *event.LookupResult) { e.Agent = from })
+	case wire.TypeFenceResult:
+		return post(d, f, func(e *event.FenceResult) { e.Agent = from })
+	case wire.TypeSliceRequest:
+		return post(d, f, func(e *event.SliceRequest) { e.From = from })
+	case wire.TypeSliceGrant:
+		return post(d, f, func(e *event.SliceGrant) { e.From = from })
+	case wire.TypeSliceReport:
+		return post(d, f, func(e *event.SliceReport) { e.From = from })
+	case wire.TypeKeyRecord:
+		return post(d, f, func(e *event.KeyRecord) { e.From = from })
+	case wire.TypeKeyQuery:
+		return post(d, f, func(e *event.KeyQuery) { e.From = from })
+	case wire.TypeKeyResult:
+		return post(d, f, func(*event.KeyResult) {})
+	case wire.TypeCrash:
+		return post(d, f, func(*event.Crash) {})
+	}
+	return errors.Errorf("unexpected message %s", f.Type)
+}
+
+func (d *Daemon) receiveAtAgent(s *wire.Session, f wire.Frame) error {
+	from := s.Holder()
+	switch f.Type {
+	case wire.TypeDispatch:
+		m, err := wire.Decode[wire.Dispatch](f)
+		if err == nil {
+			d.runner.Received(s.ID, from, s, m)
+		}
+		return err
+	case wire.TypeCancel:
+		c, err := wire.Decode[wire.Cancel](f)
+		if err == nil {
+			d.loop.Post(event.RunCancel{Session: s.ID, Holder: from, Request: c.Request, Attempt: c.Attempt})
+		}
+		return err
+	case wire.TypeLookup:
+		return post(d, f, func(e *event.Lookup) { e.From = from })
+	case wire.TypeFence:
+		return post(d, f, func(e *event.Fence) { e.From = from })
+	case wire.TypeDrain:
+		m, err := wire.Decode[wire.Drain](f)
+		if err == nil {
+			d.loop.Post(event.DrainOrder{Target: m.Target, Undo: m.Undo, Reason: m.Reason})
+		}
+		return err
+	}
+	return errors.Errorf("unexpected message %s", f.Type)
+}
+
+// post decodes the body of a frame as an event, completes it and posts it.
+func post[E event.Event](d *Daemon, f wire.Frame, complete func(*E)) error {
+	e, err := wire.Decode[E](f)
+	if err != nil {
+		return err
+	}
+	complete(&e)
+	d.loop.Post(e)
+	return nil
+}
+
+func (d *Daemon) sendConfig(s *wire.Session) error {
+	now := d.metrics.current.Load()
+	return s.Send(wire.TypeConfigBody, &wire.ConfigBody{
+		Generation: now.Generation, Text: now.ConfigText, Processes: now.Processes, Endpoints: now.Endpoints,
+	})
+}
+
+func (d *Daemon) receiveConfig(s *wire.Session, f wire.Frame) error {
+	c, err := wire.Decode[wire.ConfigBody](f)
+	if err != nil {
+		return err
+	}
+	d.loop.Post(event.ProcessList{Processes: c.Processes, Endpoints: c.Endpoints})
+	d.seenConfig(c.Generation, c.Text, s.Holder().Process)
+	return nil
+}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -170,13 +170,18 @@
 // SessionUp says that a session with a process is open. Clock is the peer's
 // clock in its Hello.
 type SessionUp struct {
+	// Session is unique in this process.
+	Session   uint64
 	Process   table.Process
 	Clock     table.Instant
 	Endpoints []table.Endpoint
 }
 
 // SessionDown says that a session ended.
-type SessionDown struct{ Peer table.Holder }
+type SessionDown struct {
+	Session uint64
+	Peer    table.Holder
+}
 
 // EndpointLoad is an endpoint's load in a heartbeat.
 type EndpointLoad struct {
--- a/internal/system/membership/membership.go
+++ b/internal/system/membership/membership.go
@@ -48,7 +48,7 @@
 	readLists(w)
 	readSessions(w)
 	readHeartbeats(w)
-	readEngines(w)
+	readPlatform(w)
 	changed := s.readDrains(w)
 	if now := w.Now; now >= s.nextBeat || changed || s.leaving != w.Draining {
 		s.updateStates(w)
@@ -130,7 +130,7 @@
 func readSessions(w *world.World) {
 	for _, up := range w.In.SessionUps {
 		p := up.Process
-		p.Connected, p.LastHeard, p.State = true, w.Now, table.ProcessLive
+		p.Connected, p.Session, p.LastHeard, p.State = true, up.Session, w.Now, table.ProcessLive
 		p.PeerClock, p.PeerClockAt = up.Clock, w.Now
 		if old := w.Processes.Get(p.ID()); old != nil {
 			p.Listed, p.ListedLeaving = old.Listed, old.ListedLeaving
@@ -142,7 +142,7 @@
 		}
 	}
 	for _, down := range w.In.SessionDowns {
-		if p := w.Processes.Get(down.Peer.Process); p != nil && p.Holder == down.Peer {
+		if p := w.Processes.Get(down.Peer.Process); p != nil && p.Session == down.Session {
 			p.Connected = false
 		}
 	}
@@ -172,20 +172,18 @@
 	setEndpointState(w, e, l.State, "agent's heartbeat")
 }
 
-// readEngines keeps the state of an agent's own endpoints.
-func readEngines(w *world.World) {
-	for _, r := range w.In.EngineStates {
-		e := w.Endpoints.Get(r.Endpoint)
-		if e == nil {
+func readPlatform(w *world.World) {
+	for _, p := range w.In.PlatformStates {
+		if p.Reachable == w.PlatformUp {
 			continue
 		}
-		e.ReportTokens, e.ReportAge = r.ReportTokens, r.ReportAge
-		switch {
-		case !r.Up:
-			setEndpointState(w, e, table.EndpointDown, "engine does not answer")
-		case e.State == table.EndpointDown:
-			setEndpointState(w, e, table.EndpointLive, "engine answers")
+		from, to := "reachable", "unreachable"
+		if p.Reachable {
+			from, to = to, from
 		}
+		w.PlatformUp, w.PlatformSince = p.Reachable, w.Now
+		w.Change("platform", "object API", from, to, "last call")
+		w.Count("platform_" + to)
 	}
 }
 
--- a/internal/table/process.go
+++ b/internal/table/process.go
@@ -49,6 +49,8 @@
 	State   ProcessState
 	// Connected is true while a session is open.
 	Connected bool
+	// Session is the session last opened; the end of an older one is ignored.
+	Session   uint64
 	LastHeard Instant
 	// Generation is the configuration the process last said it enforces.
 	Generation Generation
--- a/internal/traffic/wire/message.go
+++ b/internal/traffic/wire/message.go
@@ -108,10 +108,13 @@
 // ConfigRequest asks for the configuration in force.
 type ConfigRequest struct{}
 
-// ConfigBody carries the configuration in force.
+// ConfigBody carries the configuration in force, and the processes that the
+// sender knows, for a process that starts while the platform is away.
 type ConfigBody struct {
 	Generation table.Generation
 	Text       string
+	Processes  []table.Process
+	Endpoints  []table.Endpoint
 }
 
 // Drain orders an agent to mark an endpoint, or itself, as leaving.
--- a/internal/traffic/wire/session.go
+++ b/internal/traffic/wire/session.go
@@ -36,8 +36,11 @@
 
 	mu     sync.Mutex
 	queue  []byte
+	ending bool
 	closed bool
 	wakeup chan struct{}
+	// ended is closed after the session's last event.
+	ended chan struct{}
 }
 
 // Holder returns the peer's identity.
@@ -67,6 +70,20 @@
 	return nil
 }
 
+// Finish ends the session after what is queued was written.
+func (s *Session) Finish() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ending = true
+	if s.closed {
+		return
+	}
+	select {
+	case s.wakeup <- struct{}{}:
+	default:
+	}
+}
+
 // Close ends the session.
 func (s *Session) Close() {
 	s.mu.Lock()
@@ -102,7 +119,7 @@
 		s.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 		n, err := s.conn.Write(queue)
 		written(n)
-		if err != nil {
+		if err != nil || s.finished() {
 			s.Close()
 			return
 		}
@@ -110,6 +127,13 @@
 	}
 }
 
+// finished reports whether the session ends and nothing waits to be written.
+func (s *Session) finished() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ending && len(s.queue) == 0
+}
+
 // Handler receives what happens on sessions. Its methods run on the session's
 // reading goroutine and must not block for long.
 type Handler interface {
@@ -169,8 +193,9 @@
 	return n.run(conn)
 }
 
-// Close ends all sessions and refuses new ones.
-func (n *Node) Close() {
+// Close refuses new sessions, lets the open ones write what is queued, and
+// waits for their end until ctx is done.
+func (n *Node) Close(ctx context.Context) {
 	n.mu.Lock()
 	sessions := make([]*Session, 0, len(n.open))
 	for _, s := range n.open {
@@ -179,7 +204,14 @@
 	n.closed = true
 	n.mu.Unlock()
 	for _, s := range sessions {
-		s.Close()
+		s.Finish()
+	}
+	for _, s := range sessions {
+		select {
+		case <-s.ended:
+		case <-ctx.Done():
+			s.Close()
+		}
 	}
 }
 
@@ -190,7 +222,7 @@
 		conn.Close()
 		return err
 	}
-	s := &Session{Peer: peer, conn: conn, wakeup: make(chan struct{}, 1)}
+	s := &Session{Peer: peer, conn: conn, wakeup: make(chan struct{}, 1), ended: make(chan struct{})}
 	if !n.register(s) {
 		conn.Close()
 		return ErrClosed
@@ -201,6 +233,7 @@
 	s.Close()
 	n.unregister(s)
 	n.Handler.Closed(s)
+	close(s.ended)
 	return nil
 }
 
