--- a/internal/fake/http.go
+++ b/internal/fake/http.go
@@ -14,7 +14,7 @@
 func readBody(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
 	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
 	if err != nil {
-		writeJSON(w, http.StatusBadRequest, refusalBody{Code: "not_applied"})
+		refuseBadRequest(w)
 		return nil, false
 	}
 	return data, true
@@ -27,12 +27,30 @@
 		return false
 	}
 	if err := json.Unmarshal(data, into); err != nil {
-		writeJSON(w, http.StatusBadRequest, refusalBody{Code: "not_applied"})
+		refuseBadRequest(w)
 		return false
 	}
 	return true
 }
 
+// refuseBadRequest states that nothing ran, in the terms of all three APIs.
+func refuseBadRequest(w http.ResponseWriter) {
+	w.Header().Set("Refusal", "not_run")
+	writeJSON(w, http.StatusBadRequest, refusalBody{Code: "not_applied"})
+}
+
+// adminPost returns a handler that decodes a setting, passes it to set and
+// echoes it.
+func adminPost[F any](set func(F)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		var f F
+		if readJSON(w, r, &f) {
+			set(f)
+			writeJSON(w, http.StatusOK, f)
+		}
+	}
+}
+
 type refusalBody struct {
 	Code string `json:"code"`
 }
--- a/internal/fake/platformhttp.go
+++ b/internal/fake/platformhttp.go
@@ -38,8 +38,8 @@
 	p.mux.HandleFunc("GET /v1/members", func(w http.ResponseWriter, r *http.Request) {
 		p.serve(w, r, platformCall{op: opMembers})
 	})
-	p.mux.HandleFunc("POST /admin/faults", p.adminFaults)
-	p.mux.HandleFunc("POST /admin/members", p.adminMembers)
+	p.mux.HandleFunc("POST /admin/faults", adminPost(p.SetFaults))
+	p.mux.HandleFunc("POST /admin/members", adminPost(p.SetMember))
 	p.mux.HandleFunc("GET /admin/counts", func(w http.ResponseWriter, _ *http.Request) {
 		writeJSON(w, http.StatusOK, p.Counts())
 	})
@@ -60,10 +60,10 @@
 func (p *Platform) Close() { p.loop.close() }
 
 // SetFaults replaces the faults in force.
-func (p *Platform) SetFaults(f PlatformFaults) { p.loop.post(setPlatformFaults{f}) }
+func (p *Platform) SetFaults(f PlatformFaults) { p.loop.do(setPlatformFaults{f}) }
 
 // SetMember marks a host as live or leaving.
-func (p *Platform) SetMember(m Member) { p.loop.post(setMember{m}) }
+func (p *Platform) SetMember(m Member) { p.loop.do(setMember{m}) }
 
 // Counts returns the number of calls by kind and operation.
 func (p *Platform) Counts() []CallCount {
@@ -87,22 +87,6 @@
 	}
 }
 
-func (p *Platform) adminFaults(w http.ResponseWriter, r *http.Request) {
-	var f PlatformFaults
-	if readJSON(w, r, &f) {
-		p.SetFaults(f)
-		writeJSON(w, http.StatusOK, f)
-	}
-}
-
-func (p *Platform) adminMembers(w http.ResponseWriter, r *http.Request) {
-	var m Member
-	if readJSON(w, r, &m) {
-		p.SetMember(m)
-		writeJSON(w, http.StatusOK, m)
-	}
-}
-
 func (p *Platform) put(w http.ResponseWriter, r *http.Request) {
 	var body struct {
 		Value []byte `json:"value"`
