--- a/internal/traffic/engine/engine.go
+++ b/internal/traffic/engine/engine.go
@@ -95,7 +95,7 @@
 		resp.Body.Close()
 		return nil, err
 	}
-	return newStream(ctx, cancel, resp.Body), nil
+	return newStream(ctx, cancel, resp.Body, req.MaxOutputTokens), nil
 }
 
 // CallRequest is one call of a plain service.
@@ -169,6 +169,9 @@
 	if err := json.Unmarshal(data, &report); err != nil {
 		return Load{}, failure(ErrDown, err)
 	}
+	if report.Active < 0 || report.Queued < 0 || report.PendingTokens < 0 || report.AgeMillis < 0 {
+		return Load{}, failure(ErrDown, errors.New("a number of the load report is negative"))
+	}
 	return Load{
 		Active:        report.Active,
 		Queued:        report.Queued,
--- a/internal/traffic/engine/engine_test.go
+++ b/internal/traffic/engine/engine_test.go
@@ -34,9 +34,11 @@
 
 func abort() { panic(http.ErrAbortHandler) }
 
+var request = engine.GenerateRequest{Prompt: "p", MaxTotalTokens: 11, MaxOutputTokens: 10}
+
 // readAll reads a stream to its error or to Done.
 func readAll(t *testing.T, c *engine.Client) (string, error) {
-	s, err := c.Generate(t.Context(), engine.GenerateRequest{Prompt: "p", MaxTotalTokens: 10, MaxOutputTokens: 10})
+	s, err := c.Generate(t.Context(), request)
 	require.NoError(t, err)
 	defer s.Close()
 	var text strings.Builder
@@ -75,6 +77,7 @@
 		"end counts less tokens": {text: oneToken + oneToken + doneOne, end: func() {}},
 		"error line":             {text: oneToken + `{"error":"out of memory"}` + "\n" + doneOne, end: func() {}},
 		"negative count":         {text: `{"tokens":-1}` + "\n" + doneOne, end: func() {}},
+		"over the token limit":   {text: `{"tokens":11}` + "\n" + `{"done":true,"output_tokens":11}` + "\n", end: func() {}},
 		"line too long":          {text: `{"text":"` + strings.Repeat("a", 300<<10) + `"}` + "\n" + doneOne, end: func() {}},
 	}
 	for name, tc := range cases {
@@ -92,6 +95,24 @@
 	return errors.Is(err, engine.ErrDown)
 }
 
+// Guards against an endless stream of lines without tokens, which passes the
+// token limit.
+func TestEndlessStreamIsCut(t *testing.T) {
+	line := []byte(`{"text":"` + strings.Repeat("a", 200<<10) + `"}` + "\n")
+	c := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		for r.Context().Err() == nil {
+			_, _ = w.Write(line)
+		}
+	})
+	s, err := c.Generate(t.Context(), request)
+	require.NoError(t, err)
+	for err == nil {
+		_, err = s.Next()
+	}
+	require.ErrorIs(t, err, engine.ErrTruncated)
+}
+
 // Guards against a whole answer that is refused, and against reads behind its
 // end.
 func TestWholeStream(t *testing.T) {
@@ -103,7 +124,7 @@
 // Guards against io.EOF behind the end, which a caller could take for the end
 // of another, truncated answer.
 func TestNextAfterDoneIsNotEOF(t *testing.T) {
-	s, err := stream(t, oneToken+doneOne, func() {}).Generate(t.Context(), engine.GenerateRequest{})
+	s, err := stream(t, oneToken+doneOne, func() {}).Generate(t.Context(), request)
 	require.NoError(t, err)
 	for range 2 {
 		_, err = s.Next()
@@ -128,7 +149,7 @@
 			})
 			ctx, cancel := context.WithCancel(t.Context())
 			defer cancel()
-			s, err := c.Generate(ctx, engine.GenerateRequest{})
+			s, err := c.Generate(ctx, request)
 			require.NoError(t, err)
 			_, err = s.Next()
 			require.NoError(t, err)
@@ -173,7 +194,7 @@
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
 			c := serve(t, tc.answer)
-			_, err := c.Generate(t.Context(), engine.GenerateRequest{})
+			_, err := c.Generate(t.Context(), request)
 			requireOnly(t, err, tc.generate)
 			_, err = c.Call(t.Context(), engine.CallRequest{Operation: "book", Key: "k"})
 			requireOnly(t, err, tc.call)
@@ -201,7 +222,7 @@
 	server := httptest.NewServer(http.NotFoundHandler())
 	server.Close()
 	c := engine.New(server.URL, engine.Options{})
-	_, err := c.Generate(t.Context(), engine.GenerateRequest{})
+	_, err := c.Generate(t.Context(), request)
 	require.ErrorIs(t, err, engine.ErrNotRun)
 	require.ErrorIs(t, err, engine.ErrDown)
 	_, err = c.Call(t.Context(), engine.CallRequest{Operation: "book", Key: "k"})
@@ -309,7 +330,7 @@
 
 // Guards against a broken load report that reads as an idle engine.
 func TestBrokenLoadReportIsAnError(t *testing.T) {
-	for _, body := range []string{"", "[]", `{"active":1`, fmt.Sprintf(`{"active":1,"x":%q}`, strings.Repeat("a", 70_000))} {
+	for _, body := range []string{"", "[]", `{"active":1`, `{"queued":-1}`, fmt.Sprintf(`{"active":1,"x":%q}`, strings.Repeat("a", 70_000))} {
 		c := serve(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, body) })
 		_, err := c.Load(t.Context())
 		require.ErrorIs(t, err, engine.ErrDown)
--- a/internal/traffic/engine/stream.go
+++ b/internal/traffic/engine/stream.go
@@ -10,8 +10,12 @@
 	"github.com/pkg/errors"
 )
 
-// maxLineBytes bounds one line of a stream.
-const maxLineBytes = 256 << 10
+const (
+	// maxLineBytes bounds one line of a stream.
+	maxLineBytes = 256 << 10
+	// maxStreamBytes bounds a whole stream: room for 100,000 tokens.
+	maxStreamBytes = 16 << 20
+)
 
 // errEnded is returned by Next after Done or Close. It is not io.EOF, which
 // loops over readers take for a whole answer.
@@ -36,14 +40,15 @@
 	cancel context.CancelFunc
 	body   io.ReadCloser
 	lines  *bufio.Scanner
-	// tokens is the number of tokens received.
-	tokens int64
+	// tokens is the number of tokens received, which never exceeds limit.
+	tokens, limit int64
 	// ended is the error that Next returns from now on.
 	ended error
 }
 
-func newStream(ctx context.Context, cancel context.CancelFunc, body io.ReadCloser) *Stream {
-	s := &Stream{ctx: ctx, cancel: cancel, body: body, lines: bufio.NewScanner(body)}
+func newStream(ctx context.Context, cancel context.CancelFunc, body io.ReadCloser, limit int64) *Stream {
+	lines := bufio.NewScanner(io.LimitReader(body, maxStreamBytes))
+	s := &Stream{ctx: ctx, cancel: cancel, body: body, lines: lines, limit: limit}
 	s.lines.Buffer(nil, maxLineBytes)
 	return s
 }
@@ -65,6 +70,9 @@
 	if err != nil {
 		return Delta{}, s.fail(err)
 	}
+	if d.Tokens > s.limit-s.tokens {
+		return Delta{}, s.fail(errors.Errorf("the answer exceeds its limit of %d tokens", s.limit))
+	}
 	s.tokens += d.Tokens
 	if !d.Done {
 		return d, nil
--- a/internal/traffic/platform/platform.go
+++ b/internal/traffic/platform/platform.go
@@ -225,6 +225,9 @@
 	if err := c.call(ctx, http.MethodGet, path, nil, wait, &answer); err != nil {
 		return nil, since, err
 	}
+	if answer.Revision < since {
+		return nil, since, failure(ErrUnknown, errors.Errorf("the revision went back from %d to %d", since, answer.Revision))
+	}
 	objects := make([]Object, 0, len(answer.Objects))
 	for _, o := range answer.Objects {
 		objects = append(objects, o.object())
--- a/internal/traffic/platform/platform_test.go
+++ b/internal/traffic/platform/platform_test.go
@@ -7,10 +7,12 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
@@ -206,6 +208,45 @@
 	require.EqualValues(t, 1, hits.Load())
 }
 
+// Guards against a watch that starts over and repeats old objects as news.
+func TestRevisionThatGoesBackIsAnError(t *testing.T) {
+	c := serve(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, `{"revision":4}`) })
+	_, revision, err := c.Watch(t.Context(), "config", 5, 0)
+	require.ErrorIs(t, err, platform.ErrUnknown)
+	require.EqualValues(t, 5, revision)
+}
+
+// Guards against an update that overwrites another one which it did not see.
+func TestConcurrentUpdatesLoseNothing(t *testing.T) {
+	const writers, updates = 6, 10
+	c, _ := start(t, fake.PlatformConfig{})
+	_, err := c.Create(t.Context(), "ledger", "0001", nil)
+	require.NoError(t, err)
+	var group sync.WaitGroup
+	for range writers {
+		group.Go(func() {
+			for done := 0; done < updates; {
+				o, err := c.Get(t.Context(), "ledger", "0001")
+				if !assert.NoError(t, err) {
+					return
+				}
+				_, err = c.Update(t.Context(), "ledger", "0001", o.Version, append(o.Value, 'x'))
+				if err == nil {
+					done++
+					continue
+				}
+				if !assert.ErrorIs(t, err, platform.ErrConflict) {
+					return
+				}
+			}
+		})
+	}
+	group.Wait()
+	o, err := c.Get(t.Context(), "ledger", "0001")
+	require.NoError(t, err)
+	require.Len(t, o.Value, writers*updates)
+}
+
 // Guards against a value over the limit that is sent, and against a value at
 // the limit that does not fit an answer.
 func TestValueLimit(t *testing.T) {
