--- a/internal/fleetconfig/load.go
+++ b/internal/fleetconfig/load.go
@@ -54,15 +54,16 @@
 }
 
 func (l *loader) load(root yamlread.Value) {
-	o := root.Object()
 	if !root.Present() {
 		root.Fail("is empty")
+		return
 	}
+	o := root.Object()
 	l.loadDefaults(o.Optional("defaults"))
-	for _, v := range atMost(MaxServices, o.Required("services")) {
+	for _, v := range o.Required("services").List(MaxServices) {
 		l.loadService(v)
 	}
-	for _, v := range atMost(MaxCustomers, o.Required("customers")) {
+	for _, v := range o.Required("customers").List(MaxCustomers) {
 		l.loadCustomer(v)
 	}
 	l.loadExceptions(o.Optional("exceptions"))
@@ -109,7 +110,7 @@
 	if row.Kind == KindModel && v.Present() {
 		v.Fail("a model has no operations")
 	}
-	for _, entry := range atMost(MaxOperations, v) {
+	for _, entry := range v.List(MaxOperations) {
 		loadOperation(row, entry)
 	}
 	if row.Kind == KindPlain && len(row.Operations) == 0 {
@@ -142,10 +143,10 @@
 	if row.ID != "" && l.config.Customer(row.ID) != nil {
 		id.Fail("the customer %s is defined twice", row.ID)
 	}
-	for _, key := range atMost(MaxKeys, o.Required("keys")) {
+	for _, key := range o.Required("keys").List(MaxKeys) {
 		l.loadKey(&row, key)
 	}
-	for _, service := range atMost(MaxServices, o.Required("services")) {
+	for _, service := range o.Required("services").List(MaxServices) {
 		l.loadCustomerService(&row, service)
 	}
 	o.Close()
@@ -209,22 +210,11 @@
 }
 
 func (l *loader) loadExceptions(v yamlread.Value) {
-	for _, entry := range atMost(MaxExceptions, v) {
+	for _, entry := range v.List(MaxExceptions) {
 		l.loadException(entry)
 	}
 }
 
-// atMost returns the entries of a list, or reports a list that is too long and
-// returns its first entries.
-func atMost(max int, v yamlread.Value) []yamlread.Value {
-	entries := v.List()
-	if len(entries) <= max {
-		return entries
-	}
-	v.Fail("has %d entries; at most %d are allowed", len(entries), max)
-	return entries[:max]
-}
-
 func (l *loader) loadException(v yamlread.Value) {
 	o := v.Object()
 	e := Exception{values: builtIn}
--- a/internal/yamlread/value.go
+++ b/internal/yamlread/value.go
@@ -212,20 +212,26 @@
 	return fallback
 }
 
-// List returns the entries of a sequence; none for an absent or null value.
-func (v Value) List() []Value {
+// List returns the entries of a sequence; none for an absent or null value. A
+// sequence with more than max entries is reported and cut.
+func (v Value) List(max int) []Value {
+	var nodes []ast.Node
 	switch n := v.node.(type) {
 	case nil, *ast.NullNode:
-		return nil
 	case *ast.SequenceNode:
-		entries := make([]Value, 0, len(n.Values))
-		for i, entry := range n.Values {
-			entries = append(entries, Value{doc: v.doc, node: entry, path: fmt.Sprintf("%s[%d]", v.path, i)})
-		}
-		return entries
+		nodes = n.Values
+	default:
+		v.Fail("must be a list, not %s", kind(v.node))
+	}
+	if len(nodes) > max {
+		v.Fail("has %d entries; at most %d are allowed", len(nodes), max)
+		nodes = nodes[:max]
+	}
+	entries := make([]Value, 0, len(nodes))
+	for i, entry := range nodes {
+		entries = append(entries, Value{doc: v.doc, node: entry, path: fmt.Sprintf("%s[%d]", v.path, i)})
 	}
-	v.Fail("must be a list, not %s", kind(v.node))
-	return nil
+	return entries
 }
 
 // maxQuoted is the number of characters of an input that a message repeats.
