--- a/Makefile
+++ b/Makefile
@@ -29,3 +29,6 @@
 generate:
 	cd tools/buf && go build -o ../../bin/buf github.com/bufbuild/buf/cmd/buf
 	bin/buf generate
+
+quickstart: build
+	scripts/quickstart.sh
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -3,7 +3,6 @@
 import (
 	"expvar"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -37,7 +36,7 @@
 	bytesOut expvar.Int
 	current  atomic.Pointer[snapshot]
 
-	mu   sync.Mutex
+	// last and gen belong to the control thread.
 	last table.Instant
 	gen  table.Generation
 }
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -24,8 +24,8 @@
 	maxLedgerShards  = 1 << 16
 	minTime          = time.Millisecond
 	maxTime          = 24 * time.Hour
-	minSizeLimit     = 1024     // bytes
-	maxSizeLimit     = 16 << 20 // bytes
+	minSizeLimit     = 1024    // bytes
+	maxSizeLimit     = 1 << 20 // bytes; payload and answer share a frame of 4 MiB
 )
 
 // Load reads and checks the settings of one daemon. It returns every finding
--- a/internal/traffic/wire/frame.go
+++ b/internal/traffic/wire/frame.go
@@ -12,36 +12,37 @@
 )
 
 // MaxFrame is the longest accepted frame body in bytes. It bounds the memory
-// that a peer can make this process allocate.
-const MaxFrame = 1 << 20
+// that a peer can make this process allocate, and holds a prompt of 1 MiB with
+// the text delivered before a continuation.
+const MaxFrame = 4 << 20
 
-const headerSize = 4
+const (
+	headerSize = 4
+	typeSize   = 1
+)
 
 // ErrFrameTooLong is returned for frames above MaxFrame.
-var ErrFrameTooLong = errors.New("frame exceeds 1 MiB")
+var ErrFrameTooLong = errors.New("frame exceeds 4 MiB")
 
 // Frame is one message: a type and its encoded body.
 type Frame struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // Read by the codec through reflection.
-	Type     Type
-	Body     msgpack.RawMessage
+	Type Type
+	Body []byte
 }
 
-// AppendFrame encodes a message and appends its frame to buf.
+// AppendFrame encodes a message and appends its frame to buf: the length of
+// what follows, the type in one byte, and the body.
 func AppendFrame(buf []byte, t Type, body any) ([]byte, error) {
 	raw, err := encode(body)
 	if err != nil {
 		return buf, errors.Wrapf(err, "encode %s", t)
 	}
-	frame, err := encode(&Frame{Type: t, Body: raw})
-	if err != nil {
-		return buf, errors.Wrapf(err, "encode frame of %s", t)
-	}
-	if len(frame) > MaxFrame {
+	if len(raw)+typeSize > MaxFrame {
 		return buf, ErrFrameTooLong
 	}
-	buf = binary.BigEndian.AppendUint32(buf, uint32(len(frame)))
-	return append(buf, frame...), nil
+	buf = binary.BigEndian.AppendUint32(buf, uint32(len(raw)+typeSize))
+	buf = append(buf, byte(t))
+	return append(buf, raw...), nil
 }
 
 // ReadFrame reads one frame.
@@ -54,20 +55,15 @@
 	if size > MaxFrame {
 		return Frame{}, ErrFrameTooLong
 	}
+	if size < typeSize {
+		return Frame{}, errors.New("frame has no type")
+	}
 	var body bytes.Buffer
 	// Copying in steps keeps memory in proportion to what the peer really sent.
 	if _, err := io.CopyN(&body, r, int64(size)); err != nil {
 		return Frame{}, errors.Wrap(err, "read frame body")
 	}
-	return decodeFrame(body.Bytes())
-}
-
-func decodeFrame(b []byte) (Frame, error) {
-	var f Frame
-	if err := msgpack.Unmarshal(b, &f); err != nil {
-		return Frame{}, errors.Wrap(err, "decode frame")
-	}
-	return f, nil
+	return Frame{Type: Type(body.Bytes()[0]), Body: body.Bytes()[typeSize:]}, nil
 }
 
 // Decode decodes the body of a frame.
@@ -77,14 +73,14 @@
 	return v, errors.Wrapf(err, "decode %s", f.Type)
 }
 
-// encode writes structs as arrays: bodies are short, and a field may be added
-// at the end of a struct without breaking older peers.
+// encode writes structs as maps by field name without zero values, so that
+// peers of different releases understand each other when a field is added.
 func encode(v any) ([]byte, error) {
 	var buf bytes.Buffer
 	enc := msgpack.GetEncoder()
 	defer msgpack.PutEncoder(enc)
 	enc.Reset(&buf)
-	enc.UseArrayEncodedStructs(true)
+	enc.SetOmitEmpty(true)
 	enc.UseCompactInts(true)
 	if err := enc.Encode(v); err != nil {
 		return nil, err
--- /dev/null
+++ b/internal/traffic/wire/frame_test.go
@@ -0,0 +1,106 @@
+package wire
+
+import (
+	"bytes"
+	"encoding/binary"
+	"io"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"laburnumroad.dev/laburnumroad/internal/event"
+	"laburnumroad.dev/laburnumroad/internal/table"
+)
+
+// Guards against fields that are lost or swapped on the way to a peer, in
+// particular those of embedded structs.
+func TestDispatchSurvivesTheWire(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		want := Dispatch{
+			Dispatch: event.Dispatch{
+				Holder:   table.Holder{Process: "router-1", Incarnation: table.Incarnation(rapid.Uint64().Draw(rt, "incarnation"))},
+				Request:  table.RequestID(rapid.String().Draw(rt, "request")),
+				Attempt:  rapid.Uint32().Draw(rt, "attempt"),
+				Limit:    table.Tokens(rapid.Int64().Draw(rt, "limit")),
+				Position: table.Tokens(rapid.Int64().Draw(rt, "position")),
+				Expires:  table.Instant(rapid.Int64().Draw(rt, "expires")),
+			},
+			Prompt: rapid.String().Draw(rt, "prompt"),
+			Prefix: rapid.String().Draw(rt, "prefix"),
+			Body:   rapid.SliceOfN(rapid.Byte(), 1, 64).Draw(rt, "body"),
+		}
+		buf, err := AppendFrame(nil, TypeDispatch, &want)
+		require.NoError(rt, err)
+		f, err := ReadFrame(bytes.NewReader(buf))
+		require.NoError(rt, err)
+		require.Equal(rt, TypeDispatch, f.Type)
+		got, err := Decode[Dispatch](f)
+		require.NoError(rt, err)
+		require.Equal(rt, want, got)
+	})
+}
+
+// Guards against a peer that announces a huge frame to make this process
+// allocate memory.
+func TestOversizedFrameIsRefusedBeforeReading(t *testing.T) {
+	header := binary.BigEndian.AppendUint32(nil, MaxFrame+1)
+	_, err := ReadFrame(io.MultiReader(bytes.NewReader(header), neverRead{t}))
+	require.ErrorIs(t, err, ErrFrameTooLong)
+}
+
+type neverRead struct{ t *testing.T }
+
+func (r neverRead) Read([]byte) (int, error) {
+	r.t.Error("the body of an oversized frame was read")
+	return 0, io.EOF
+}
+
+// Guards against a cut connection that looks like a whole frame.
+func TestTruncatedFrameIsAnError(t *testing.T) {
+	buf, err := AppendFrame(nil, TypeHeartbeat, &event.Heartbeat{Clock: 1})
+	require.NoError(t, err)
+	for cut := 1; cut < len(buf); cut++ {
+		_, err := ReadFrame(bytes.NewReader(buf[:cut]))
+		require.Error(t, err)
+	}
+}
+
+// Guards against older peers that break when a message grows by a field.
+func TestLongerBodyIsAccepted(t *testing.T) {
+	type grown struct {
+		Request table.RequestID
+		Attempt uint32
+		Extra   string
+	}
+	buf, err := AppendFrame(nil, TypeCancel, &grown{Request: "c/k", Attempt: 2, Extra: "new"})
+	require.NoError(t, err)
+	f, err := ReadFrame(bytes.NewReader(buf))
+	require.NoError(t, err)
+	got, err := Decode[Cancel](f)
+	require.NoError(t, err)
+	require.Equal(t, Cancel{Request: "c/k", Attempt: 2}, got)
+}
+
+// FuzzReadFrame guards against input that crashes the decoder or makes it
+// allocate more than the input justifies.
+func FuzzReadFrame(f *testing.F) {
+	for _, body := range []any{&event.Heartbeat{Clock: 5}, &Dispatch{Prompt: "p"}, &Hello{Version: Version}} {
+		buf, err := AppendFrame(nil, TypeDispatch, body)
+		require.NoError(f, err)
+		f.Add(buf)
+	}
+	f.Add([]byte{0, 0, 0, 1, 0xc1})
+	f.Add([]byte{0, 0, 0, 5, 0x92, 0xcc, 3, 0xdd, 0xff})
+	f.Add([]byte{0, 0, 0, 7, 0x92, 3, 0xdd, 0xff, 0xff, 0xff, 0xff})
+	f.Fuzz(func(_ *testing.T, in []byte) {
+		frame, err := ReadFrame(bytes.NewReader(in))
+		if err != nil {
+			return
+		}
+		// Any result is fine; the decoders must return.
+		_, _ = Decode[Dispatch](frame)
+		_, _ = Decode[Hello](frame)
+		_, _ = Decode[event.Heartbeat](frame)
+	})
+}
