--- a/internal/fake/engine.go
+++ b/internal/fake/engine.go
@@ -105,6 +105,8 @@
 	queued     table.Set[streamID]
 	active     table.Set[streamID]
 	samples    []loadSample
+	started    int
+	crashes    int
 	awaitState []awaitDown
 }
 
@@ -252,6 +254,7 @@
 // crash drops all streams: a closed channel without an end step is a lost
 // connection.
 func crash(w *engineWorld) {
+	w.crashes++
 	w.down = true
 	if w.cfg.ReviveAfter > 0 {
 		w.reviveAt = w.now.Add(w.cfg.ReviveAfter)
@@ -282,6 +285,7 @@
 		}
 		w.queued.Remove(id)
 		w.active.Add(id)
+		w.started++
 		prefill := time.Duration(float64(w.cfg.PrefillPace) * float64(s.promptTokens) * w.slowFactor())
 		s.due = w.now.Add(prefill + w.tokenTime())
 	}
--- a/internal/fake/enginehttp.go
+++ b/internal/fake/enginehttp.go
@@ -33,6 +33,7 @@
 func (e *Engine) Admin() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /admin/faults", adminPost(e.SetFaults))
+	mux.HandleFunc("GET /admin/stats", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, e.Stats()) })
 	mux.HandleFunc("POST /admin/crash", func(http.ResponseWriter, *http.Request) { e.Crash() })
 	mux.HandleFunc("POST /admin/revive", func(http.ResponseWriter, *http.Request) { e.Revive() })
 	return mux
