--- a/internal/fake/service.go
+++ b/internal/fake/service.go
@@ -163,7 +163,10 @@
 	s.mux.HandleFunc("GET /v1/load", func(w http.ResponseWriter, _ *http.Request) {
 		answer := make(chan int, 1)
 		s.loop.post(readActive{answer})
-		active, _ := receive(s.loop, answer)
+		active, ok := receive(s.loop, answer)
+		if !ok {
+			dropConnection()
+		}
 		writeJSON(w, http.StatusOK, loadReport{Active: active})
 	})
 	s.mux.HandleFunc("GET /admin/counts", func(w http.ResponseWriter, _ *http.Request) {
