Quarantine requests that crash endpoints

Reports carry an id, so a duplicate counts once. A suspect that finished alone is cleared on all routers by a report of its own.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -34,6 +34,7 @@
 	ClaimCalls       []ClaimCall
 	ReadFences       []ReadFences
 	WriteFences      []WriteFences
+	ReadQuarantines  []ReadQuarantine
 	WriteQuarantines []WriteQuarantine
 	ReadProcesses    []ReadProcesses
 
@@ -180,6 +181,9 @@
 	Holders []table.Holder
 }
 
+// ReadQuarantine reads the quarantine list.
+type ReadQuarantine struct{}
+
 // WriteQuarantine writes the quarantine list conditionally.
 type WriteQuarantine struct {
 	Version uint64
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -193,10 +193,14 @@
 	Endpoints  []EndpointLoad
 }
 
-// Crash reports the fingerprints that were running when an endpoint died.
+// Crash reports the fingerprints that were running when an endpoint died, one
+// per run. With Cleared it reports a suspect that finished a run alone.
 type Crash struct {
+	// ID tells a duplicate from another crash.
+	ID           table.CrashID
 	Endpoint     table.EndpointID
 	Fingerprints []table.Fingerprint
+	Cleared      bool
 }
 
 // Member is a host in the platform's lagging list.
@@ -287,7 +291,8 @@
 	Version uint64
 }
 
-// QuarantineList holds the quarantined fingerprints stored in the platform.
+// QuarantineList holds the quarantined fingerprints stored in the platform. It
+// answers a read or a write; with CallOK it is what is stored now.
 type QuarantineList struct {
 	Status  CallStatus
 	Version uint64
--- /dev/null
+++ b/internal/system/quarantine/list.go
@@ -0,0 +1,83 @@
+package quarantine
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"laburnumroad.dev/laburnumroad/internal/command"
+	"laburnumroad.dev/laburnumroad/internal/event"
+	"laburnumroad.dev/laburnumroad/internal/table"
+	"laburnumroad.dev/laburnumroad/internal/world"
+)
+
+// readList reads the stored list from time to time. Crash reports reach most
+// routers directly; the list reaches the others, the agents and new processes.
+func readList(w *world.World) {
+	if w.Now >= w.StoredReadAt {
+		w.Out.ReadQuarantines = append(w.Out.ReadQuarantines, command.ReadQuarantine{})
+		w.StoredReadAt = w.Now.Add(readInterval)
+	}
+	w.WakeAt(w.StoredReadAt)
+}
+
+func applyLists(w *world.World) {
+	for _, l := range w.In.Quarantines {
+		if l.Status == event.CallConflict {
+			w.StoredReadAt = w.Now
+		}
+		if l.Status != event.CallOK {
+			continue
+		}
+		w.StoredVersion = l.Version
+		w.Stored = table.Set[table.Fingerprint]{}
+		known := w.Quarantined.Len()
+		for _, e := range l.Entries {
+			quarantine(w, e.Fingerprint, w.Now.Add(e.Remaining))
+			w.Stored.Add(e.Fingerprint)
+		}
+		if w.Quarantined.Len() > known {
+			isolateRequests(w)
+		}
+	}
+}
+
+// writeList stores the entries that the platform's list lacks. A write that was
+// lost or lost a race is repeated until a list that was read shows the entry.
+func writeList(w *world.World) {
+	missing := false
+	for f, due := w.Unstored.Pop(w.Now); due; f, due = w.Unstored.Pop(w.Now) {
+		if w.Stored.Has(f) || !w.Quarantined.Has(f) {
+			continue
+		}
+		missing = true
+		w.Unstored.Set(f, w.Now.Add(writeRetry))
+	}
+	w.WakeAt(w.Unstored.Next())
+	if !missing {
+		return
+	}
+	entries := make([]event.QuarantineEntry, 0, w.Quarantined.Len())
+	for _, f := range w.Quarantined.Keys() {
+		if s := w.Suspects.Get(f); s != nil && w.Now < s.Until {
+			entries = append(entries, event.QuarantineEntry{Fingerprint: f, Remaining: s.Until.Sub(w.Now)})
+		}
+	}
+	w.Out.WriteQuarantines = append(w.Out.WriteQuarantines, command.WriteQuarantine{Version: w.StoredVersion, Entries: entries})
+}
+
+// rank returns how many live routers come before this one to store an entry.
+func rank(w *world.World, f table.Fingerprint) int {
+	own := score(w.Self().Process, f)
+	before := 0
+	w.Processes.Each(func(id table.ProcessID, p *table.Process) {
+		if p.Role == table.RoleRouter && p.State == table.ProcessLive && id != w.Self().Process && score(id, f) > own {
+			before++
+		}
+	})
+	return before
+}
+
+func score(id table.ProcessID, f table.Fingerprint) uint64 {
+	d := xxhash.NewWithSeed(uint64(f))
+	_, _ = d.WriteString(string(id))
+	return d.Sum64()
+}
