Test failures end to end; report a crash before the end of its runs

Cause: an endpoint's death was noticed by the health report up to 1 s later, when its runs had ended, so no fingerprint was blamed. The runner now posts the endpoint's state with the first broken stream.

--- a/internal/e2e/failure_test.go
+++ b/internal/e2e/failure_test.go
@@ -20,7 +20,7 @@
 	f := newFleet(t, 1, 2)
 	var once sync.Once
 	a := f.generate(context.Background(), 0, &pb.GenerateRequest{
-		Service: "tutor-model", Prompt: "review this session", MaxOutputTokens: longAnswer,
+		Service: "tutor-model", Prompt: "review this session tokens=400", MaxOutputTokens: longAnswer,
 	}, func(a *answer) {
 		if a.position >= 50 {
 			once.Do(func() { f.crashBusiest() })
@@ -28,8 +28,9 @@
 	})
 	require.NoError(t, a.err)
 	require.True(t, a.whole())
-	require.Equal(t, fake.Answer("review this session", longAnswer), a.text)
-	require.EqualValues(t, 3+longAnswer, a.finished.Charged)
+	require.EqualValues(t, longAnswer, a.position)
+	require.Equal(t, fake.Answer("review this session tokens=400", longAnswer), a.text)
+	require.EqualValues(t, 4+longAnswer, a.finished.Charged)
 }
 
 // crashBusiest ends the engine that runs the only stream.
@@ -49,7 +50,7 @@
 func TestRouterDiesMidStream(t *testing.T) {
 	f := newFleet(t, 2, 1)
 	m := &pb.GenerateRequest{
-		Service: "tutor-model", Prompt: "appraise the bowl", MaxOutputTokens: longAnswer, IdempotencyKey: "appraisal-1",
+		Service: "tutor-model", Prompt: "appraise the bowl tokens=400", MaxOutputTokens: longAnswer, IdempotencyKey: "appraisal-1",
 	}
 	var once sync.Once
 	cut := f.generate(context.Background(), 0, m, func(a *answer) {
@@ -63,7 +64,8 @@
 	again := f.generate(context.Background(), 1, m, nil)
 	require.NoError(t, again.err)
 	require.True(t, again.whole())
-	require.Equal(t, fake.Answer("appraise the bowl", longAnswer), again.text)
+	require.EqualValues(t, longAnswer, again.position)
+	require.Equal(t, fake.Answer("appraise the bowl tokens=400", longAnswer), again.text)
 	require.EqualValues(t, 0, again.finished.Charged, "the first run is billed through the dead router's grant")
 	require.EqualValues(t, 1, f.engines["engine-0"].Stats().Started, "runs at the engine")
 }
@@ -83,7 +85,7 @@
 // a grant, and against spend that is lost by the outage.
 func TestPlatformOutageServesFromGrants(t *testing.T) {
 	f := newFleet(t, 1, 1)
-	m := &pb.GenerateRequest{Service: "tutor-model", Prompt: "tag this drill", MaxOutputTokens: 10}
+	m := &pb.GenerateRequest{Service: "tutor-model", Prompt: "tag this drill tokens=10", MaxOutputTokens: 10}
 	require.NoError(t, f.generate(context.Background(), 0, m, nil).err)
 	f.platform.SetFaults(fake.PlatformFaults{Outage: true})
 	var charged int64
@@ -93,11 +95,11 @@
 		require.True(t, a.whole())
 		charged += a.finished.Charged
 	}
-	require.EqualValues(t, 3*13, charged)
+	require.EqualValues(t, 3*14, charged)
 	f.platform.SetFaults(fake.PlatformFaults{})
 	waitFor(t, "the settlement after the outage", func() bool {
 		b := f.budget(0)
-		return b.Settled == 4*13
+		return b.Settled == 4*14
 	})
 }
 
@@ -168,7 +170,7 @@
 			defer done.Done()
 			var once sync.Once
 			answers[i] = f.generate(context.Background(), 0, &pb.GenerateRequest{
-				Service: "tutor-model", Prompt: fmt.Sprintf("live feedback %d", i), MaxOutputTokens: 200,
+				Service: "tutor-model", Prompt: fmt.Sprintf("live feedback %d tokens=200", i), MaxOutputTokens: 200,
 			}, func(*answer) { once.Do(started.Done) })
 			once.Do(started.Done)
 		}()
@@ -188,7 +190,7 @@
 	f := newFleet(t, 1, 2)
 	var once sync.Once
 	first := f.generate(context.Background(), 0, &pb.GenerateRequest{
-		Service: "tutor-model", Prompt: "a long review", MaxOutputTokens: longAnswer,
+		Service: "tutor-model", Prompt: "a long review tokens=400", MaxOutputTokens: longAnswer,
 	}, func(*answer) {
 		once.Do(func() {
 			for i, id := range []string{"engine-0", "engine-1"} {
--- a/internal/e2e/path_test.go
+++ b/internal/e2e/path_test.go
@@ -15,12 +15,12 @@
 func TestOneRequestFromCallerToEngineAndBack(t *testing.T) {
 	f := newFleet(t, 1, 1)
 	a := f.generate(context.Background(), 0, &pb.GenerateRequest{
-		Service: "tutor-model", Prompt: "lift the corner of the mouth", MaxOutputTokens: 40,
+		Service: "tutor-model", Prompt: "lift the corner of the mouth tokens=40", MaxOutputTokens: 40,
 	}, nil)
 	require.NoError(t, a.err)
 	require.True(t, a.whole())
-	require.Equal(t, fake.Answer("lift the corner of the mouth", 40), a.text)
-	require.EqualValues(t, 6, a.finished.PromptTokens)
+	require.Equal(t, fake.Answer("lift the corner of the mouth tokens=40", 40), a.text)
+	require.EqualValues(t, 7, a.finished.PromptTokens)
 	require.EqualValues(t, a.finished.PromptTokens+a.finished.OutputTokens, a.finished.Charged)
 
 	waitFor(t, "the settlement", func() bool {
--- a/internal/system/membership/membership.go
+++ b/internal/system/membership/membership.go
@@ -104,6 +104,7 @@
 	if p.ID() == w.Self().Process {
 		return
 	}
+	p.State, p.Connected, p.Session = table.ProcessUnknown, false, 0
 	old := w.Processes.Get(p.ID())
 	if old == nil {
 		p.LastHeard = w.Now
--- a/internal/traffic/runner/runner.go
+++ b/internal/traffic/runner/runner.go
@@ -159,11 +159,11 @@
 func (r *Runner) run(ctx context.Context, cancel context.CancelFunc, c command.Run, d wire.Dispatch, a *answer) {
 	ctx, span := r.Tracer.Start(ctx, "agent.run", trace.WithAttributes(
 		attribute.String("endpoint", string(c.Endpoint)), attribute.Int("attempt", int(c.Attempt))))
-	var end wire.End
-	if c.Kind == table.ServiceModel {
-		end = r.generate(ctx, c, d, a)
-	} else {
-		end = r.call(ctx, c, d)
+	end, err := r.execute(ctx, c, d, a)
+	if errors.Is(err, engine.ErrDown) {
+		// Posted before the end of the run, so that the crash is counted against
+		// all runs that were in progress.
+		r.Post(event.EngineState{Endpoint: c.Endpoint, Up: false})
 	}
 	r.mu.Lock()
 	delete(r.cancels, c.Request)
@@ -181,6 +181,21 @@
 	a.finish(end)
 }
 
+// execute runs the request and returns its end, with the error if it failed.
+func (r *Runner) execute(ctx context.Context, c command.Run, d wire.Dispatch, a *answer) (wire.End, error) {
+	var end wire.End
+	var err error
+	if c.Kind == table.ServiceModel {
+		end, err = r.generate(ctx, c, d, a)
+	} else {
+		end, err = r.call(ctx, c, d)
+	}
+	if err != nil {
+		end = failedEnd(ctx, err, end.Prompt)
+	}
+	return end, err
+}
+
 func runStatus(e wire.End) event.RunStatus {
 	switch e.Status {
 	case event.AttemptDone:
@@ -194,7 +209,7 @@
 	}
 }
 
-func (r *Runner) generate(ctx context.Context, c command.Run, d wire.Dispatch, a *answer) wire.End {
+func (r *Runner) generate(ctx context.Context, c command.Run, d wire.Dispatch, a *answer) (wire.End, error) {
 	ctx, span := r.Tracer.Start(ctx, "engine.generate", trace.WithSpanKind(trace.SpanKindClient))
 	defer span.End()
 	stream, err := r.Engines[c.Endpoint].Generate(ctx, engine.GenerateRequest{
@@ -202,19 +217,21 @@
 		MaxTotalTokens: int64(c.Limit), MaxOutputTokens: int64(c.MaxOutput), Priority: c.Priority, Fence: c.Fence,
 	})
 	if err != nil {
-		return failedEnd(ctx, err, 0)
+		return wire.End{}, err
 	}
 	defer stream.Close()
-	return r.copyStream(ctx, c, a, stream)
+	return r.copyStream(c, a, stream)
 }
 
-func (r *Runner) copyStream(ctx context.Context, c command.Run, a *answer, stream *engine.Stream) wire.End {
+// copyStream copies the engine's output to the answer. The end it returns with
+// an error has only the prompt count.
+func (r *Runner) copyStream(c command.Run, a *answer, stream *engine.Stream) (wire.End, error) {
 	var prompt, reported table.Tokens
 	start := a.position
 	for {
 		delta, err := stream.Next()
 		if err != nil {
-			return failedEnd(ctx, err, prompt)
+			return wire.End{Prompt: prompt}, err
 		}
 		if delta.PromptTokens > 0 {
 			prompt = table.Tokens(delta.PromptTokens)
@@ -223,7 +240,7 @@
 			a.append(table.Tokens(delta.Tokens), delta.Text)
 		}
 		if delta.Done {
-			return wire.End{Status: event.AttemptDone, Ran: table.DidRun, Prompt: prompt}
+			return wire.End{Status: event.AttemptDone, Ran: table.DidRun, Prompt: prompt}, nil
 		}
 		if out := a.position - start; out-reported >= progressEvery {
 			reported = out
@@ -232,18 +249,18 @@
 	}
 }
 
-func (r *Runner) call(ctx context.Context, c command.Run, d wire.Dispatch) wire.End {
+func (r *Runner) call(ctx context.Context, c command.Run, d wire.Dispatch) (wire.End, error) {
 	ctx, span := r.Tracer.Start(ctx, "service.call", trace.WithSpanKind(trace.SpanKindClient))
 	defer span.End()
 	answer, err := r.Engines[c.Endpoint].Call(ctx, engine.CallRequest{Operation: c.Operation, Key: string(c.Request), Body: d.Body})
 	if err != nil {
-		return failedEnd(ctx, err, 0)
+		return wire.End{}, err
 	}
 	body := answer.Body
 	if body == nil {
 		body = []byte{}
 	}
-	return wire.End{Status: event.AttemptDone, Ran: table.DidRun, Cost: c.Limit, Body: body}
+	return wire.End{Status: event.AttemptDone, Ran: table.DidRun, Cost: c.Limit, Body: body}, nil
 }
 
 // failedEnd says what is certain about a failed run.
