Limit a continued answer by its whole length; mark attached answers as replayed

Cause 1: routing sends what an attempt may still produce, the engine counts its limit from the start of the answer, so a continuation at position 199 of 400 stopped at 201 and looked whole. Cause 2: an attempt that attached to a run in progress got an end without the replayed mark and was billed again. Found by TestEndpointDiesMidStream and TestRouterDiesMidStream under -race.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -101,7 +101,8 @@
 	ReplayOnly  bool
 	Limit       table.Tokens
 	Priority    int
-	MaxOutput   table.Tokens
+	// MaxOutput is what this attempt may produce, behind its position.
+	MaxOutput table.Tokens
 	// Expires is the grant's deadline in the agent's clock.
 	Expires table.Instant
 	// Nonce and KeyUntil are those of the request.
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -425,9 +425,10 @@
 	Alone       bool
 	ReplayOnly  bool
 	// Limit is the most that may be charged: prompt plus output tokens.
-	Limit     table.Tokens
-	Position  table.Tokens
-	Priority  int
+	Limit    table.Tokens
+	Position table.Tokens
+	Priority int
+	// MaxOutput is what this attempt may produce, behind its position.
 	MaxOutput table.Tokens
 	// Expires is the grant's deadline in this agent's clock.
 	Expires table.Instant
--- a/internal/traffic/runner/answer.go
+++ b/internal/traffic/runner/answer.go
@@ -20,6 +20,8 @@
 type subscriber struct {
 	session Sender
 	attempt uint32
+	// replay is true when another attempt started the run, which is billed there.
+	replay bool
 }
 
 // answer is the output of one request id, complete from position 0. It is
@@ -85,9 +87,7 @@
 		a.receivers = append(a.receivers, r)
 		return
 	}
-	e := *a.end
-	e.Replayed = true
-	r.finish(e)
+	r.finish(*a.end)
 }
 
 // A closed session is not an error for the run: its answer is kept.
@@ -97,6 +97,6 @@
 }
 
 func (r subscriber) finish(e wire.End) {
-	e.Attempt = r.attempt
+	e.Attempt, e.Replayed = r.attempt, r.replay
 	_ = r.session.Send(wire.TypeEnd, &e)
 }
--- a/internal/traffic/runner/runner.go
+++ b/internal/traffic/runner/runner.go
@@ -88,7 +88,7 @@
 		return
 	}
 	a := newAnswer(c.Request, p.dispatch.Prefix, p.dispatch.Position)
-	a.subscribe(subscriber{p.session, c.Attempt}, p.dispatch.Position)
+	a.subscribe(subscriber{session: p.session, attempt: c.Attempt}, p.dispatch.Position)
 	parent := propagation.TraceContext{}.Extract(context.Background(), propagation.MapCarrier{"traceparent": p.dispatch.Trace})
 	ctx, cancel := context.WithCancel(parent)
 	r.mu.Lock()
@@ -104,7 +104,7 @@
 	if !ok {
 		return
 	}
-	subscriber{p.session, c.Attempt}.finish(wire.End{
+	subscriber{session: p.session, attempt: c.Attempt}.finish(wire.End{
 		Request: c.Request, Status: event.AttemptRejected, Code: c.Code, Reason: c.Reason, Ran: c.Ran, InFlight: c.InFlight,
 	})
 }
@@ -119,13 +119,13 @@
 	a := r.answers[c.Request]
 	r.mu.Unlock()
 	if a == nil {
-		subscriber{p.session, c.Attempt}.finish(wire.End{
+		subscriber{session: p.session, attempt: c.Attempt}.finish(wire.End{
 			Request: c.Request, Status: event.AttemptRejected, Code: table.CodeKeyLost,
 			Reason: "the answer is no longer kept", Ran: table.RanUnknown,
 		})
 		return
 	}
-	a.subscribe(subscriber{p.session, c.Attempt}, c.Position)
+	a.subscribe(subscriber{session: p.session, attempt: c.Attempt, replay: true}, c.Position)
 }
 
 // Stop cancels a run.
@@ -214,7 +214,7 @@
 	defer span.End()
 	stream, err := r.Engines[c.Endpoint].Generate(ctx, engine.GenerateRequest{
 		RequestID: string(c.Request), Attempt: c.Attempt, Prompt: d.Prompt, Prefix: d.Prefix,
-		MaxTotalTokens: int64(c.Limit), MaxOutputTokens: int64(c.MaxOutput), Priority: c.Priority, Fence: c.Fence,
+		MaxTotalTokens: int64(c.Limit), MaxOutputTokens: int64(c.Position + c.MaxOutput), Priority: c.Priority, Fence: c.Fence,
 	})
 	if err != nil {
 		return wire.End{}, err
