Find known requests and claim keys in dedup

Requests that may repeat are looked up at two index routers and, on a retry, at the agents. The first router that asks owns an unknown key until it dispatches it, so that two callers with one key do not start two runs. Calls that must not repeat are claimed in the platform or pinned by an issued key; a claimed call is answered with NotRun only after its claim was cancelled.

Checked with generated interleavings of real routers and agents with lost, duplicate and reordered messages, deaths, pauses and platform faults, and with go test -race.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -266,9 +266,13 @@
 	Agent   table.Holder
 	// Fingerprint tells a repeat from another request under the same key.
 	Fingerprint table.Fingerprint
+	// Until is the last moment of a dispatch under the claim, in the agent's
+	// clock.
+	Until table.Instant
 }
 
-// ClaimResult is the result of a claim call. Version 0 means absent.
+// ClaimResult is the result of a claim call. Version 0 means absent. Claim is
+// what was read, or what the call was to write.
 type ClaimResult struct {
 	Request table.RequestID
 	Status  CallStatus
@@ -348,14 +352,16 @@
 	Returned table.Tokens
 }
 
-// KeyRecord tells a key's index routers which agent runs the key.
+// KeyRecord tells a key's index routers which agent runs the key. Without an
+// agent it says that the router ended its request without a whole answer.
 type KeyRecord struct {
 	From    table.Holder
 	Request table.RequestID
 	Agent   table.Holder
 }
 
-// KeyQuery asks an index router about a key.
+// KeyQuery asks an index router about a key, and notes the asking router as the
+// key's owner if the key is unknown.
 type KeyQuery struct {
 	From    table.Holder
 	Call    uint64
@@ -364,10 +370,13 @@
 
 // KeyResult answers a KeyQuery.
 type KeyResult struct {
+	From    table.Holder
 	Call    uint64
 	Request table.RequestID
 	Found   bool
 	Agent   table.Holder
+	// Owner is another live router that has a request with the key.
+	Owner table.Holder
 }
 
 // Lookup asks an agent about a request id.
--- /dev/null
+++ b/internal/system/dedup/issue.go
@@ -0,0 +1,83 @@
+package dedup
+
+import (
+	"crypto/subtle"
+	"slices"
+	"time"
+
+	"laburnumroad.dev/laburnumroad/internal/command"
+	"laburnumroad.dev/laburnumroad/internal/event"
+	"laburnumroad.dev/laburnumroad/internal/table"
+	"laburnumroad.dev/laburnumroad/internal/world"
+)
+
+// issuedLifetime is how long an issued key may be used. The agent remembers used
+// keys for that long: at 2 calls per second and agent, 7,200 rows of about 300
+// bytes.
+const issuedLifetime = time.Hour
+
+func issueKeys(w *world.World) {
+	for _, e := range w.In.KeyIssues {
+		w.Out.KeyReplies = append(w.Out.KeyReplies, issue(w, e))
+	}
+}
+
+func issue(w *world.World, e event.KeyIssue) command.KeyReply {
+	reply := command.KeyReply{Reply: e.Reply}
+	if code, reason := mayIssue(w, e); code != "" {
+		reply.Refused = table.Outcome{Code: code, Reason: reason, Ran: table.NotRun}
+		return reply
+	}
+	agent := chooseAgent(w, e.Service)
+	if agent == nil {
+		reply.Refused = table.Outcome{
+			Code: table.CodeNoEndpoint, Reason: "no agent of the service is live", Ran: table.NotRun, RetryAfter: retryAfter,
+		}
+		return reply
+	}
+	key := table.IssuedKey{Agent: agent.Holder, Until: clockOf(w, agent).Add(issuedLifetime), Random: w.Rand.Uint64()}
+	reply.Key, reply.Valid = key.String(), issuedLifetime
+	w.Count("dedup.issued")
+	return reply
+}
+
+func mayIssue(w *world.World, e event.KeyIssue) (code table.Code, reason string) {
+	customer := customerOf(w, e.KeyHash)
+	switch {
+	case customer == nil:
+		return table.CodeUnauthenticated, "the caller's key is not known"
+	case w.Services.Get(e.Service) == nil:
+		return table.CodeUnknownService, "the service is not known"
+	case !slices.Contains(customer.Services, e.Service):
+		return table.CodeForbidden, "the customer may not use the service"
+	}
+	return "", ""
+}
+
+// customerOf compares all hashes, in constant time for each.
+func customerOf(w *world.World, hash table.KeyHash) *table.Customer {
+	var found *table.Customer
+	w.Customers.Each(func(_ table.CustomerID, c *table.Customer) {
+		for i := range c.KeyHashes {
+			if subtle.ConstantTimeCompare(c.KeyHashes[i][:], hash[:]) == 1 {
+				found = c
+			}
+		}
+	})
+	return found
+}
+
+// useIssuedKey pins a request to the agent that its key names. A retry asks the
+// agent first, because a kept answer needs no budget.
+func useIssuedKey(w *world.World, r *table.Request, key table.IssuedKey) {
+	if reachOf(w, key.Agent) == gone {
+		refuse(w, r, table.CodeKeyLost, table.RanUnknown, "the agent that the key names is gone or has restarted")
+		return
+	}
+	r.Pinned, r.KeyUntil = key.Agent, key.Until
+	if r.Retry {
+		askAgent(w, r, open(w, r), key.Agent)
+		return
+	}
+	proceed(w, r, "pinned to the agent that the key names")
+}
--- /dev/null
+++ b/internal/system/dedup/standin_test.go
@@ -0,0 +1,201 @@
+package dedup_test
+
+import (
+	"slices"
+
+	"laburnumroad.dev/laburnumroad/internal/command"
+	"laburnumroad.dev/laburnumroad/internal/event"
+	"laburnumroad.dev/laburnumroad/internal/table"
+	"laburnumroad.dev/laburnumroad/internal/world"
+)
+
+// fakeAdmission admits all arrivals but a second one with the id of a request
+// in progress.
+func fakeAdmission(w *world.World) {
+	for _, a := range w.In.Arrivals {
+		id := table.MakeRequestID(customer, a.Key)
+		if w.Requests.Get(id) != nil {
+			w.Out.Replies = append(w.Out.Replies, command.Reply{
+				Reply: a.Reply, Outcome: table.Outcome{Code: table.CodeKeyInUse, Ran: table.RanUnknown},
+			})
+			continue
+		}
+		w.Requests.Insert(table.Request{
+			ID: id, Customer: customer, Service: testService, Kind: a.Kind, Idempotent: a.Kind == table.ServiceModel,
+			CallerKey: a.CallerKey, Retry: a.Retry, Fingerprint: a.Fingerprint, Reserve: 10,
+		}, table.RequestAdmitted)
+		w.Replies.Put(id, a.Reply)
+	}
+}
+
+// fakeBudget always holds what is asked for.
+func fakeBudget(w *world.World) {
+	for _, id := range w.Requests.In(table.RequestReserving) {
+		r := w.Requests.Get(id)
+		r.Reserved = r.Reserve
+		w.Requests.Move(r, table.RequestQueued)
+	}
+	for _, id := range w.Requests.In(table.RequestEnded) {
+		w.Requests.Get(id).Reserved = 0
+	}
+}
+
+// fakeRouting sends queued requests to their pinned agent or to a random one.
+func fakeRouting(w *world.World) {
+	for _, id := range w.Requests.In(table.RequestQueued) {
+		r := w.Requests.Get(id)
+		agent := r.Pinned
+		if agent == (table.Holder{}) {
+			agent = randomAgent(w)
+		}
+		p := w.Processes.Get(agent.Process)
+		r.Attempt++
+		r.Attempts++
+		r.Agent, r.Endpoint = agent, endpointOf(agent.Process)
+		w.Requests.Move(r, table.RequestRunning)
+		w.Out.Dispatches = append(w.Out.Dispatches, command.Dispatch{
+			To: agent, Request: id, Attempt: r.Attempt, Endpoint: r.Endpoint, Service: r.Service, Kind: r.Kind,
+			Fingerprint: r.Fingerprint, Idempotent: r.Idempotent, Alone: r.Alone, ReplayOnly: r.ReplayOnly, Limit: r.Reserved,
+			Expires: p.PeerClock.Add(w.Now.Sub(p.PeerClockAt) + grantLife),
+			Nonce:   r.Nonce, KeyUntil: r.KeyUntil,
+		})
+	}
+}
+
+func randomAgent(w *world.World) table.Holder {
+	var agents []table.Holder
+	w.Processes.Each(func(_ table.ProcessID, p *table.Process) {
+		if p.Role == table.RoleAgent {
+			agents = append(agents, p.Holder)
+		}
+	})
+	return agents[w.Rand.IntN(len(agents))]
+}
+
+// maxAttempts bounds the attempts of the stand-in for retry.
+const maxAttempts = 8
+
+// fakeRetry follows the rules of section 5: what certainly did not run, or may
+// repeat, is tried again.
+func fakeRetry(w *world.World) {
+	for _, e := range w.In.AttemptEnds {
+		r := w.Requests.Get(e.Request)
+		if r == nil || r.State() != table.RequestRunning || r.Attempt != e.Attempt {
+			continue
+		}
+		switch {
+		case e.Status == event.AttemptDone:
+			w.Requests.End(r, table.Outcome{OK: true, Ran: table.DidRun, Replayed: e.Replayed})
+		case e.Status == event.AttemptRejected && (e.Ran != table.NotRun || final(e.Code)):
+			w.Requests.End(r, table.Outcome{Code: e.Code, Ran: e.Ran})
+		case e.Status != event.AttemptRejected && (!r.Idempotent || r.ReplayOnly):
+			w.Requests.End(r, table.Outcome{Code: table.CodeEndpointFailed, Ran: table.RanUnknown})
+		case r.Attempts >= maxAttempts:
+			w.Requests.End(r, table.Outcome{Code: e.Code, Ran: lastRan(r, e)})
+		default:
+			w.Requests.Move(r, table.RequestQueued)
+		}
+	}
+}
+
+func final(c table.Code) bool {
+	return slices.Contains([]table.Code{
+		table.CodeFenced, table.CodeQuarantined, table.CodeBadRequest, table.CodeKeyMismatch, table.CodeKeyLost, table.CodeKeyInUse,
+	}, c)
+}
+
+// lastRan is NotRun only for calls, whose attempts before this one were all
+// refused: any other end of an attempt ended the call.
+func lastRan(r *table.Request, e event.AttemptEnd) table.Ran {
+	if r.Idempotent {
+		return table.RanUnknown
+	}
+	return e.Ran
+}
+
+// platformMode is how the platform behaves.
+type platformMode uint8
+
+const (
+	platformUp platformMode = iota
+	// platformDown takes no calls, and the callers know it.
+	platformDown
+	// platformLosesAnswers applies writes and loses the answer.
+	platformLosesAnswers
+	// platformLate loses the answer and applies the write some time later.
+	platformLate
+	platformModes
+)
+
+type storedClaim struct {
+	version uint64
+	claim   event.Claim
+}
+
+// fakePlatform holds the objects that these systems use.
+type fakePlatform struct {
+	mode       platformMode
+	claims     map[table.RequestID]storedClaim
+	fences     []table.Holder
+	quarantine event.QuarantineList
+	// calls counts claim calls, writes those that are not reads.
+	calls, writes int
+}
+
+func (p *fakePlatform) claim(f *fleet, n *node, c command.ClaimCall) {
+	result := event.ClaimResult{Request: c.Claim.Request, Read: c.Read, Claim: c.Claim}
+	p.calls++
+	if !c.Read {
+		p.writes++
+	}
+	switch {
+	case p.mode == platformDown:
+		result.Status = event.CallNotApplied
+	case c.Read && p.mode != platformUp:
+		result.Status = event.CallUnknown
+	case c.Read:
+		stored := p.claims[c.Claim.Request]
+		result.Status, result.Version, result.Claim = event.CallOK, stored.version, stored.claim
+	case p.mode == platformLate:
+		result.Status = event.CallUnknown
+		f.net = append(f.net, message{from: n.holder(), apply: func() { p.write(c) }})
+	case p.mode == platformLosesAnswers:
+		p.write(c)
+		result.Status = event.CallUnknown
+	default:
+		result.Status, result.Version = p.write(c)
+	}
+	f.net = append(f.net, message{to: n.holder().Process, only: n.holder(), event: result})
+}
+
+func (p *fakePlatform) write(c command.ClaimCall) (event.CallStatus, uint64) {
+	stored := p.claims[c.Claim.Request]
+	if stored.version != c.Version {
+		return event.CallConflict, 0
+	}
+	p.claims[c.Claim.Request] = storedClaim{version: c.Version + 1, claim: c.Claim}
+	return event.CallOK, c.Version + 1
+}
+
+func (p *fakePlatform) readFences(f *fleet, n *node) {
+	list := event.FenceList{Status: event.CallOK, Holders: slices.Clone(p.fences)}
+	if p.mode != platformUp {
+		list = event.FenceList{Status: event.CallNotApplied}
+	}
+	f.net = append(f.net, message{to: n.holder().Process, only: n.holder(), event: list})
+}
+
+func (p *fakePlatform) readQuarantine(f *fleet, n *node) {
+	list := p.quarantine
+	list.Status = event.CallOK
+	f.net = append(f.net, message{to: n.holder().Process, only: n.holder(), event: list})
+}
+
+func (p *fakePlatform) writeQuarantine(f *fleet, n *node, c command.WriteQuarantine) {
+	if c.Version != p.quarantine.Version {
+		f.net = append(f.net, message{to: n.holder().Process, only: n.holder(), event: event.QuarantineList{Status: event.CallConflict}})
+		return
+	}
+	p.quarantine = event.QuarantineList{Version: c.Version + 1, Entries: c.Entries}
+	p.readQuarantine(f, n)
+}
--- a/internal/system/gate/check.go
+++ b/internal/system/gate/check.go
@@ -43,12 +43,16 @@
 	run(w, d)
 }
 
-// ranHere says what the agent knows of a key besides the dispatch in hand.
+// ranHere says what the refusal of a dispatch leaves open. Work that may repeat
+// is judged by the attempt alone, so that it can go on elsewhere.
 func ranHere(row *table.Run) table.Ran {
-	if row.Ran() {
+	switch {
+	case !row.Ran() || row.Idempotent:
+		return table.NotRun
+	case row.State == table.RunDone:
 		return table.DidRun
 	}
-	return table.NotRun
+	return table.RanUnknown
 }
 
 func checkSender(w *world.World, d *event.Dispatch, row *table.Run) refusal {
@@ -118,8 +122,8 @@
 	return row.Holder == d.Holder && row.Nonce == d.Nonce
 }
 
-// checkKey refuses a key that the agent cannot vouch for: without a row, a key
-// past its deadline may have run and been forgotten.
+// checkKey refuses a key that the agent cannot vouch for: past its deadline a key
+// may have run and been forgotten. A row without a run may be newer than that.
 func checkKey(w *world.World, d *event.Dispatch) refusal {
 	if d.ReplayOnly {
 		return refusal{table.CodeKeyLost, "no answer is kept for the key", table.RanUnknown}
@@ -137,11 +141,8 @@
 	if until > w.Now.Add(MaxKeyLifetime) {
 		return refusal{table.CodeBadRequest, "the key's deadline is too far ahead", table.NotRun}
 	}
-	if until <= w.Now && w.Runs.Get(d.Request) == nil {
-		return refusal{table.CodeKeyLost, "the key's deadline has passed", table.RanUnknown}
-	}
 	if until <= w.Now {
-		return refusal{table.CodeExpired, "the key's deadline has passed", ranHere(w.Runs.Get(d.Request))}
+		return refusal{table.CodeKeyLost, "the key's deadline has passed", table.RanUnknown}
 	}
 	return refusal{}
 }
--- a/internal/system/gate/lookup.go
+++ b/internal/system/gate/lookup.go
@@ -22,7 +22,8 @@
 		result.Found, result.State, result.Fingerprint = true, row.State, row.Fingerprint
 		return result
 	}
-	if row == nil && l.KeyUntil != 0 && l.KeyUntil <= w.Now {
+	// A row without a run may be newer than a run that was forgotten.
+	if l.KeyUntil != 0 && l.KeyUntil <= w.Now {
 		result.Forgotten = true
 		return result
 	}
--- a/internal/system/reply/reply.go
+++ b/internal/system/reply/reply.go
@@ -9,7 +9,8 @@
 )
 
 // Run answers the requests in RequestEnded. A request that ended after the
-// budget system ran still holds its reservation and waits for the next tick.
+// budget system ran still holds its reservation and waits for the next tick. A
+// claimed call waits for its claim, because the claim decides what is known.
 func Run(w *world.World) {
 	for _, id := range w.Requests.In(table.RequestEnded) {
 		r := w.Requests.Get(id)
@@ -17,6 +18,9 @@
 			w.WakeAt(w.Now)
 			continue
 		}
+		if r.ClaimVersion != 0 {
+			continue
+		}
 		answer(w, r)
 	}
 }
--- a/internal/table/request.go
+++ b/internal/table/request.go
@@ -153,6 +153,9 @@
 	Nonce uint64
 	// KeyUntil is the claim's deadline in the pinned agent's clock, or 0.
 	KeyUntil Instant
+	// ClaimVersion is the version of the claim that this call holds, or 0. The
+	// reply waits until the claim is settled.
+	ClaimVersion uint64
 	// Tried are endpoints that failed this request.
 	Tried []EndpointID
 	// Disconnected is when the caller went away, or zero.
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -56,6 +56,7 @@
 	Charges  table.Table[table.ChargeKey, table.Charge]
 	Counters table.Table[string, int64]
 	table.AgentTables
+	table.KeyTables
 	table.QuarantineTables
 	History table.History
 }
