--- /dev/null
+++ b/cmd/laburnumctl/main.go
@@ -0,0 +1,18 @@
+// Command laburnumctl is the operators' and callers' tool of laburnumroad.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"laburnumroad.dev/laburnumroad/internal/ctl"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := ctl.Main(ctx, os.Args[1:], ctl.OSStreams())
+	stop()
+	os.Exit(int(code))
+}
--- /dev/null
+++ b/internal/ctl/outcome.go
@@ -0,0 +1,185 @@
+package ctl
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	v1 "laburnumroad.dev/laburnumroad/gen/laburnumroad/v1"
+	"laburnumroad.dev/laburnumroad/internal/finding"
+)
+
+// ExitCode is the exit status of the process.
+type ExitCode int
+
+// Exit codes.
+const (
+	ExitOK ExitCode = iota
+	// ExitFailed is for a request that was refused or failed.
+	ExitFailed
+	// ExitUsage is for wrong arguments.
+	ExitUsage
+	// ExitConflict is for a configuration change that lost a race.
+	ExitConflict
+	// ExitFindings is for a configuration with findings.
+	ExitFindings
+)
+
+// Outcome is the decision on what to print and how to exit.
+type Outcome struct {
+	Exit ExitCode
+	// Text and Tables are printed to the standard output in table format, in
+	// this order.
+	Text   string
+	Tables []Table
+	// JSON is printed to the standard output in JSON format: a proto.Message or
+	// a value for encoding/json. It is nil if there is nothing to print.
+	JSON any
+	// Message goes to the standard error output, in table format only if JSON
+	// holds the same.
+	Message string
+}
+
+// Table is a list of rows with a header.
+type Table struct {
+	Header []string
+	Rows   [][]string
+}
+
+func usage(format string, args ...any) Outcome {
+	return Outcome{Exit: ExitUsage, Message: "usage: " + fmt.Sprintf(format, args...)}
+}
+
+func failed(err error) Outcome {
+	text := err.Error()
+	return Outcome{Exit: ExitFailed, Message: "failed: " + text, JSON: failureJSON{Reason: text}}
+}
+
+// failureJSON is a failure without a Refusal from the server.
+type failureJSON struct {
+	Code   string `json:"code,omitempty"`
+	Reason string `json:"reason"`
+	Ran    string `json:"ran,omitempty"`
+}
+
+// findings is the outcome of a configuration with findings.
+func findings(list finding.List) Outcome {
+	return Outcome{Exit: ExitFindings, Message: list.Error(), JSON: findingsMessage(list)}
+}
+
+func findingsMessage(list finding.List) *v1.Findings {
+	m := &v1.Findings{}
+	for _, f := range list {
+		m.Findings = append(m.Findings, &v1.Finding{
+			File: f.File, Line: int32(f.Line), Column: int32(f.Column), Path: f.Path, Message: f.Message,
+		})
+	}
+	return m
+}
+
+func findingsList(m *v1.Findings) finding.List {
+	var list finding.List
+	for _, f := range m.GetFindings() {
+		list.Add(finding.Finding{
+			File: f.GetFile(), Line: int(f.GetLine()), Column: int(f.GetColumn()), Path: f.GetPath(), Message: f.GetMessage(),
+		})
+	}
+	return list
+}
+
+// refusedBy decides on the error of an API call from its error detail.
+func refusedBy(err error) Outcome {
+	switch detail := errorDetail(err).(type) {
+	case *v1.Refusal:
+		return Outcome{Exit: ExitFailed, Message: refusalText(detail), JSON: detail}
+	case *v1.Conflict:
+		return conflict(detail)
+	case *v1.Findings:
+		return findings(findingsList(detail))
+	}
+	return failed(err)
+}
+
+// refusedWork is refusedBy for calls that run work. Without a Refusal from the
+// server it is unknown whether the work ran.
+func refusedWork(err error) Outcome {
+	out := refusedBy(err)
+	if errorDetail(err) == nil {
+		out.Message += "\nran: UNKNOWN"
+		out.JSON = failureJSON{Code: connect.CodeOf(err).String(), Reason: err.Error(), Ran: ranText(v1.Ran_RAN_UNKNOWN)}
+	}
+	return out
+}
+
+// definite reports whether an error is the server's decision. After any other
+// error the change may have been made.
+func definite(err error) bool {
+	if errorDetail(err) != nil {
+		return true
+	}
+	switch connect.CodeOf(err) {
+	case connect.CodeUnauthenticated, connect.CodePermissionDenied, connect.CodeInvalidArgument, connect.CodeUnimplemented:
+		return true
+	}
+	return false
+}
+
+// errorDetail returns the first detail of a kind that this tool knows, or nil.
+func errorDetail(err error) proto.Message {
+	var e *connect.Error
+	if !errors.As(err, &e) {
+		return nil
+	}
+	for _, d := range e.Details() {
+		value, err := d.Value()
+		if err != nil {
+			continue
+		}
+		switch m := value.(type) {
+		case *v1.Refusal, *v1.Conflict, *v1.Findings:
+			return m
+		}
+	}
+	return nil
+}
+
+func conflict(m *v1.Conflict) Outcome {
+	return Outcome{
+		Exit:    ExitConflict,
+		Text:    m.GetDiff(),
+		Message: fmt.Sprintf("conflict: the current generation is %d; nothing was changed", m.GetCurrentGeneration()),
+		JSON:    m,
+	}
+}
+
+func refusalText(m *v1.Refusal) string {
+	lines := []string{
+		"refused: " + m.GetCode(),
+		"reason: " + m.GetReason(),
+		"ran: " + ranText(m.GetRan()),
+	}
+	if ms := m.GetRetryAfterMs(); ms > 0 {
+		lines = append(lines, "retry after: "+(time.Duration(ms)*time.Millisecond).String())
+	}
+	if id := m.GetRequestId(); id != "" {
+		lines = append(lines, "request: "+id)
+	}
+	return strings.Join(lines, "\n")
+}
+
+// ranText never reads an unset value as NOT_RUN, since the caller may repeat
+// the work then.
+func ranText(r v1.Ran) string {
+	switch r {
+	case v1.Ran_RAN_NOT_RUN:
+		return "NOT_RUN"
+	case v1.Ran_RAN_RAN:
+		return "RAN"
+	default:
+		return "UNKNOWN"
+	}
+}
