--- a/internal/yamlread/parse.go
+++ b/internal/yamlread/parse.go
@@ -152,42 +152,63 @@
 	}
 }
 
-// nesting is an upper bound of the depth at a token: the open brackets plus
-// the indentation columns that enclose the token.
+// nesting counts the collections that enclose a token: open brackets, and
+// block collections by their column.
 type nesting struct {
-	flow    int
-	columns []int
+	flow   int
+	blocks []block
 }
 
+// block is a block collection.
+type block struct {
+	column   int
+	sequence bool
+}
+
+// next takes a token and returns its depth.
 func (n *nesting) next(tk *token.Token) int {
 	switch tk.Type {
 	case token.MappingStartType, token.SequenceStartType:
 		n.flow++
 	case token.MappingEndType, token.SequenceEndType:
 		n.flow = max(0, n.flow-1)
-	case token.SequenceEntryType, token.MappingValueType:
-		n.block(tk)
+	case token.SequenceEntryType:
+		n.enter(block{tk.Position.Column, true})
+	case token.MappingValueType:
+		n.enter(block{keyColumn(tk), false})
 	}
-	return n.flow + len(n.columns)
+	return n.flow + len(n.blocks)
 }
 
-// block updates the enclosing columns for an entry of a block collection. The
-// column of a mapping is the one of its key.
-func (n *nesting) block(tk *token.Token) {
+// keyColumn returns the column of the key before a colon.
+func keyColumn(colon *token.Token) int {
+	if colon.Prev != nil {
+		return colon.Prev.Position.Column
+	}
+	return colon.Position.Column
+}
+
+// enter takes an entry of a block collection and leaves the collections that
+// ended before it.
+func (n *nesting) enter(b block) {
 	if n.flow > 0 {
 		return
 	}
-	at := tk
-	if tk.Type == token.MappingValueType && tk.Prev != nil {
-		at = tk.Prev
+	for len(n.blocks) > 0 && b.endsBlock(n.blocks[len(n.blocks)-1]) {
+		n.blocks = n.blocks[:len(n.blocks)-1]
 	}
-	column := at.Position.Column
-	for len(n.columns) > 0 && n.columns[len(n.columns)-1] > column {
-		n.columns = n.columns[:len(n.columns)-1]
+	if len(n.blocks) == 0 || n.blocks[len(n.blocks)-1] != b {
+		n.blocks = append(n.blocks, b)
 	}
-	if len(n.columns) == 0 || n.columns[len(n.columns)-1] < column {
-		n.columns = append(n.columns, column)
+}
+
+// endsBlock reports whether an entry of b ends the collection open. A sequence
+// may start in the column of the key that it belongs to.
+func (b block) endsBlock(open block) bool {
+	if open.column == b.column {
+		return open.sequence && !b.sequence
 	}
+	return open.column > b.column
 }
 
 func (d *Document) addSyntax(err error) {
