--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -24,8 +24,10 @@
 	maxLedgerShards  = 1 << 16
 	minTime          = time.Millisecond
 	maxTime          = 24 * time.Hour
-	minSizeLimit     = 1024     // bytes
-	maxSizeLimit     = 16 << 20 // bytes
+	minSizeLimit     = 1024 // bytes
+	// A prompt or body travels in one frame between processes, which holds at
+	// most 1 MiB together with the other fields of the message.
+	maxSizeLimit = 1_000_000 // bytes
 )
 
 // Load reads and checks the settings of one daemon. It returns every finding
--- a/internal/settings/load_test.go
+++ b/internal/settings/load_test.go
@@ -50,7 +50,7 @@
 	require.Equal(t, 10*time.Second, s.DetachGrace)
 	require.Equal(t, 30*time.Minute, s.GrantLifetime)
 	require.Equal(t, 64, s.LedgerShards)
-	require.EqualValues(t, 1<<20, s.MaxPromptBytes)
+	require.EqualValues(t, 1_000_000, s.MaxPromptBytes)
 
 	s, found = Load("a.yaml", agent)
 	require.NoError(t, found.Err())
@@ -76,6 +76,7 @@
 		{router + "trace: stdut\n", "trace: must be none, stdout, a file path"},
 		{router + "drain_timeout: 60\n", "drain_timeout: must be a duration"},
 		{router + "ledger_shards: 0\n", "ledger_shards: must be from 1 to 65536"},
+		{router + "max_body_bytes: 1048576\n", "max_body_bytes: must be from 1024 to 1000000"},
 		{router + "max_prompt_bytes: 1000000000\n", "max_prompt_bytes: must be from"},
 		{router + "endpoints: []\n", "endpoints: a router has no endpoints"},
 		{router + "drain: 1s\n", "drain: is not a known field"},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -14,8 +14,8 @@
 	DefaultDetachGrace     = 10 * time.Second
 	DefaultGrantLifetime   = 30 * time.Minute
 	DefaultLedgerShards    = 64
-	DefaultMaxPromptBytes  = 1 << 20 // bytes
-	DefaultMaxBodyBytes    = 1 << 20 // bytes
+	DefaultMaxPromptBytes  = 1_000_000 // bytes
+	DefaultMaxBodyBytes    = 1_000_000 // bytes
 )
 
 // Role says what a daemon does.
