Keep failed keys for the call that retries them

A property test with concurrent callers found three ways to a second run or a wrong answer: a failed key could be run again by the first router after a retry at another router found it; attempt numbers of two requests with one key were the same, so a late end of the first was taken for the second; and a cancel of one call stopped the run of another.

A lookup of a retry now gives a failed key to that retry alone, attempt numbers start at a random number, and a cancel must name the latest attempt.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -384,8 +384,8 @@
 	From    table.Holder
 	Call    uint64
 	Request table.RequestID
-	// Refuse turns a key that was never run into one that only the call with
-	// this Nonce can run, or none if Nonce is 0.
+	// Refuse turns a key that was never run, or whose run failed, into one that
+	// only the call with this Nonce can run, or none if Nonce is 0.
 	Refuse bool
 	Nonce  uint64
 	// KeyUntil is the deadline of the key's claim in the agent's clock, or 0.
--- a/internal/system/dedup/dedup.go
+++ b/internal/system/dedup/dedup.go
@@ -23,6 +23,9 @@
 	// retryAfter is when a caller may ask again: by then a silent peer is suspect
 	// or has answered.
 	retryAfter = time.Second
+	// attemptShift leaves 31 random bits of a nonce as the start of a request's
+	// attempt numbers.
+	attemptShift = 33
 	// system names this system in explanations.
 	system = "dedup"
 )
@@ -46,6 +49,9 @@
 // admit chooses the way in which a request's key is checked.
 func admit(w *world.World, r *table.Request) {
 	r.Nonce = w.Rand.Uint64()
+	// Attempts of two requests with one key must differ, because messages of an
+	// earlier request's attempt may arrive late and are matched by the attempt.
+	r.Attempt = uint32(r.Nonce >> attemptShift)
 	key, issued := table.ParseIssuedKey(r.ID.Key())
 	switch {
 	case issued:
--- a/internal/system/dedup/finish.go
+++ b/internal/system/dedup/finish.go
@@ -57,7 +57,7 @@
 // settleClaim records the outcome of a claimed call. A call that may have run
 // keeps its claim, so that a retry asks the agent.
 func settleClaim(w *world.World, r *table.Request) {
-	if r.Attempt == 0 && r.Outcome.Ran == table.RanUnknown {
+	if r.Attempts == 0 && r.Outcome.Ran == table.RanUnknown {
 		r.Outcome.Ran = table.NotRun
 	}
 	switch r.Outcome.Ran {
--- a/internal/system/dedup/fleet_test.go
+++ b/internal/system/dedup/fleet_test.go
@@ -35,7 +35,7 @@
 	paused  bool
 	// waiting are events that arrived while the process was paused.
 	waiting []event.Event
-	// seen is each request's nonce and attempt before the current tick.
+	// seen are the requests as they were before the current tick.
 	seen map[table.RequestID]table.Request
 	// kept are the answers at an agent, by the fingerprint they belong to.
 	kept map[table.RequestID]table.Fingerprint
@@ -211,9 +211,10 @@
 	n.w.Tick(n.now(), n.systems)
 	out := n.w.Out
 	n.w.Clear()
-	n.w.Requests.Each(func(id table.RequestID, r *table.Request) { n.seen[id] = *r })
 	f.flushRouter(n, &out)
 	f.flushAgent(n, &out)
+	clear(n.seen)
+	n.w.Requests.Each(func(id table.RequestID, r *table.Request) { n.seen[id] = *r })
 }
 
 func (f *fleet) send(n *node, to table.ProcessID, only table.Holder, e event.Event) {
@@ -356,6 +357,10 @@
 	if r.Request != "" {
 		c.nonce = row.Nonce
 	}
+	if row.ClaimVersion != 0 && r.Outcome.Ran == table.NotRun {
+		ran := slices.ContainsFunc(f.runs, func(x *execution) bool { return x.id == c.id })
+		require.False(f.t, ran, "the holder of the claim of %s was told NotRun after the key ran", c.id)
+	}
 	if r.Outcome.OK {
 		require.Equal(f.t, c.print, f.answers[answerKey{n.holder(), c.id, row.Attempt}], "an answer for another request")
 	}
--- a/internal/system/dedup/once_test.go
+++ b/internal/system/dedup/once_test.go
@@ -185,7 +185,7 @@
 func TestGenerateRunsToTheEndOnce(t *testing.T) {
 	faults := []fault{
 		deliverOldest, deliverOldest, deliverOldest, deliverOldest, retryDead, retryDead, retryDead,
-		callNew, endRun, endRun, duplicate, killRouter, syncOne, syncOne,
+		callNew, retryAny, endRun, endRun, duplicate, killRouter, syncOne, syncOne,
 	}
 	rapid.Check(t, func(t *rapid.T) {
 		f := newFleet(t, 3, 3)
@@ -198,6 +198,42 @@
 	})
 }
 
+// Guards against two runs for two callers with one key who do not say that they
+// retry, as a caller's own load balancer may cause.
+func TestConcurrentCallersShareOneRun(t *testing.T) {
+	faults := []fault{deliverOldest, deliverOldest, deliverOldest, callNew, callAgain, callAgain, endRun, duplicateQuery}
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(t, 3, 3)
+		f.model = true
+		f.steps(faults, f.checkBilledOnce)
+		f.heal()
+		f.checkBilledOnce()
+		f.checkAnswered()
+		f.checkRetriesFinish()
+	})
+}
+
+// callAgain sends a call to another router while the first may be in progress.
+func callAgain(f *fleet) {
+	if len(f.calls) > 0 {
+		c := pick(f, "call", f.calls)
+		f.call(pick(f, "router", f.routers), c.id, c.print, false)
+	}
+}
+
+// duplicateQuery repeats a question between routers or its answer. Records are
+// not repeated: a session is one TCP connection, which delivers them once and in
+// order, and an old record in place of a newer one would hide the newer run.
+func duplicateQuery(f *fleet) {
+	for _, m := range f.net {
+		switch m.event.(type) {
+		case event.KeyQuery, event.KeyResult:
+			f.net = append(f.net, m)
+			return
+		}
+	}
+}
+
 // callNew makes a call with a key of its own.
 func callNew(f *fleet) {
 	id := table.MakeRequestID(customer, "g"+string(rune('a'+len(f.calls)%26))+string(rune('a'+len(f.calls)/26)))
@@ -247,15 +283,22 @@
 	}
 }
 
-// checkRetriesFinish fails if a retried request has no answer in a healthy fleet.
+// checkRetriesFinish fails if a request has no answer in a healthy fleet though
+// its caller retries as it is told. The time is that of the longest reservation
+// of a key at the index.
 func (f *fleet) checkRetriesFinish() {
 	for _, c := range slices.Clone(f.calls) {
 		if !latest(f, c) || c.outcome.OK {
 			continue
 		}
-		again := f.call(f.routers[0], c.id, c.print, true)
-		f.settle()
-		require.True(f.t, again.outcome.OK, "%s: %s", again.outcome.Code, again.outcome.Reason)
+		for until := f.now.Add(31 * time.Second); !c.outcome.OK && f.now < until; f.advance(time.Second) {
+			c = f.call(f.routers[0], c.id, c.print, true)
+			f.settle()
+			if !c.outcome.OK {
+				require.NotZero(f.t, c.outcome.RetryAfter, "%s: %s", c.outcome.Code, c.outcome.Reason)
+			}
+		}
+		require.True(f.t, c.outcome.OK, "%s: %s", c.outcome.Code, c.outcome.Reason)
 	}
 	f.checkBilledOnce()
 }
--- a/internal/system/gate/check.go
+++ b/internal/system/gate/check.go
@@ -92,7 +92,7 @@
 	case table.RunFailed:
 		return checkFailed(w, d, row)
 	case table.RunRefused:
-		if row.Nonce == 0 || row.Nonce != d.Nonce {
+		if row.Only == 0 || row.Only != d.Nonce {
 			reject(w, d, refusal{table.CodeKeyInUse, "the key was given to another call", table.NotRun})
 			return true
 		}
@@ -111,6 +111,10 @@
 		reject(w, d, refusal{table.CodeEndpointFailed, "the run ended early and must not repeat", table.RanUnknown})
 		return true
 	}
+	if row.Only != 0 && row.Only != d.Nonce {
+		reject(w, d, refusal{table.CodeKeyInUse, "the key was given to another call", table.NotRun})
+		return true
+	}
 	if sameCall(d, row) && d.Attempt <= row.Attempt {
 		reject(w, d, refusal{table.CodeEndpointFailed, "the attempt ended early", table.DidRun})
 		return true
@@ -241,6 +245,9 @@
 		w.Count("gate.duplicate")
 		return
 	}
+	if same {
+		row.Latest = max(row.Latest, d.Attempt)
+	}
 	w.Out.Replays = append(w.Out.Replays, command.Replay{
 		Session: d.Session, Request: d.Request, Attempt: d.Attempt, Position: d.Position, SameCall: same,
 	})
--- a/internal/system/gate/lookup.go
+++ b/internal/system/gate/lookup.go
@@ -20,6 +20,9 @@
 	row := w.Runs.Get(l.Request)
 	if row.Ran() {
 		result.Found, result.State, result.Fingerprint = true, row.State, row.Fingerprint
+		if l.Refuse && row.State == table.RunFailed {
+			row.Only = l.Nonce
+		}
 		return result
 	}
 	// A row without a run may be newer than a run that was forgotten.
@@ -43,6 +46,6 @@
 	if row == nil {
 		row = w.Runs.Put(l.Request, table.Run{ID: l.Request})
 	}
-	row.State, row.Nonce = table.RunRefused, l.Nonce
+	row.State, row.Only = table.RunRefused, l.Nonce
 	keep(w, row, max(l.KeyUntil, w.Now.Add(MaxKeyLifetime)))
 }
--- a/internal/system/gate/runs.go
+++ b/internal/system/gate/runs.go
@@ -40,6 +40,7 @@
 func setRun(w *world.World, row *table.Run, d *event.Dispatch) {
 	row.State = table.RunRunning
 	row.Holder, row.Nonce, row.Attempt, row.Session = d.Holder, d.Nonce, d.Attempt, d.Session
+	row.Latest = d.Attempt
 	row.Budget, row.Endpoint, row.Service, row.Kind = d.Budget, d.Endpoint, d.Service, d.Kind
 	row.Fingerprint, row.Idempotent = d.Fingerprint, d.Idempotent || d.Kind == table.ServiceModel
 	row.Limit, row.Position, row.Alone = d.Limit, d.Position, d.Alone
@@ -159,7 +160,7 @@
 func applyCancels(w *world.World) {
 	for _, c := range w.In.RunCancels {
 		row := w.Runs.Get(c.Request)
-		if row == nil || row.State != table.RunRunning || row.Holder != c.Holder || row.Attempt > c.Attempt {
+		if row == nil || row.State != table.RunRunning || row.Holder != c.Holder || row.Latest != c.Attempt {
 			continue
 		}
 		w.Out.StopRuns = append(w.Out.StopRuns, command.StopRun{Request: c.Request})
--- a/internal/table/request.go
+++ b/internal/table/request.go
@@ -130,7 +130,10 @@
 	// Reserve is the amount the budget system is asked to hold.
 	Reserve Tokens
 
-	Attempt    uint32
+	// Attempt numbers the current attempt. It starts at a random number, so that
+	// no late message of an earlier request with this key matches.
+	Attempt uint32
+	// Attempts counts the attempts made.
 	Attempts   int
 	Endpoint   EndpointID
 	Agent      Holder
--- a/internal/table/run.go
+++ b/internal/table/run.go
@@ -20,13 +20,15 @@
 // Run is what an agent knows of one request id. Invariant: the endpoint runs a
 // non-idempotent request id at most once in an incarnation of the agent.
 type Run struct {
-	ID          RequestID
-	State       RunState
-	Holder      Holder
-	Budget      BudgetID
-	Endpoint    EndpointID
-	Service     ServiceName
-	Attempt     uint32
+	ID       RequestID
+	State    RunState
+	Holder   Holder
+	Budget   BudgetID
+	Endpoint EndpointID
+	Service  ServiceName
+	Attempt  uint32
+	// Latest is the last attempt of the same call that the run serves.
+	Latest      uint32
 	Fingerprint Fingerprint
 	Idempotent  bool
 	Limit       Tokens
@@ -40,9 +42,10 @@
 	Kind     ServiceKind
 	// Session gets the output of the attempt.
 	Session uint64
-	// Nonce names the call at a router that runs the key. In RunRefused it is
-	// the only call that may still run it, or 0.
+	// Nonce names the call at a router that runs the key.
 	Nonce uint64
+	// Only is the call that may run a refused or failed key, if it is not 0.
+	Only uint64
 	// Rejected are the refused attempts, which a late duplicate must not run.
 	Rejected []RejectedAttempt
 	// Keep is when the row may be forgotten, unless the run is in progress.
