--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -358,6 +358,9 @@
 	From    table.Holder
 	Request table.RequestID
 	Agent   table.Holder
+	// Nonce names the call, so that the end of one call of a router does not
+	// remove what another one recorded.
+	Nonce uint64
 }
 
 // KeyQuery asks an index router about a key, and notes the asking router as the
@@ -366,6 +369,8 @@
 	From    table.Holder
 	Call    uint64
 	Request table.RequestID
+	// Nonce names the call that asks.
+	Nonce uint64
 }
 
 // KeyResult answers a KeyQuery.
--- a/internal/system/dedup/agents.go
+++ b/internal/system/dedup/agents.go
@@ -151,6 +151,9 @@
 		return
 	}
 	if e.Found && (e.State == table.RunRunning || e.State == table.RunDone) {
+		if s.Step == table.SearchAll && indexed(r) {
+			record(w, event.KeyRecord{From: w.Self(), Request: r.ID, Agent: e.Agent, Nonce: r.Nonce})
+		}
 		attach(w, r, e.Agent)
 		return
 	}
--- a/internal/system/dedup/dedup.go
+++ b/internal/system/dedup/dedup.go
@@ -9,7 +9,6 @@
 import (
 	"time"
 
-	"laburnumroad.dev/laburnumroad/internal/event"
 	"laburnumroad.dev/laburnumroad/internal/table"
 	"laburnumroad.dev/laburnumroad/internal/world"
 )
@@ -98,9 +97,6 @@
 // attach asks the agent that runs or ran the key for its answer.
 func attach(w *world.World, r *table.Request, agent table.Holder) {
 	w.Searches.Delete(r.ID)
-	if indexed(r) {
-		record(w, event.KeyRecord{From: w.Self(), Request: r.ID, Agent: agent})
-	}
 	r.Pinned, r.ReplayOnly = agent, true
 	w.Count("dedup.attached")
 	w.Explain(r.ID, system, "attached to an earlier run", table.Input{Name: "agent", Value: string(agent.Process)})
--- a/internal/system/dedup/finish.go
+++ b/internal/system/dedup/finish.go
@@ -26,7 +26,7 @@
 	if r == nil || d.ReplayOnly || !indexed(r) {
 		return
 	}
-	record(w, event.KeyRecord{From: w.Self(), Request: r.ID, Agent: d.To})
+	record(w, event.KeyRecord{From: w.Self(), Request: r.ID, Agent: d.To, Nonce: r.Nonce})
 }
 
 func indexed(r *table.Request) bool {
@@ -46,7 +46,7 @@
 
 func finish(w *world.World, r *table.Request) {
 	if indexed(r) && !r.Outcome.OK && r.Nonce != 0 {
-		record(w, event.KeyRecord{From: w.Self(), Request: r.ID})
+		record(w, event.KeyRecord{From: w.Self(), Request: r.ID, Nonce: r.Nonce})
 		return
 	}
 	if r.ClaimVersion != 0 && w.Searches.Get(r.ID) == nil {
--- a/internal/system/dedup/fleet_test.go
+++ b/internal/system/dedup/fleet_test.go
@@ -102,7 +102,8 @@
 // fleet runs the real systems of some routers and agents, with stand-ins for
 // admission, budget, routing, retry, the network, the engines and the platform.
 type fleet struct {
-	t        *rapid.T
+	t        rapid.TB
+	draw     *rapid.T
 	now      table.Instant
 	next     table.Incarnation
 	routers  []*node
@@ -117,7 +118,13 @@
 	crasher  table.Fingerprint
 }
 
-func newFleet(t *rapid.T, routers, agents int) *fleet {
+func drawnFleet(t *rapid.T, routers, agents int) *fleet {
+	f := newFleet(t, routers, agents)
+	f.draw = t
+	return f
+}
+
+func newFleet(t rapid.TB, routers, agents int) *fleet {
 	f := &fleet{t: t, now: table.Instant(time.Hour), answers: map[answerKey]table.Fingerprint{}}
 	f.platform.claims = map[table.RequestID]storedClaim{}
 	for i := range routers {
@@ -413,6 +420,8 @@
 			f.deliver(0)
 		case open >= 0 && !f.runs[open].agent.paused:
 			f.finishRun(f.runs[open])
+		case slices.ContainsFunc(f.routers, func(r *node) bool { return !r.paused && r.w.Requests.Count(table.RequestBackoff) > 0 }):
+			f.advance(busyDelay)
 		default:
 			return
 		}
--- a/internal/system/dedup/index.go
+++ b/internal/system/dedup/index.go
@@ -75,12 +75,12 @@
 
 func store(w *world.World, e event.KeyRecord) {
 	if e.Agent == (table.Holder{}) {
-		if old := w.KeyIndex.Get(e.Request); old != nil && old.Owner == e.From {
+		if old := w.KeyIndex.Get(e.Request); old != nil && old.Owner == e.From && old.Nonce == e.Nonce {
 			w.KeyIndex.Delete(e.Request)
 		}
 		return
 	}
-	putEntry(w, e.Request, table.KeyEntry{Agent: e.Agent, Owner: e.From, Until: w.Now.Add(w.Params.AnswerRetention)})
+	putEntry(w, e.Request, table.KeyEntry{Agent: e.Agent, Owner: e.From, Nonce: e.Nonce, Until: w.Now.Add(w.Params.AnswerRetention)})
 }
 
 func putEntry(w *world.World, id table.RequestID, entry table.KeyEntry) {
@@ -94,7 +94,7 @@
 	result := event.KeyResult{From: w.Self(), Call: q.Call, Request: q.Request}
 	entry := w.KeyIndex.Get(q.Request)
 	if entry == nil || entry.Until <= w.Now {
-		putEntry(w, q.Request, table.KeyEntry{Owner: q.From, Until: w.Now.Add(pendingFor)})
+		putEntry(w, q.Request, table.KeyEntry{Owner: q.From, Nonce: q.Nonce, Until: w.Now.Add(pendingFor)})
 		return result
 	}
 	if entry.Owner != q.From && isLive(w, entry.Owner) {
@@ -103,7 +103,7 @@
 	if entry.Agent != (table.Holder{}) {
 		result.Found, result.Agent = true, entry.Agent
 	} else if result.Owner == (table.Holder{}) {
-		putEntry(w, q.Request, table.KeyEntry{Owner: q.From, Until: w.Now.Add(pendingFor)})
+		putEntry(w, q.Request, table.KeyEntry{Owner: q.From, Nonce: q.Nonce, Until: w.Now.Add(pendingFor)})
 	}
 	return result
 }
@@ -122,7 +122,7 @@
 	s.Step = table.SearchIndex
 	w.KeyCalls++
 	s.Call = w.KeyCalls
-	q := event.KeyQuery{From: w.Self(), Call: s.Call, Request: r.ID}
+	q := event.KeyQuery{From: w.Self(), Call: s.Call, Request: r.ID, Nonce: r.Nonce}
 	var own *event.KeyResult
 	for _, p := range indexOf(w, r.ID) {
 		if p == w.Self().Process {
--- a/internal/system/dedup/once_test.go
+++ b/internal/system/dedup/once_test.go
@@ -17,17 +17,17 @@
 type fault func(f *fleet)
 
 func pick[T any](f *fleet, name string, from []T) T {
-	return from[rapid.IntRange(0, len(from)-1).Draw(f.t, name)]
+	return from[rapid.IntRange(0, len(from)-1).Draw(f.draw, name)]
 }
 
 func deliverAny(f *fleet) {
 	if len(f.net) > 0 {
-		f.deliver(rapid.IntRange(0, len(f.net)-1).Draw(f.t, "message"))
+		f.deliver(rapid.IntRange(0, len(f.net)-1).Draw(f.draw, "message"))
 	}
 }
 
 func deliverOldest(f *fleet) {
-	for i := rapid.IntRange(1, 6).Draw(f.t, "messages"); i > 0 && len(f.net) > 0; i-- {
+	for i := rapid.IntRange(1, 6).Draw(f.draw, "messages"); i > 0 && len(f.net) > 0; i-- {
 		f.deliver(0)
 	}
 }
@@ -42,7 +42,7 @@
 
 func drop(f *fleet) {
 	if len(f.net) > 0 {
-		i := rapid.IntRange(0, len(f.net)-1).Draw(f.t, "drop")
+		i := rapid.IntRange(0, len(f.net)-1).Draw(f.draw, "drop")
 		if f.net[i].onWire() {
 			f.net = slices.Delete(f.net, i, i+1)
 		}
@@ -56,7 +56,7 @@
 func killRouter(f *fleet) {
 	r := pick(f, "router", f.routers)
 	f.kill(r)
-	if rapid.Bool().Draw(f.t, "fence") {
+	if rapid.Bool().Draw(f.draw, "fence") {
 		f.platform.fences = append(f.platform.fences, r.holder())
 		for _, a := range f.agents {
 			f.send(f.routers[0], a.holder().Process, table.Holder{}, event.Fence{From: f.routers[0].holder(), Holder: r.holder()})
@@ -78,7 +78,7 @@
 func syncOne(f *fleet) { f.sync(pick(f, "router", f.routers)) }
 
 func changePlatform(f *fleet) {
-	f.platform.mode = platformMode(rapid.IntRange(0, int(platformModes)-1).Draw(f.t, "platform"))
+	f.platform.mode = platformMode(rapid.IntRange(0, int(platformModes)-1).Draw(f.draw, "platform"))
 }
 
 func passTime(f *fleet) {
@@ -103,12 +103,12 @@
 // callAny makes a call with one of a few keys, so that calls meet.
 func callAny(f *fleet) {
 	keys := append([]string{"k1", "k2"}, f.issued[max(0, len(f.issued)-2):]...)
-	print := table.Fingerprint(rapid.IntRange(1, 8).Draw(f.t, "content"))
+	print := table.Fingerprint(rapid.IntRange(1, 8).Draw(f.draw, "content"))
 	if print > 2 {
 		print = 1
 	}
 	id := table.MakeRequestID(customer, pick(f, "key", keys))
-	f.call(pick(f, "router", f.routers), id, print, rapid.Bool().Draw(f.t, "retry"))
+	f.call(pick(f, "router", f.routers), id, print, rapid.Bool().Draw(f.draw, "retry"))
 }
 
 // retryAny sends a call again, to any router, whatever became of it.
@@ -120,7 +120,7 @@
 }
 
 func (f *fleet) steps(faults []fault, check func()) {
-	for range rapid.IntRange(20, 200).Draw(f.t, "steps") {
+	for range rapid.IntRange(20, 200).Draw(f.draw, "steps") {
 		pick(f, "fault", faults)(f)
 		check()
 	}
@@ -172,7 +172,7 @@
 		killRouter, killAgent, pauseOrResume, syncOne, syncOne, changePlatform, passTime,
 	}
 	rapid.Check(t, func(t *rapid.T) {
-		f := newFleet(t, 3, 2)
+		f := drawnFleet(t, 3, 2)
 		f.steps(faults, f.checkOnce)
 		f.heal()
 		f.checkOnce()
@@ -188,7 +188,7 @@
 		callNew, retryAny, endRun, endRun, duplicate, killRouter, syncOne, syncOne,
 	}
 	rapid.Check(t, func(t *rapid.T) {
-		f := newFleet(t, 3, 3)
+		f := drawnFleet(t, 3, 3)
 		f.model = true
 		f.steps(faults, f.checkBilledOnce)
 		f.heal()
@@ -203,7 +203,7 @@
 func TestConcurrentCallersShareOneRun(t *testing.T) {
 	faults := []fault{deliverOldest, deliverOldest, deliverOldest, callNew, callAgain, callAgain, endRun, duplicateQuery}
 	rapid.Check(t, func(t *rapid.T) {
-		f := newFleet(t, 3, 3)
+		f := drawnFleet(t, 3, 3)
 		f.model = true
 		f.steps(faults, f.checkBilledOnce)
 		f.heal()
--- a/internal/system/dedup/standin_test.go
+++ b/internal/system/dedup/standin_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"laburnumroad.dev/laburnumroad/internal/command"
 	"laburnumroad.dev/laburnumroad/internal/event"
@@ -72,8 +73,12 @@
 	return agents[w.Rand.IntN(len(agents))]
 }
 
-// maxAttempts bounds the attempts of the stand-in for retry.
-const maxAttempts = 8
+const (
+	// maxAttempts bounds the attempts of the stand-in for retry, besides those
+	// that a busy agent refused.
+	maxAttempts = 8
+	busyDelay   = 10 * time.Millisecond
+)
 
 // fakeRetry follows the rules of section 5: what certainly did not run, or may
 // repeat, is tried again.
@@ -86,6 +91,10 @@
 		switch {
 		case e.Status == event.AttemptDone:
 			w.Requests.End(r, table.Outcome{OK: true, Ran: table.DidRun, Replayed: e.Replayed})
+		case e.Code == table.CodeBusy && e.Ran == table.NotRun:
+			r.Attempts--
+			r.NotBefore = w.Now.Add(busyDelay)
+			w.Requests.Move(r, table.RequestBackoff)
 		case e.Status == event.AttemptRejected && (e.Ran != table.NotRun || final(e.Code)):
 			w.Requests.End(r, table.Outcome{Code: e.Code, Ran: e.Ran})
 		case e.Status != event.AttemptRejected && (!r.Idempotent || r.ReplayOnly):
@@ -96,6 +105,14 @@
 			w.Requests.Move(r, table.RequestQueued)
 		}
 	}
+	for _, id := range w.Requests.In(table.RequestBackoff) {
+		r := w.Requests.Get(id)
+		if r.NotBefore > w.Now {
+			w.WakeAt(r.NotBefore)
+			continue
+		}
+		w.Requests.Move(r, table.RequestQueued)
+	}
 }
 
 func final(c table.Code) bool {
--- a/internal/table/key.go
+++ b/internal/table/key.go
@@ -61,8 +61,9 @@
 type KeyEntry struct {
 	// Agent runs the key, or is empty while Owner has not dispatched it.
 	Agent Holder
-	// Owner is the router that asked first.
+	// Owner is the router that asked first, with its call Nonce.
 	Owner Holder
+	Nonce uint64
 	Until Instant
 }
 
