--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -369,6 +369,9 @@
 	From    table.Holder
 	Request table.RequestID
 	Agent   table.Holder
+	// Nonce names the call, so that the end of one call of a router does not
+	// remove what another one recorded.
+	Nonce uint64
 }
 
 // KeyQuery asks an index router about a key, and notes the asking router as the
@@ -377,6 +380,8 @@
 	From    table.Holder
 	Call    uint64
 	Request table.RequestID
+	// Nonce names the call that asks.
+	Nonce uint64
 }
 
 // KeyResult answers a KeyQuery.
@@ -395,8 +400,8 @@
 	From    table.Holder
 	Call    uint64
 	Request table.RequestID
-	// Refuse turns a key that was never run into one that only the call with
-	// this Nonce can run, or none if Nonce is 0.
+	// Refuse turns a key that was never run, or whose run failed, into one that
+	// only the call with this Nonce can run, or none if Nonce is 0.
 	Refuse bool
 	Nonce  uint64
 	// KeyUntil is the deadline of the key's claim in the agent's clock, or 0.
--- a/internal/table/request.go
+++ b/internal/table/request.go
@@ -138,7 +138,10 @@
 	// ReserveSince is when the request began to wait for budget, or zero.
 	ReserveSince Instant
 
-	Attempt    uint32
+	// Attempt numbers the current attempt. It starts at a random number, so that
+	// no late message of an earlier request with this key matches.
+	Attempt uint32
+	// Attempts counts the attempts made.
 	Attempts   int
 	Endpoint   EndpointID
 	Agent      Holder
