routing: eject slow endpoints and hold endpoints for suspects

An endpoint whose first-token time or token time exceeds the configured multiple of its service's median, or that broke three attempts in a row, is ejected, up to a third of the service. It gets one probe at intervals that double from 2 s to 60 s, preferably a request without a deadline.

First-token times are learned from quick requests only: one long prompt would make a healthy endpoint look slow. A request that must run alone holds one endpoint until that is idle.

--- a/internal/system/routing/account.go
+++ b/internal/system/routing/account.go
@@ -20,10 +20,22 @@
 
 // occupy accounts an attempt to its endpoint.
 func occupy(w *world.World, r *table.Request, e *table.Endpoint, work table.Tokens) {
-	r.Work = table.Work{Attempt: r.Attempt, Endpoint: e.ID, Agent: r.Agent, Class: r.Class, Tokens: work}
+	r.Work = table.Work{
+		Attempt: r.Attempt, Endpoint: e.ID, Agent: r.Agent, Class: r.Class, Tokens: work, Probe: e.Ejected,
+	}
 	e.InFlight++
 	if r.Class == table.ClassQuick {
 		e.InFlightQuick++
+		if e.Waiting == 0 {
+			e.WaitingSince = w.Now
+		}
+		e.Waiting++
+	}
+	if r.Alone {
+		e.HeldFor = r.ID
+	}
+	if e.Ejected {
+		startProbe(e)
 	}
 	e.InFlightTokens += work
 }
@@ -66,6 +78,13 @@
 	e.InFlight = max(0, e.InFlight-1)
 	if work.Class == table.ClassQuick {
 		e.InFlightQuick = max(0, e.InFlightQuick-1)
+		if work.MarkAt == 0 {
+			e.Waiting = max(0, e.Waiting-1)
+			e.WaitingSince = w.Now
+		}
+	}
+	if work.Probe {
+		endProbe(w, e)
 	}
 	e.InFlightTokens = max(0, e.InFlightTokens-work.Tokens)
 }
--- a/internal/system/routing/choose.go
+++ b/internal/system/routing/choose.go
@@ -30,7 +30,13 @@
 func (p *pass) choose(r *table.Request, free func(*table.Endpoint) bool) (*table.Endpoint, []scored) {
 	var candidates []*table.Endpoint
 	for _, e := range p.usable {
-		if !e.Ejected && free(e) {
+		if !free(e) || slices.Contains(r.Tried, e.ID) && e.Ejected {
+			continue
+		}
+		if probeDue(p.w, e, r) {
+			return e, []scored{{e, p.expectedWait(e)}}
+		}
+		if !e.Ejected || p.allEjected {
 			candidates = append(candidates, e)
 		}
 	}
@@ -78,7 +84,11 @@
 		perToken = defaultTokenTime
 	}
 	outstanding := float64(e.InFlightTokens+e.OthersTokens) / float64(max(1, e.Slots))
-	wait := e.FirstTokenTime + time.Duration(outstanding*float64(perToken))
+	first := e.FirstTokenTime
+	if e.Waiting > 0 {
+		first = max(first, p.w.Now.Sub(e.WaitingSince))
+	}
+	wait := first + time.Duration(outstanding*float64(perToken))
 	return wait + p.distance(e)
 }
 
--- a/internal/system/routing/learn.go
+++ b/internal/system/routing/learn.go
@@ -51,10 +51,15 @@
 	}
 	r.Work.MarkAt = w.Now
 	r.Work.MarkTokens = r.Delivered
-	if e := w.Endpoints.Get(r.Work.Endpoint); e != nil {
-		e.FirstTokenTime = average(e.FirstTokenTime, w.Now.Sub(r.Dispatched))
-		e.Samples++
+	e := w.Endpoints.Get(r.Work.Endpoint)
+	if e == nil || r.Work.Class != table.ClassQuick {
+		return
 	}
+	e.Waiting = max(0, e.Waiting-1)
+	e.WaitingSince = w.Now
+	e.FirstTokenTime = average(e.FirstTokenTime, w.Now.Sub(r.Dispatched))
+	e.Samples++
+	judge(w, e)
 }
 
 func learnTokenTime(w *world.World, r *table.Request, delivered table.Tokens) {
@@ -65,13 +70,20 @@
 	r.Work.MarkAt, r.Work.MarkTokens = w.Now, delivered
 	if e := w.Endpoints.Get(r.Work.Endpoint); e != nil {
 		e.TokenTime = average(e.TokenTime, perToken)
+		judge(w, e)
 	}
 }
 
 func learnEnd(w *world.World, r *table.Request, e *event.AttemptEnd) {
+	if e.Status == event.AttemptBroken || e.Status == event.AttemptLost {
+		learnFailure(w, r)
+	}
 	if e.Status != event.AttemptDone || e.Replayed {
 		return
 	}
+	if endpoint := w.Endpoints.Get(r.Work.Endpoint); endpoint != nil {
+		endpoint.Failures = 0
+	}
 	if r.Kind == table.ServicePlain {
 		learnCall(w, r)
 		return
@@ -92,6 +104,16 @@
 		e.FirstTokenTime = average(e.FirstTokenTime, w.Now.Sub(r.Dispatched))
 		e.TokenTime = e.FirstTokenTime
 		e.Samples++
+		judge(w, e)
+	}
+}
+
+// learnFailure counts a broken attempt. An endpoint that breaks each attempt at
+// once would otherwise look like the fastest.
+func learnFailure(w *world.World, r *table.Request) {
+	if e := w.Endpoints.Get(r.Work.Endpoint); e != nil {
+		e.Failures++
+		judge(w, e)
 	}
 }
 
--- a/internal/system/routing/pass.go
+++ b/internal/system/routing/pass.go
@@ -24,14 +24,19 @@
 	service table.ServiceName
 	// usable are the endpoints that may get new work, full or not.
 	usable []*table.Endpoint
+	// allEjected is true if no usable endpoint is free of ejection.
+	allEjected bool
 }
 
 func newPass(w *world.World, name table.ServiceName) *pass {
-	p := &pass{w: w, service: name}
+	p := &pass{w: w, service: name, allEjected: true}
 	w.Endpoints.Each(func(_ table.EndpointID, e *table.Endpoint) {
-		if e.Service == name && usable(w, e) {
-			p.usable = append(p.usable, e)
+		if e.Service != name || !usable(w, e) {
+			return
 		}
+		p.usable = append(p.usable, e)
+		p.allEjected = p.allEjected && e.Ejected
+		endHold(w, e)
 	})
 	return p
 }
--- a/internal/system/routing/slots.go
+++ b/internal/system/routing/slots.go
@@ -19,7 +19,7 @@
 // far as this router knows at first hand: by its own work there, and not within
 // the delay after a refusal. The agent refuses what is above its slots.
 func hasSlot(w *world.World, e *table.Endpoint, r *table.Request) bool {
-	if !open(w, e, r.Class) {
+	if !open(w, e, r) {
 		return false
 	}
 	if r.Class == table.ClassLong {
@@ -33,15 +33,16 @@
 func hasAgedSlot(w *world.World, e *table.Endpoint, r *table.Request) bool {
 	long := e.InFlight - e.InFlightQuick + e.OthersLong
 	limit := max(1, kept(w, e, r))
-	return open(w, e, r.Class) && e.InFlight < e.Slots && long < limit
+	return open(w, e, r) && e.InFlight < e.Slots && long < limit
 }
 
-// open reports whether an endpoint is not held back for a class.
-func open(w *world.World, e *table.Endpoint, c table.Class) bool {
-	if e.HeldFor != "" {
+// open reports whether an endpoint is held neither for another request nor back
+// after a refusal.
+func open(w *world.World, e *table.Endpoint, r *table.Request) bool {
+	if e.HeldFor != "" && e.HeldFor != r.ID {
 		return false
 	}
-	if until := e.BusyUntil[c]; until > w.Now {
+	if until := e.BusyUntil[r.Class]; until > w.Now {
 		w.WakeAt(until)
 		return false
 	}
--- a/internal/table/process.go
+++ b/internal/table/process.go
@@ -113,14 +113,16 @@
 	ReportTokens Tokens
 	ReportAge    time.Duration
 
-	// Moving averages observed by this router.
+	// Moving averages observed by this router; 0 when unknown. First-token times
+	// are those of quick requests, so that long prompts do not make an endpoint
+	// look slow.
 	FirstTokenTime time.Duration
 	TokenTime      time.Duration
 	Samples        int
 	// Failures counts broken attempts since the last good one.
 	Failures int
-	// Waiting counts attempts without a first token; WaitingSince is when the
-	// endpoint last gave a sign of life before them.
+	// Waiting counts quick attempts without a first token; WaitingSince is when
+	// the first of them was sent or the last first token came.
 	Waiting      int
 	WaitingSince Instant
 	// HeldFor is a request that must run alone and waits for the endpoint to
--- a/internal/table/request.go
+++ b/internal/table/request.go
@@ -180,6 +180,8 @@
 	// MarkAt and MarkTokens are the last progress seen, for the token time.
 	MarkAt     Instant
 	MarkTokens Tokens
+	// Probe is true if the attempt tests an ejected endpoint.
+	Probe bool
 }
 
 // State returns the stage of the request.
