--- /dev/null
+++ b/internal/system/admission/admission_test.go
@@ -0,0 +1,222 @@
+package admission_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"laburnumroad.dev/laburnumroad/internal/command"
+	"laburnumroad.dev/laburnumroad/internal/event"
+	"laburnumroad.dev/laburnumroad/internal/system/admission"
+	"laburnumroad.dev/laburnumroad/internal/table"
+	"laburnumroad.dev/laburnumroad/internal/world"
+)
+
+const model = table.ServiceName("kintsugi-llm")
+
+var goodKey = table.KeyHash{7}
+
+func newWorld() *world.World {
+	w := world.New(world.Params{DetachGrace: 10 * time.Second}, 20261204)
+	w.Fleet.Generation = 1
+	w.Services.Put(model, table.Service{Name: model, Kind: table.ServiceModel, MeanOutput: 100})
+	w.Services.Put("guild-desk", table.Service{Name: "guild-desk", Kind: table.ServicePlain,
+		Operations: map[string]table.Operation{"kiln": {Cost: 30}}})
+	w.Services.Put("other", table.Service{Name: "other", Kind: table.ServiceModel})
+	w.Customers.Put("guild", table.Customer{ID: "guild", KeyHashes: []table.KeyHash{{1}, goodKey},
+		Services: []table.ServiceName{model, "guild-desk"}})
+	for _, s := range []table.ServiceName{model, "guild-desk"} {
+		w.Limits.Put(table.RuleKey{Customer: "guild", Service: s}, table.Limits{
+			MaxOutput: 1000, QuickTokens: 300, Priority: 4, FirstTokenDeadline: time.Second,
+			Exceptions: []table.AppliedException{{Setting: "priority", Reason: "kiln season"}},
+		})
+	}
+	return w
+}
+
+func goodArrival() event.Arrival {
+	return event.Arrival{Key: "k", KeyHash: goodKey, Reply: 9, Service: model, Kind: table.ServiceModel,
+		PromptTokens: 50, MaxOutput: 200, Fingerprint: 11}
+}
+
+// run admits events at a time and returns the commands.
+func run(w *world.World, now table.Instant, events ...event.Event) command.Outbox {
+	for _, e := range events {
+		e.AddTo(&w.In)
+	}
+	w.Tick(now, []world.System{world.SystemFunc(admission.Run)})
+	out := w.Out
+	w.Clear()
+	return out
+}
+
+// Guards against a row that budget, dedup or routing would misread.
+func TestAdmittedRow(t *testing.T) {
+	w := newWorld()
+	out := run(w, 1, goodArrival())
+	require.Equal(t, []command.Accept{{Reply: 9, Request: "guild/k"}}, out.Accepts)
+	r := w.Requests.Get("guild/k")
+	require.Equal(t, table.RequestAdmitted, r.State())
+	require.Equal(t, table.Tokens(250), r.Reserve)
+	require.Equal(t, table.BudgetID("guild/default"), r.Budget)
+	require.Equal(t, table.ClassQuick, r.Class)
+	require.Equal(t, 4, r.Priority)
+	require.Equal(t, table.Instant(1).Add(time.Second), r.Deadline)
+	require.True(t, r.Idempotent)
+}
+
+// Guards against long work that is classed as quick and delays it.
+func TestClassFollowsExpectedWork(t *testing.T) {
+	w := newWorld()
+	long := goodArrival()
+	long.PromptTokens = 250
+	run(w, 1, long)
+	require.Equal(t, table.ClassLong, w.Requests.Get("guild/k").Class)
+}
+
+// Guards against a call that reserves nothing or may run twice.
+func TestCallReservesItsCost(t *testing.T) {
+	w := newWorld()
+	call := goodArrival()
+	call.Service, call.Kind, call.Operation, call.MaxOutput = "guild-desk", table.ServicePlain, "kiln", 0
+	run(w, 1, call)
+	r := w.Requests.Get("guild/k")
+	require.Equal(t, table.Tokens(30), r.Reserve)
+	require.False(t, r.Idempotent)
+	require.Equal(t, table.ClassQuick, r.Class)
+}
+
+// Guards against work that is admitted against a rule, and against a refusal
+// with another code or without the certainty that nothing ran.
+func TestRefusals(t *testing.T) {
+	cases := map[string]struct {
+		change func(w *world.World, a *event.Arrival)
+		code   table.Code
+	}{
+		"unknown key":      {func(_ *world.World, a *event.Arrival) { a.KeyHash[31] = 1 }, table.CodeUnauthenticated},
+		"unknown service":  {func(_ *world.World, a *event.Arrival) { a.Service = "no" }, table.CodeUnknownService},
+		"other's service":  {func(_ *world.World, a *event.Arrival) { a.Service = "other" }, table.CodeForbidden},
+		"wrong kind":       {func(_ *world.World, a *event.Arrival) { a.Kind = table.ServicePlain }, table.CodeBadRequest},
+		"negative tokens":  {func(_ *world.World, a *event.Arrival) { a.PromptTokens = -1 }, table.CodeBadRequest},
+		"priority":         {func(_ *world.World, a *event.Arrival) { a.Priority = 10 }, table.CodeBadRequest},
+		"no key":           {func(_ *world.World, a *event.Arrival) { a.Key = "" }, table.CodeBadRequest},
+		"draining":         {func(w *world.World, _ *event.Arrival) { w.Draining = true }, table.CodeDraining},
+		"no configuration": {func(w *world.World, _ *event.Arrival) { w.Fleet.Generation = 0 }, table.CodeNotReady},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			w, a := newWorld(), goodArrival()
+			c.change(w, &a)
+			out := run(w, 1, a)
+			require.Len(t, out.Replies, 1)
+			require.Equal(t, uint64(9), out.Replies[0].Reply)
+			require.Empty(t, out.Replies[0].Request)
+			require.Equal(t, c.code, out.Replies[0].Outcome.Code)
+			require.Equal(t, table.NotRun, out.Replies[0].Outcome.Ran)
+			require.Zero(t, w.Requests.Len())
+		})
+	}
+}
+
+// Guards against a NOT_RUN for a retry whose first sending ran elsewhere.
+func TestRefusedRetryMayHaveRun(t *testing.T) {
+	w, a := newWorld(), goodArrival()
+	w.Draining, a.Retry = true, true
+	out := run(w, 1, a)
+	require.Equal(t, table.RanUnknown, out.Replies[0].Outcome.Ran)
+}
+
+// Guards against a rate above the limit over any time from the start.
+func TestRateLimitHolds(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		w := newWorld()
+		l := w.Limits.Get(table.RuleKey{Customer: "guild", Service: model})
+		l.RequestsPerSecond, l.Burst = rapid.Float64Range(0.5, 50).Draw(rt, "rate"), rapid.IntRange(1, 10).Draw(rt, "burst")
+		now, admitted := table.Instant(1), 0
+		for i := range rapid.IntRange(1, 100).Draw(rt, "arrivals") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 500).Draw(rt, "ms")) * time.Millisecond)
+			a := goodArrival()
+			a.Key = string(rune('a' + i))
+			out := run(w, now, a)
+			admitted += len(out.Accepts)
+			for _, r := range out.Replies {
+				require.Equal(rt, table.CodeRateLimited, r.Outcome.Code)
+				require.Positive(rt, r.Outcome.RetryAfter)
+			}
+			const rounding = 1e-6
+			limit := float64(l.Burst) + l.RequestsPerSecond*now.Sub(1).Seconds() + rounding
+			require.LessOrEqual(rt, float64(admitted), limit)
+		}
+	})
+}
+
+// Guards against a concurrency limit that counts requests that already ended.
+func TestConcurrencyCountsRequestsInProgress(t *testing.T) {
+	w := newWorld()
+	w.Limits.Get(table.RuleKey{Customer: "guild", Service: model}).Concurrency = 1
+	run(w, 1, goodArrival())
+	second := goodArrival()
+	second.Key = "k2"
+	out := run(w, 2, second)
+	require.Equal(t, table.CodeConcurrency, out.Replies[0].Outcome.Code)
+	w.Requests.Remove("guild/k")
+	require.Len(t, run(w, 3, second).Accepts, 1)
+}
+
+// Guards against two runs under one key, and against a caller that takes over a
+// request whose caller is still there or whose content differs.
+func TestRepeatOfRequestInProgress(t *testing.T) {
+	w := newWorld()
+	run(w, 1, goodArrival())
+	again := goodArrival()
+	again.Reply = 10
+	out := run(w, 2, again)
+	require.Equal(t, table.CodeKeyInUse, out.Replies[0].Outcome.Code)
+	require.Equal(t, table.RanUnknown, out.Replies[0].Outcome.Ran)
+
+	other := again
+	other.Fingerprint = 12
+	out = run(w, 3, event.Disconnect{Request: "guild/k"})
+	require.Empty(t, out.Replies)
+	out = run(w, 4, other)
+	require.Equal(t, table.CodeKeyMismatch, out.Replies[0].Outcome.Code)
+
+	again.Position = 5
+	out = run(w, 5, again)
+	require.Equal(t, []command.Accept{{Reply: 10, Request: "guild/k", Attach: true, Position: 5}}, out.Accepts)
+	require.Equal(t, uint64(10), *w.Replies.Get("guild/k"))
+	require.Equal(t, 1, w.Requests.Len())
+	run(w, table.Instant(time.Minute))
+	require.Equal(t, table.RequestAdmitted, w.Requests.Get("guild/k").State())
+}
+
+// Guards against work that goes on for a caller that never came back.
+func TestDetachedRequestEndsAfterGrace(t *testing.T) {
+	w := newWorld()
+	run(w, 1, goodArrival())
+	r := w.Requests.Get("guild/k")
+	r.Attempt, r.Agent = 3, table.Holder{Process: "a1"}
+	w.Requests.Move(r, table.RequestRunning)
+	run(w, 2, event.Disconnect{Request: "guild/k"})
+	due := table.Instant(2).Add(10 * time.Second)
+	require.Equal(t, due, w.NextWake())
+	require.Empty(t, run(w, due-1).CancelRuns)
+	out := run(w, due)
+	require.Equal(t, []command.CancelRun{{To: r.Agent, Request: "guild/k", Attempt: 3}}, out.CancelRuns)
+	require.Equal(t, table.RequestRunning, r.State(), "the end of the attempt gives the true count")
+}
+
+// Guards against a cancel by another customer, or one that is not answered.
+func TestCancel(t *testing.T) {
+	w := newWorld()
+	run(w, 1, goodArrival())
+	out := run(w, 2, event.Cancel{Reply: 3, KeyHash: table.KeyHash{9}, Key: "k"})
+	require.Equal(t, []command.CancelDone{{Reply: 3}}, out.CancelDone)
+	out = run(w, 3, event.Cancel{Reply: 4, KeyHash: goodKey, Key: "k"})
+	require.Equal(t, []command.CancelDone{{Reply: 4, Found: true}}, out.CancelDone)
+	o := w.Requests.Get("guild/k").Outcome
+	require.Equal(t, table.CodeCancelled, o.Code)
+	require.Equal(t, table.NotRun, o.Ran)
+}
