--- /dev/null
+++ b/internal/system/routing/eject_test.go
@@ -0,0 +1,106 @@
+package routing_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"laburnumroad.dev/laburnumroad/internal/event"
+	"laburnumroad.dev/laburnumroad/internal/table"
+)
+
+// serveRound sends as many quick requests as there are model endpoints, and
+// answers each after the time that its endpoint takes.
+func serveRound(h *harness, now *table.Instant, took func(table.EndpointID) time.Duration) {
+	var arrivals []event.Event
+	for range h.w.Endpoints.Len() / 2 {
+		arrivals = append(arrivals, h.arrival(0, 50, 50))
+	}
+	h.tick(*now, arrivals...)
+	var open []endsAt
+	for _, d := range h.takeSent() {
+		open = append(open, endsAt{now.Add(took(d.Endpoint)), d})
+	}
+	slices.SortFunc(open, func(a, b endsAt) int { return int(a.at - b.at) })
+	for _, o := range open {
+		*now = o.at
+		done := end(o.dispatch, event.AttemptDone, table.DidRun)
+		done.Delivered = 10
+		h.tick(o.at, event.FirstToken{Request: o.dispatch.Request, Attempt: o.dispatch.Attempt}, done)
+	}
+}
+
+func slowEndpoint(slow map[table.EndpointID]bool) func(table.EndpointID) time.Duration {
+	return func(id table.EndpointID) time.Duration {
+		if slow[id] {
+			return 500 * time.Millisecond
+		}
+		return 100 * time.Millisecond
+	}
+}
+
+// Guards against a slow endpoint that keeps its share of work, and one that never
+// gets work again after it recovered.
+func TestSlowEndpointIsEjectedAndReturns(t *testing.T) {
+	h := newHarness(4, 4)
+	now := ms(1)
+	slow := map[table.EndpointID]bool{"tutor-model-1": true}
+	bad := h.w.Endpoints.Get("tutor-model-1")
+	for range 200 {
+		serveRound(h, &now, slowEndpoint(slow))
+	}
+	require.True(t, bad.Ejected)
+	require.NotEmpty(t, bad.Reason)
+	require.Greater(t, bad.ProbeInterval, 2*time.Second)
+	delete(slow, "tutor-model-1")
+	for range 700 {
+		serveRound(h, &now, slowEndpoint(slow))
+	}
+	require.False(t, bad.Ejected)
+	requireIdle(t, h)
+}
+
+// Guards against an endpoint that breaks every attempt at once and, because it is
+// always free, attracts the most work.
+func TestBrokenEndpointIsEjected(t *testing.T) {
+	h := newHarness(4, 4)
+	h.w.Fleet.Defaults.RetryBurst = 100
+	now := ms(1)
+	for range 100 {
+		now = now.Add(100 * time.Millisecond)
+		h.tick(now, h.arrival(0, 50, 50))
+		for _, d := range h.takeSent() {
+			status := event.AttemptDone
+			if d.Endpoint == "tutor-model-2" {
+				status = event.AttemptBroken
+			}
+			h.tick(now, end(d, status, table.DidRun))
+		}
+	}
+	require.True(t, h.w.Endpoints.Get("tutor-model-2").Ejected)
+}
+
+// Guards against ejections that leave too little capacity: however slow the
+// endpoints are, at most a third of a service's endpoints is ejected.
+func TestEjectedShareIsBounded(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		n := rapid.IntRange(1, 8).Draw(rt, "endpoints")
+		h := newHarness(n, 4)
+		now := ms(1)
+		for range 60 {
+			serveRound(h, &now, func(table.EndpointID) time.Duration {
+				return time.Duration(rapid.IntRange(1, 1000).Draw(rt, "ms")) * time.Millisecond
+			})
+			ejected := 0
+			h.w.Endpoints.Each(func(_ table.EndpointID, e *table.Endpoint) {
+				if e.Ejected {
+					ejected++
+				}
+			})
+			require.LessOrEqual(rt, 3*ejected, n)
+		}
+	})
+}
