routing: judge endpoints by the times that agents report

Cause: each router needed several slow answers of its own before it ejected an endpoint. With 30 routers at 14 requests/s, one slow answer per router and endpoint already is 1.8% of the requests of the measurement.

EndpointLoad carries the agent's own averages over the runs of all routers, and the number of samples in them. New samples of an ejected endpoint's remaining work return it into use or put the next probe off.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -183,6 +183,12 @@
 	InFlightTokens table.Tokens
 	ReportTokens   table.Tokens
 	ReportAge      time.Duration
+	// FirstTokenTime and TokenTime are the agent's own moving averages over the
+	// runs of all routers, first-token times of quick runs only; 0 when unknown.
+	// Observed counts the samples in them.
+	FirstTokenTime time.Duration
+	TokenTime      time.Duration
+	Observed       uint64
 }
 
 // Heartbeat is a sign of life of a process.
--- a/internal/loadtest/agent.go
+++ b/internal/loadtest/agent.go
@@ -30,7 +30,10 @@
 	inFlight int
 	quick    int
 	tokens   table.Tokens
-	reports  []table.Tokens
+	// observed is what the agent saw of its own runs, and reports what it told
+	// with its last heartbeats.
+	observed event.EndpointLoad
+	reports  []event.EndpointLoad
 }
 
 type attempt struct {
@@ -72,8 +75,11 @@
 	}
 	a.tokens += t.request.prompt + t.request.output
 	a.run.startedAt(t.request)
-	first := prefillBase + time.Duration(t.request.prompt)*prefillPerToken
-	a.run.after(a.slowed(first), func() {
+	first := a.slowed(prefillBase + time.Duration(t.request.prompt)*prefillPerToken)
+	a.run.after(first, func() {
+		if !t.request.long {
+			a.observe(&a.observed.FirstTokenTime, first)
+		}
 		a.run.after(oneWay, func() { a.run.answeredAt(t.request) })
 		a.send(t, event.FirstToken{Request: t.dispatch.Request, Attempt: t.dispatch.Attempt})
 		a.produce(t, 1)
@@ -86,6 +92,7 @@
 	n := min(t.request.output-delivered, max(1, table.Tokens(progressEvery/step)))
 	a.run.after(time.Duration(n)*step, func() {
 		delivered += n
+		a.observe(&a.observed.TokenTime, step)
 		if delivered >= t.request.output {
 			a.done(t, delivered)
 			return
@@ -120,17 +127,28 @@
 	return time.Duration(float64(d) * a.run.slowFactor(a.index, a.run.now))
 }
 
-// heartbeat tells all routers the agent's own counts and the engine's report,
-// which is late.
+// observe adds a sample to one of the agent's moving averages.
+func (a *agent) observe(mean *time.Duration, sample time.Duration) {
+	const share = 0.2
+	if *mean == 0 {
+		*mean = sample
+	}
+	*mean += time.Duration(share * float64(sample-*mean))
+	a.observed.Observed++
+}
+
+// heartbeat tells all routers the agent's own counts, and the times that it saw
+// as of the report's age.
 func (a *agent) heartbeat() {
-	a.reports = append(a.reports, a.tokens)
+	a.reports = append(a.reports, a.observed)
 	late := min(len(a.reports)-1, int(a.run.LateReports/heartbeatEvery))
-	e := event.Heartbeat{Peer: a.holder, Endpoints: []event.EndpointLoad{{
-		Endpoint: a.id, Slots: a.run.Slots, InFlight: a.inFlight, InFlightQuick: a.quick, InFlightTokens: a.tokens,
-		ReportTokens: a.reports[len(a.reports)-1-late], ReportAge: a.run.LateReports,
-	}}}
+	load := a.reports[len(a.reports)-1-late]
+	load.Endpoint, load.Slots = a.id, a.run.Slots
+	load.InFlight, load.InFlightQuick, load.InFlightTokens = a.inFlight, a.quick, a.tokens
 	for i := range a.run.routers {
-		a.run.after(oneWay, func() { a.run.post(i, e) })
+		a.run.after(oneWay, func() {
+			a.run.post(i, event.Heartbeat{Peer: a.holder, Endpoints: []event.EndpointLoad{load}})
+		})
 	}
 	a.run.after(heartbeatEvery, a.heartbeat)
 }
--- a/internal/system/routing/agents.go
+++ b/internal/system/routing/agents.go
@@ -39,6 +39,27 @@
 	e.OthersInFlight = max(0, load.InFlight-e.InFlight)
 	e.OthersLong = max(0, long-(e.InFlight-e.InFlightQuick))
 	e.OthersTokens = max(0, load.InFlightTokens-e.InFlightTokens)
+	if load.Observed != e.Observed {
+		hearTimes(w, e, load)
+	}
+}
+
+// hearTimes takes the agent's averages over the runs of all routers. One router
+// alone sees too few runs of one endpoint to notice in time that it slowed down.
+func hearTimes(w *world.World, e *table.Endpoint, load event.EndpointLoad) {
+	e.Observed = load.Observed
+	if load.FirstTokenTime > 0 {
+		e.FirstTokenTime = load.FirstTokenTime
+		e.Samples = max(e.Samples, minSamples)
+	}
+	if load.TokenTime > 0 {
+		e.TokenTime = load.TokenTime
+	}
+	if e.Ejected {
+		rejudge(w, e)
+		return
+	}
+	judge(w, e)
 }
 
 // hearEnd holds an endpoint back after a refusal as busy, and opens it again
--- a/internal/system/routing/eject.go
+++ b/internal/system/routing/eject.go
@@ -134,7 +134,23 @@
 		w.Count("routing.probe_failed")
 		return
 	}
-	w.Change("endpoint", string(e.ID), "ejected", "in use", "a probe was as fast as the others")
+	restore(w, e, "a probe was as fast as the others")
+}
+
+// rejudge uses new times of an ejected endpoint's remaining work in place of a
+// probe: they return it into use or put the next probe off.
+func rejudge(w *world.World, e *table.Endpoint) {
+	switch {
+	case e.Probing || e.Failures >= maxFailures:
+	case slowness(w, e) == "":
+		restore(w, e, "its work is as fast as that of the others")
+	default:
+		scheduleProbe(w, e)
+	}
+}
+
+func restore(w *world.World, e *table.Endpoint, reason string) {
+	w.Change("endpoint", string(e.ID), "ejected", "in use", reason)
 	w.Count("routing.restored")
 	e.Ejected, e.Reason, e.Samples = false, "", 1
 }
--- a/internal/system/routing/eject_test.go
+++ b/internal/system/routing/eject_test.go
@@ -104,3 +104,29 @@
 		}
 	})
 }
+
+// heartbeatOf returns a heartbeat with the times that an agent saw.
+func heartbeatOf(id table.EndpointID, observed uint64, first time.Duration) event.Heartbeat {
+	return event.Heartbeat{Endpoints: []event.EndpointLoad{{
+		Endpoint: id, FirstTokenTime: first, TokenTime: first / 5, Observed: observed,
+	}}}
+}
+
+// Guards against a router that finds out that an endpoint is slow only by its own
+// requests, and one that needs a probe although the agent already saw it recover.
+func TestAgentsTimesEjectAndRestore(t *testing.T) {
+	h := newHarness(4, 4)
+	const normal, slowed = 100 * time.Millisecond, 500 * time.Millisecond
+	for _, id := range []table.EndpointID{"tutor-model-0", "tutor-model-1", "tutor-model-2"} {
+		h.tick(ms(1), heartbeatOf(id, 5, normal))
+	}
+	bad := h.w.Endpoints.Get("tutor-model-3")
+	h.tick(ms(2), heartbeatOf(bad.ID, 5, slowed))
+	require.True(t, bad.Ejected)
+	h.tick(ms(3), heartbeatOf(bad.ID, 5, normal))
+	require.True(t, bad.Ejected, "a heartbeat without new samples is no evidence")
+	h.tick(ms(4), heartbeatOf(bad.ID, 6, slowed))
+	require.True(t, bad.Ejected)
+	h.tick(ms(5), heartbeatOf(bad.ID, 7, normal))
+	require.False(t, bad.Ejected)
+}
--- a/internal/table/process.go
+++ b/internal/table/process.go
@@ -119,6 +119,8 @@
 	FirstTokenTime time.Duration
 	TokenTime      time.Duration
 	Samples        int
+	// Observed is the agent's count of samples when it last told its averages.
+	Observed uint64
 	// Failures counts broken attempts since the last good one.
 	Failures int
 	// Waiting counts quick attempts without a first token; WaitingSince is when
