loadtest: compare other ways to queue, and surges above the capacity

One class for all work, endpoints split by size, and queues at the endpoints, at 70% and 91% of the capacity. LongWait shows what the long work pays.

--- a/internal/loadtest/bench_test.go
+++ b/internal/loadtest/bench_test.go
@@ -77,21 +77,63 @@
 // BenchmarkSurge measures quick interactive work whose rate grows 10x within 2 s,
 // to about 88% of the capacity.
 func BenchmarkSurge(b *testing.B) {
-	each(b, func(b *testing.B, s Scenario) {
-		s.Rate = perEndpoint(s, 0.7)
-		s.Deadline = time.Second
-		s.SurgeFactor, s.SurgeFrom, s.SurgeRamp = 10, 120*time.Second, 2*time.Second
-		s.WarmUp = s.SurgeFrom + s.SurgeRamp
-		s.Duration = s.WarmUp + 60*time.Second
-		for b.Loop() {
-			p, n := RunProduct(s), RunNaive(s)
-			report := func(r *Result, prefix string) {
-				b.ReportMetric(100*float64(r.OnTime)/float64(r.Quick), prefix+"on-time-%")
-				b.ReportMetric(float64(r.Tokens)/(s.Duration-coolDown-s.WarmUp).Seconds(), prefix+"goodput-tokens/s")
-				b.ReportMetric(r.Amplification(), prefix+"attempts/request")
-			}
-			report(p, "")
-			report(n, "naive-")
+	each(b, func(b *testing.B, s Scenario) { surge(b, s, 0.7) })
+}
+
+// BenchmarkSurgeAboveCapacity measures the same at about 126% of the capacity.
+func BenchmarkSurgeAboveCapacity(b *testing.B) {
+	each(b, func(b *testing.B, s Scenario) { surge(b, s, 1) })
+}
+
+func surge(b *testing.B, s Scenario, rate float64) {
+	s.Rate = perEndpoint(s, rate)
+	s.Deadline = time.Second
+	s.SurgeFactor, s.SurgeFrom, s.SurgeRamp = 10, 120*time.Second, 2*time.Second
+	s.WarmUp = s.SurgeFrom + s.SurgeRamp
+	s.Duration = s.WarmUp + 60*time.Second
+	for b.Loop() {
+		p, n := RunProduct(s), RunNaive(s)
+		report := func(r *Result, prefix string) {
+			b.ReportMetric(100*float64(r.OnTime)/float64(r.Quick), prefix+"on-time-%")
+			b.ReportMetric(float64(r.Tokens)/(s.Duration-coolDown-s.WarmUp).Seconds(), prefix+"goodput-tokens/s")
+			b.ReportMetric(r.Amplification(), prefix+"attempts/request")
 		}
-	})
+		report(p, "")
+		report(n, "naive-")
+	}
+}
+
+// BenchmarkAlternatives measures other ways to queue at about 70% and at about 91%
+// of the capacity.
+func BenchmarkAlternatives(b *testing.B) {
+	variants := []struct {
+		name   string
+		change func(s *Scenario)
+	}{
+		{"chosen", func(*Scenario) {}},
+		{"one-class", func(s *Scenario) { s.OneClass = true }},
+		{"split-7-of-10", func(s *Scenario) { s.SplitLong = 7 * s.Endpoints / 10 }},
+		{"queue-at-endpoint", func(s *Scenario) { s.QueueAtEndpoint = true }},
+	}
+	for _, rate := range []float64{2, 2.6} {
+		for _, v := range variants {
+			b.Run(fmt.Sprintf("rate=%g/%s", rate, v.name), func(b *testing.B) {
+				each(b, func(b *testing.B, s Scenario) {
+					s.Rate = perEndpoint(s, rate)
+					v.change(&s)
+					for b.Loop() {
+						reportWaits(b, RunProduct(s))
+					}
+				})
+			})
+		}
+	}
+}
+
+func reportWaits(b *testing.B, r *Result) {
+	b.ReportMetric(quantile(r.QuickWait, 50), "p50-ms")
+	b.ReportMetric(quantile(r.QuickWait, 99), "p99-ms")
+	b.ReportMetric(quantile(r.LongWait, 50), "long-p50-ms")
+	b.ReportMetric(quantile(r.LongWait, 99), "long-p99-ms")
+	b.ReportMetric(float64(r.Requests-int(r.QuickWait.TotalCount()+r.LongWait.TotalCount())), "unserved")
 }
--- a/internal/loadtest/router.go
+++ b/internal/loadtest/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	"laburnumroad.dev/laburnumroad/internal/command"
@@ -27,15 +28,22 @@
 	w := world.New(world.Params{Self: self}, r.Seed)
 	w.Fleet.Generation = 1
 	w.Fleet.Defaults = table.FleetDefaults{RetryShare: 0.1, RetryBurst: 10, EjectionFactor: 3}
-	w.Services.Put(service, table.Service{Name: service, Kind: table.ServiceModel})
-	w.Customers.Put(customer, table.Customer{
-		ID: customer, Weight: 1, KeyHashes: []table.KeyHash{{}}, Services: []table.ServiceName{service},
-	})
+	services := []table.ServiceName{service, longService}
+	w.Customers.Put(customer, table.Customer{ID: customer, Weight: 1, KeyHashes: []table.KeyHash{{}}, Services: services})
 	w.Budgets.Put(table.MakeBudgetID(customer, "default"), table.Budget{Expires: table.Never})
-	w.Limits.Put(table.RuleKey{Customer: customer, Service: service}, table.Limits{
-		MaxOutput: 10_000, QuickTokens: 1000, QuickShare: 0.25,
-	})
+	limits := table.Limits{MaxOutput: 10_000, QuickTokens: 1000, QuickShare: 0.25}
+	if r.OneClass {
+		limits.QuickTokens = math.MaxInt64
+	}
+	for _, s := range services {
+		w.Services.Put(s, table.Service{Name: s, Kind: table.ServiceModel})
+		w.Limits.Put(table.RuleKey{Customer: customer, Service: s}, limits)
+	}
 	for _, a := range r.agents {
+		service := service
+		if a.index < r.SplitLong {
+			service = longService
+		}
 		w.Processes.Put(a.holder.Process, table.Process{Holder: a.holder, State: table.ProcessLive, Connected: true})
 		w.Endpoints.Put(a.id, table.Endpoint{ID: a.id, Agent: a.holder.Process, Service: service, Slots: r.Slots})
 	}
--- a/internal/loadtest/run.go
+++ b/internal/loadtest/run.go
@@ -12,8 +12,10 @@
 )
 
 const (
-	service  = table.ServiceName("model")
-	customer = table.CustomerID("c")
+	service = table.ServiceName("model")
+	// longService has the endpoints for long work if they are split.
+	longService = table.ServiceName("model-long")
+	customer    = table.CustomerID("c")
 	// oneWay is the network delay between routers, agents and callers.
 	oneWay = time.Millisecond
 	// heartbeatEvery is the interval of the agents' heartbeats.
@@ -176,14 +178,20 @@
 	}
 	if !q.long {
 		a.Deadline = r.Deadline
+	} else if r.SplitLong > 0 {
+		a.Service = longService
 	}
 	return a
 }
 
 // startedAt notes when a request got its first slot.
 func (r *run) startedAt(q *request) {
-	if !q.started && q.measured && !q.long {
-		_ = r.result.QuickWait.RecordValue((r.now - q.arrived).Microseconds())
+	waits := r.result.QuickWait
+	if q.long {
+		waits = r.result.LongWait
+	}
+	if !q.started && q.measured {
+		_ = waits.RecordValue((r.now - q.arrived).Microseconds())
 	}
 	q.started = true
 }
--- a/internal/loadtest/scenario.go
+++ b/internal/loadtest/scenario.go
@@ -43,6 +43,10 @@
 	// QueueAtEndpoint lets endpoints queue work above their slots in order of
 	// arrival. It is always so for the naive version.
 	QueueAtEndpoint bool
+	// OneClass makes all work quick, so that no slots are kept. SplitLong
+	// endpoints run long work only, and the others quick work only.
+	OneClass  bool
+	SplitLong int
 }
 
 // coolDown is longer than any deadline of the benchmarks.
@@ -50,9 +54,11 @@
 
 // Result is what the callers saw after the warm-up.
 type Result struct {
-	// QuickWait is the time until a slot of an endpoint, in microseconds, as are
-	// the times to the first token of quick and of all requests.
+	// QuickWait and LongWait are the times until a slot of an endpoint, in
+	// microseconds, as are the times to the first token of quick and of all
+	// requests.
 	QuickWait  *hdrhistogram.Histogram
+	LongWait   *hdrhistogram.Histogram
 	FirstToken *hdrhistogram.Histogram
 	AllFirst   *hdrhistogram.Histogram
 	// Quick counts quick requests, and OnTime those with a first token in time.
@@ -71,7 +77,7 @@
 	histogram := func() *hdrhistogram.Histogram {
 		return hdrhistogram.New(1, time.Hour.Microseconds(), 3)
 	}
-	return &Result{QuickWait: histogram(), FirstToken: histogram(), AllFirst: histogram()}
+	return &Result{QuickWait: histogram(), LongWait: histogram(), FirstToken: histogram(), AllFirst: histogram()}
 }
 
 // Amplification is the number of attempts per request, without those that no
