Add slices, reclaims and recovery state to tables and events

An agent must count work under the ledger grant that pays for it, or the grant of a dead router could be freed while another router spends a slice of it. Dispatch therefore names the grant's holder. SliceGrant numbers each slice and acknowledges its report; ProcessList repeats its call number, since recovery needs a list that was read after the fence; FenceResult says whether charges may be missing.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -94,9 +94,12 @@
 	Class       table.Class
 	Alone       bool
 	ReplayOnly  bool
-	Limit       table.Tokens
-	Priority    int
-	MaxOutput   table.Tokens
+	// Grant is the holder of the ledger grant that pays: the agent counts the
+	// charge under it and refuses the work if it is fenced.
+	Grant     table.Holder
+	Limit     table.Tokens
+	Priority  int
+	MaxOutput table.Tokens
 	// Expires is the grant's deadline in the agent's clock.
 	Expires table.Instant
 }
@@ -185,7 +188,7 @@
 }
 
 // ReadProcesses lists the process objects.
-type ReadProcesses struct{}
+type ReadProcesses struct{ Call uint64 }
 
 // SendSliceRequest sends a SliceRequest.
 type SendSliceRequest struct {
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -210,6 +210,8 @@
 
 // ProcessList holds the process objects read from the platform.
 type ProcessList struct {
+	// Call repeats the number of the ReadProcesses that was answered.
+	Call      uint64
 	Processes []table.Process
 	Endpoints []table.Endpoint
 }
@@ -320,24 +322,33 @@
 	Call   uint64
 	Budget table.BudgetID
 	Want   table.Tokens
+	// Need is the least amount that is of use.
+	Need table.Tokens
 	// Forwarded is true when the home asks a holder for another router.
 	Forwarded bool
 }
 
 // SliceGrant answers a SliceRequest. Amount may be 0.
 type SliceGrant struct {
-	From   table.Holder
+	From table.Holder
+	// Call repeats the number of the request, Slice is the grantor's number of
+	// the slice. A repeated request may lead to a second slice.
 	Call   uint64
+	Slice  uint64
 	Budget table.BudgetID
 	Amount table.Tokens
 	// Lifetime is counted from when the request was sent.
 	Lifetime time.Duration
+	// Released is what the sender returns to the ledger instead of a slice.
+	Released table.Tokens
+	// Reported acknowledges the SliceReport of the slice.
+	Reported bool
 }
 
 // SliceReport returns a slice: what was spent and what comes back unused.
 type SliceReport struct {
 	From     table.Holder
-	Call     uint64
+	Slice    uint64
 	Budget   table.BudgetID
 	Spent    table.Tokens
 	Returned table.Tokens
@@ -402,6 +413,9 @@
 	Class       table.Class
 	Alone       bool
 	ReplayOnly  bool
+	// Grant is the holder of the ledger grant that pays. It differs from Holder
+	// when a router spends a slice of another router's grant.
+	Grant table.Holder
 	// Limit is the most that may be charged: prompt plus output tokens.
 	Limit     table.Tokens
 	Position  table.Tokens
@@ -477,7 +491,10 @@
 	Call    uint64
 	Holder  table.Holder
 	Running bool
-	Charges []HolderCharge
+	// Complete is true if no earlier incarnation of the agent can have run work
+	// under the holder's grants, so that no charge is missing.
+	Complete bool
+	Charges  []HolderCharge
 }
 
 // TopUp adds to a budget.
--- a/internal/table/budget.go
+++ b/internal/table/budget.go
@@ -111,6 +111,16 @@
 	Withhold Tokens
 }
 
+// Reclaim is the order to take back the grants of a holder that can spend no
+// more, because it is fenced at all agents.
+type Reclaim struct {
+	Holder Holder
+	// Charges is what the agents counted per budget since the holder's start.
+	Charges map[BudgetID]Tokens
+	// Unknown is true if charges may be missing: the rest is then withheld.
+	Unknown bool
+}
+
 // ShardPending is a write whose outcome is not known yet. The same write is
 // sent again until the ledger shows that it took effect or that it never can.
 type ShardPending struct {
@@ -136,6 +146,8 @@
 	// Reading and Writing are true while a call to the platform is open.
 	Reading bool
 	Writing bool
+	// Force asks for a write before the settlement interval has passed.
+	Force bool
 	// Asked is true while a read is wanted for an operator or a recovery.
 	Asked bool
 	// CalledAt is when the open call was sent.
@@ -150,6 +162,8 @@
 	Held Set[BudgetID]
 	// TopUps wait for the next write.
 	TopUps []TopUp
+	// Reclaims wait for a write that takes back grants of dead holders.
+	Reclaims []Reclaim
 	// NextTry delays the next call after a failure.
 	NextTry   Instant
 	Backoff   time.Duration
@@ -167,6 +181,9 @@
 	// SliceIn is held by slices from other routers, SliceOut passed to others.
 	SliceIn  Tokens
 	SliceOut Tokens
+	// Lost was passed to routers that are gone, and is withheld by the next
+	// ledger write because its use cannot be proved.
+	Lost Tokens
 	// Returning is given back by a ledger write whose outcome is not known.
 	Returning Tokens
 	// Reserved is held for requests in progress.
@@ -185,13 +202,23 @@
 	Target Tokens
 	// Need is the smallest addition that serves a waiting request.
 	Need Tokens
-	// Waiting is the sum of the reservations of waiting requests, since NeedSince.
+	// Waiting is the sum of what waiting requests and slices ask for. WaitSince
+	// is the arrival of the oldest request; a refusal needs a ledger read that
+	// was sent after NeedSince, the arrival of the latest.
 	Waiting   Tokens
+	WaitSince Instant
 	NeedSince Instant
+	// AskedNeed, AskedSince and AskedRead are the need, its time and the read
+	// of the shard for which the ledger was asked last.
+	AskedNeed  Tokens
+	AskedSince Instant
+	AskedRead  Instant
 	// Release asks to return all that is not in use.
 	Release bool
 	// Short is true while requests wait for more of this budget.
 	Short bool
+	// AtHome is true while the home router is asked before the ledger.
+	AtHome bool
 	// Low is true while the own grant is far below Target; LowAt is when the
 	// ledger was last asked for more because of that.
 	Low   bool
@@ -205,5 +232,5 @@
 
 // Own returns what the router may still reserve from its own ledger grant.
 func (b *Budget) Own() Tokens {
-	return b.Granted - b.SliceOut - b.Returning - b.Reserved - b.Spent
+	return b.Granted - b.SliceOut - b.Lost - b.Returning - b.Reserved - b.Spent
 }
--- a/internal/table/request.go
+++ b/internal/table/request.go
@@ -133,6 +133,9 @@
 	// GrantExpires its deadline when the reservation was made.
 	Grant        Holder
 	GrantExpires Instant
+	// Slice is the slice that the reservation was made from; zero for the
+	// router's own grant.
+	Slice SliceKey
 	// ReserveSince is when the request began to wait for budget, or zero.
 	ReserveSince Instant
 
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -52,7 +52,19 @@
 	BudgetTimers table.Timers[table.BudgetID]
 	// ShortBudgets are the budgets that requests wait for.
 	ShortBudgets table.Set[table.BudgetID]
-	Requests     table.RequestTable
+	// Slices between routers; SliceTimers says when one needs attention next.
+	SlicesIn       table.Table[table.SliceKey, table.SliceIn]
+	SlicesOut      table.Table[table.SliceKey, table.SliceOut]
+	SliceWaits     table.Table[table.SliceCall, table.SliceWait]
+	SliceAsks      table.Table[table.BudgetID, table.SliceAsk]
+	SliceInTimers  table.Timers[table.SliceKey]
+	SliceOutTimers table.Timers[table.SliceKey]
+	// BudgetSlices lists the slices received of each budget.
+	BudgetSlices table.Table[table.BudgetID, table.Set[table.SliceKey]]
+	// ShardsSeen are the shards whose content changed, for recovery.
+	ShardsSeen table.Set[table.ShardID]
+	Recoveries table.Table[table.Holder, table.Recovery]
+	Requests   table.RequestTable
 	// Replies maps a request to the handler that waits for it.
 	Replies  table.Table[table.RequestID, uint64]
 	Fences   table.Table[table.Holder, table.Instant]
@@ -82,7 +94,8 @@
 	// Decisions are the decisions of this tick, for explain.
 	Decisions []table.Decision
 
-	wake table.Instant
+	wake  table.Instant
+	calls uint64
 }
 
 // New returns an empty world.
@@ -97,6 +110,13 @@
 // Self returns the holder that this process acts as.
 func (w *World) Self() table.Holder { return w.Params.Self.Holder }
 
+// NextCall returns a number for a call to another process. Numbers do not
+// repeat within an incarnation.
+func (w *World) NextCall() uint64 {
+	w.calls++
+	return w.calls
+}
+
 // WakeAt asks for a tick at time t at the latest.
 func (w *World) WakeAt(t table.Instant) {
 	if t < w.wake {
