Take back grants of dead holders in ledger writes

Adds home routers, withheld amounts, reclaims and forced writes. Charges count from the holder's start, so what the holder settled itself is deducted.

--- a/internal/system/ledger/ledger.go
+++ b/internal/system/ledger/ledger.go
@@ -96,6 +96,13 @@
 	Touch(w, s.ID, settlementDue(w, s))
 }
 
+// Force asks for a write of the budget's shard without delay.
+func Force(w *world.World, b *table.Budget) {
+	MarkDirty(w, b)
+	Shard(w, b.Shard).Force = true
+	Touch(w, b.Shard, w.Now)
+}
+
 func settlementDue(w *world.World, s *table.Shard) table.Instant {
 	return s.WrittenAt.Add(w.Params.SettleInterval)
 }
@@ -119,7 +126,7 @@
 		return
 	}
 	if !s.Known {
-		if s.Dirty.Len() > 0 || len(s.TopUps) > 0 {
+		if s.Dirty.Len() > 0 || len(s.TopUps) > 0 || len(s.Reclaims) > 0 {
 			read(w, s)
 		}
 		return
@@ -141,14 +148,14 @@
 
 // writeDue reports whether a write of the shard is worth sending now.
 func writeDue(w *world.World, s *table.Shard) bool {
-	if len(s.TopUps) > 0 {
+	if len(s.TopUps) > 0 || len(s.Reclaims) > 0 {
 		return true
 	}
 	if s.Dirty.Len() == 0 {
 		return false
 	}
 	due := settlementDue(w, s)
-	if due <= w.Now || w.Draining {
+	if due <= w.Now || w.Draining || s.Force {
 		return true
 	}
 	Touch(w, s.ID, due)
@@ -164,7 +171,7 @@
 // urgent reports whether a write now serves a waiting request, or refills a
 // budget that will run short soon.
 func urgent(w *world.World, s *table.Shard, b *table.Budget) bool {
-	if !b.Short && !b.Low {
+	if b.AtHome || !b.Short && !b.Low {
 		return false
 	}
 	row := s.Content.Find(b.ID)
@@ -182,7 +189,7 @@
 func readIfShort(w *world.World, s *table.Shard) {
 	for _, id := range s.Dirty.Keys() {
 		b := w.Budgets.Get(id)
-		if b == nil || !b.Short || s.ReadAt >= b.NeedSince {
+		if b == nil || !b.Short || b.AtHome || s.ReadAt >= b.NeedSince {
 			continue
 		}
 		next := s.ReadAt.Add(freshInterval)
@@ -227,7 +234,7 @@
 	s.Known, s.Version, s.Content, s.ReadAt = true, version, content, s.CalledAt
 	p := s.Pending
 	if p == nil {
-		checkOwn(w, s)
+		contentChanged(w, s)
 		return
 	}
 	p.Unsure = false
--- a/internal/system/ledger/own.go
+++ b/internal/system/ledger/own.go
@@ -1,6 +1,8 @@
 package ledger
 
 import (
+	"slices"
+
 	"laburnumroad.dev/laburnumroad/internal/table"
 	"laburnumroad.dev/laburnumroad/internal/world"
 )
@@ -27,3 +29,17 @@
 
 // Fenced reports whether this incarnation was fenced.
 func Fenced(w *world.World) bool { return w.Fences.Get(w.Self()) != nil }
+
+// Gone reports whether a holder is known to act no more: its process is gone,
+// or another incarnation has taken its place.
+func Gone(w *world.World, h table.Holder) bool {
+	p := w.Processes.Get(h.Process)
+	return p != nil && (p.Incarnation != h.Incarnation || p.State == table.ProcessGone)
+}
+
+// HasPending reports whether a write whose outcome is not known changes the
+// grant of a budget.
+func HasPending(w *world.World, b *table.Budget) bool {
+	p := Shard(w, b.Shard).Pending
+	return p != nil && slices.ContainsFunc(p.Changes, func(c table.BudgetChange) bool { return c.Budget == b.ID })
+}
--- a/internal/system/ledger/query.go
+++ b/internal/system/ledger/query.go
@@ -26,6 +26,7 @@
 	since table.Instant
 	next  table.ShardID
 	open  table.Set[table.ShardID]
+	found []command.BudgetInfo
 }
 
 func newQuery(w *world.World, e event.BudgetQuery) query {
@@ -48,37 +49,40 @@
 // advance asks for the next shards and reports whether all were read.
 func (q *query) advance(w *world.World) bool {
 	for _, id := range q.open.Keys() {
-		if !Shard(w, id).Asked {
+		if s := Shard(w, id); !s.Asked {
 			q.open.Remove(id)
+			q.collect(w, s)
 		}
 	}
 	for q.open.Len() < queryReads && uint32(q.next) < w.Params.Shards {
 		s := Shard(w, q.next)
-		if !s.Known || s.ReadAt.Add(queryAge) < q.since {
-			s.Asked = true
-			Touch(w, s.ID, w.Now)
-			q.open.Add(s.ID)
-		}
 		q.next++
+		if s.Known && s.ReadAt.Add(queryAge) >= q.since {
+			q.collect(w, s)
+			continue
+		}
+		s.Asked = true
+		Touch(w, s.ID, w.Now)
+		q.open.Add(s.ID)
 	}
 	return q.open.Len() == 0
 }
 
-func (q *query) answer(w *world.World) {
-	reply := command.BudgetReply{Reply: q.Reply}
-	for id := range table.ShardID(w.Params.Shards) {
-		s := w.Shards.Get(id)
-		if s == nil || !s.Known {
-			continue
-		}
-		for _, row := range s.Content.Budgets {
-			if q.Customer == "" || row.ID.Customer() == q.Customer {
-				reply.Budgets = append(reply.Budgets, info(w, row))
-			}
+// collect takes the customer's budgets of a shard into the answer.
+func (q *query) collect(w *world.World, s *table.Shard) {
+	for _, row := range s.Content.Budgets {
+		if q.Customer == "" || row.ID.Customer() == q.Customer {
+			q.found = append(q.found, info(w, row))
 		}
-		forget(s)
 	}
-	w.Out.BudgetReplies = append(w.Out.BudgetReplies, reply)
+	Forget(s)
+}
+
+func (q *query) answer(w *world.World) {
+	for _, id := range q.open.Keys() {
+		q.collect(w, Shard(w, id))
+	}
+	w.Out.BudgetReplies = append(w.Out.BudgetReplies, command.BudgetReply{Reply: q.Reply, Budgets: q.found})
 }
 
 func info(w *world.World, row table.LedgerBudget) command.BudgetInfo {
@@ -89,10 +93,10 @@
 	return out
 }
 
-// forget drops a content that this router has no use for, to bound its memory.
+// Forget drops a content that this router has no use for, to bound its memory.
 // The version stays, so that an older content is never taken over later.
-func forget(s *table.Shard) {
-	if s.Dirty.Len() > 0 || s.Held.Len() > 0 || s.Pending != nil || len(s.TopUps) > 0 {
+func Forget(s *table.Shard) {
+	if s.Dirty.Len() > 0 || s.Held.Len() > 0 || s.Pending != nil || len(s.TopUps) > 0 || len(s.Reclaims) > 0 || s.Asked {
 		return
 	}
 	s.Known = false
--- a/internal/system/ledger/write.go
+++ b/internal/system/ledger/write.go
@@ -15,10 +15,13 @@
 		Budgets: slices.Clone(s.Content.Budgets),
 		Writers: slices.Clone(s.Content.Writers),
 	}
+	s.Force = false
 	p := &table.ShardPending{Version: s.Version, SentAt: w.Now}
 	p.TopUps = addTopUps(w, s, &content)
 	p.Changes = addChanges(w, s, &content)
-	if len(p.TopUps) == 0 && len(p.Changes) == 0 {
+	reclaimed := addReclaims(s, &content)
+	dropOldWriters(w, &content)
+	if len(p.TopUps) == 0 && len(p.Changes) == 0 && !reclaimed {
 		return false
 	}
 	s.Sequence = max(s.Sequence, content.SequenceOf(w.Self())) + 1
@@ -77,19 +80,21 @@
 
 // change writes one budget's change into its row.
 func change(w *world.World, b *table.Budget, row *table.LedgerBudget) (table.BudgetChange, bool) {
-	settle := b.Spent
+	settle, withhold := b.Spent, b.Lost
 	extra, back := extraGrant(w, b, row), returnable(b)
 	if extra > 0 {
 		back = 0
 	}
-	granted := b.Granted - settle + extra - back
-	if settle == 0 && granted == b.Granted && !renewable(w, b) {
+	used := settle + withhold
+	granted := b.Granted - used + extra - back
+	if used == 0 && granted == b.Granted && !renewable(w, b) {
 		return table.BudgetChange{}, false
 	}
 	row.Settled += settle
-	setGrant(row, table.LedgerGrant{Holder: w.Self(), Amount: granted, Settled: b.Settled + settle})
+	row.Withheld += withhold
+	setGrant(row, table.LedgerGrant{Holder: w.Self(), Amount: granted, Settled: b.Settled + used})
 	b.Returning = back
-	return table.BudgetChange{Budget: b.ID, Granted: granted, Settle: settle}, true
+	return table.BudgetChange{Budget: b.ID, Granted: granted, Settle: settle, Withhold: withhold}, true
 }
 
 // renewable reports whether the write is wanted only to renew the grant.
@@ -121,17 +126,18 @@
 		b := w.Budgets.Get(c.Budget)
 		b.Granted = c.Granted
 		b.Spent -= c.Settle
+		b.Lost -= c.Withhold
 		b.Settled += c.Settle + c.Withhold
 		b.Returning = 0
 		b.Release = b.Release && b.Own() > 0
 		hold(s, b)
-		if b.Spent > 0 || b.Short || b.Release {
+		if b.Spent > 0 || b.Lost > 0 || b.Short || b.Release {
 			MarkDirty(w, b)
 		}
 	}
 	renew(w, s, p.SentAt.Add(w.Params.GrantLifetime))
 	answerTopUps(w, s, p.TopUps)
-	checkOwn(w, s)
+	contentChanged(w, s)
 }
 
 // hold keeps the list of budgets with a grant.
@@ -153,7 +159,7 @@
 		MarkDirty(w, b)
 	}
 	s.TopUps = append(p.TopUps, s.TopUps...)
-	checkOwn(w, s)
+	contentChanged(w, s)
 }
 
 // renew extends all own grants of the shard: any write renews them.
