Add the recovery system

Grants of a dead holder are taken back after it was fenced and every agent of a process list read after that gave a final answer. An agent that is gone or may have lost charges leaves the rest withheld.

--- /dev/null
+++ b/internal/system/recovery/agents.go
@@ -0,0 +1,101 @@
+package recovery
+
+import (
+	"laburnumroad.dev/laburnumroad/internal/command"
+	"laburnumroad.dev/laburnumroad/internal/event"
+	"laburnumroad.dev/laburnumroad/internal/table"
+	"laburnumroad.dev/laburnumroad/internal/world"
+)
+
+// startAsking takes over the agents to ask: all registered ones, and those that
+// this router knows although they are no longer registered.
+func startAsking(w *world.World, r *table.Recovery, e event.ProcessList) {
+	for i := range e.Processes {
+		if e.Processes[i].Role == table.RoleAgent {
+			r.Agents = append(r.Agents, table.RecoveryAgent{Agent: e.Processes[i].Holder})
+		}
+	}
+	w.Processes.Each(func(_ table.ProcessID, p *table.Process) {
+		if p.Role == table.RoleAgent && !hasAgent(r, p.Process) {
+			r.Agents = append(r.Agents, table.RecoveryAgent{Agent: p.Holder})
+		}
+	})
+	r.Charges = make(map[table.BudgetID]table.Tokens)
+	nextStage(w, r, table.RecoveryAsking)
+}
+
+func hasAgent(r *table.Recovery, id table.ProcessID) bool {
+	for _, a := range r.Agents {
+		if a.Agent.Process == id {
+			return true
+		}
+	}
+	return false
+}
+
+// ask fences the holder at each agent without a final answer.
+func ask(w *world.World, r *table.Recovery) {
+	giveUpGone(w, r)
+	if allDone(r) {
+		nextStage(w, r, table.RecoveryWriting)
+		for _, id := range r.Shards.Keys() {
+			reclaim(w, r, id)
+		}
+		return
+	}
+	if next := r.SentAt.Add(askInterval); r.SentAt > 0 && next > w.Now {
+		w.WakeAt(next)
+		return
+	}
+	r.Call, r.SentAt = w.NextCall(), w.Now
+	for _, a := range r.Agents {
+		if a.Done {
+			continue
+		}
+		w.Out.Fences = append(w.Out.Fences, command.SendFence{
+			To: a.Agent.Process, Fence: event.Fence{From: w.Self(), Call: r.Call, Holder: r.Holder},
+		})
+	}
+	w.WakeAt(w.Now.Add(askInterval))
+}
+
+// giveUpGone stops waiting for agents that are gone; their charges are unknown.
+func giveUpGone(w *world.World, r *table.Recovery) {
+	for i := range r.Agents {
+		a := &r.Agents[i]
+		p := w.Processes.Get(a.Agent.Process)
+		if !a.Done && p != nil && p.State == table.ProcessGone {
+			a.Done, a.Unknown = true, true
+			w.Count("recovery.agents_gone")
+		}
+	}
+}
+
+func allDone(r *table.Recovery) bool {
+	for _, a := range r.Agents {
+		if !a.Done {
+			return false
+		}
+	}
+	return true
+}
+
+// onFenceResult adds the charges of an agent once, when none of the holder's
+// work is in progress there any more.
+func onFenceResult(w *world.World, e event.FenceResult) {
+	r := w.Recoveries.Get(e.Holder)
+	if r == nil || r.Stage != table.RecoveryAsking || e.Running {
+		return
+	}
+	for i := range r.Agents {
+		a := &r.Agents[i]
+		if a.Agent.Process != e.Agent.Process || a.Done {
+			continue
+		}
+		a.Done = true
+		a.Unknown = !e.Complete || a.Agent != e.Agent
+		for _, c := range e.Charges {
+			r.Charges[c.Budget] += c.Spent
+		}
+	}
+}
