--- a/internal/system/budget/budget.go
+++ b/internal/system/budget/budget.go
@@ -14,8 +14,9 @@
 )
 
 const (
-	// reserveTimeout bounds the wait for a grant or a slice.
-	reserveTimeout = 2 * time.Second
+	// reserveTimeout bounds the wait for a grant or a slice: two ledger reads,
+	// which are at least one second apart, and a round of slice requests.
+	reserveTimeout = 3 * time.Second
 	// retryAfter is what a refused caller is told when more may come.
 	retryAfter = time.Second
 	// idleShare is the part of the grant lifetime after which the grant of an
@@ -33,6 +34,7 @@
 
 // Run implements world.System.
 func (s *system) Run(w *world.World) {
+	takeMessages(w)
 	settleEnded(w)
 	checkDue(w)
 	reserveAll(w)
@@ -41,10 +43,41 @@
 		releaseAll(w)
 	}
 	w.WakeAt(w.BudgetTimers.Next())
+	w.WakeAt(w.SliceInTimers.Next())
+	w.WakeAt(w.SliceOutTimers.Next())
+}
+
+func takeMessages(w *world.World) {
+	for _, e := range w.In.SliceGrants {
+		onSliceGrant(w, e)
+	}
+	for _, e := range w.In.SliceReports {
+		onSliceReport(w, e)
+	}
+	for _, e := range w.In.SliceRequests {
+		onSliceRequest(w, e)
+	}
+	for _, e := range w.In.SessionUps {
+		repeatReports(w, e.Process.Holder)
+	}
 }
 
 // checkDue runs before reserveAll, which sets the timers of waiting requests again.
 func checkDue(w *world.World) {
+	for {
+		key, ok := w.SliceInTimers.Pop(w.Now)
+		if !ok {
+			break
+		}
+		checkSliceIn(w, key)
+	}
+	for {
+		key, ok := w.SliceOutTimers.Pop(w.Now)
+		if !ok {
+			break
+		}
+		checkSliceOut(w, key)
+	}
 	for {
 		id, ok := w.BudgetTimers.Pop(w.Now)
 		if !ok {
@@ -78,13 +111,25 @@
 		w.BudgetTimers.Set(b.ID, max(at, w.Now.Add(reserveTimeout)))
 		return
 	}
-	if b.Granted == 0 && b.Settled == 0 {
+	if ledger.HasPending(w, b) {
+		w.BudgetTimers.Set(b.ID, w.Now.Add(reserveTimeout))
+		return
+	}
+	if unused(w, b) {
+		w.SliceAsks.Delete(b.ID)
+		w.BudgetSlices.Delete(b.ID)
 		w.Budgets.Delete(b.ID)
 		return
 	}
 	release(w, b)
 }
 
+// unused reports whether nothing refers to the row. What this incarnation has
+// settled must stay known, because the ledger counts it per holder.
+func unused(w *world.World, b *table.Budget) bool {
+	return b.Granted == 0 && b.Settled == 0 && slicesOf(w, b.ID).Len() == 0
+}
+
 // release asks the ledger to take back what is not in use.
 func release(w *world.World, b *table.Budget) {
 	if b.Granted == 0 {
@@ -101,6 +146,12 @@
 			return
 		}
 		release(w, b)
-		ledger.Touch(w, b.Shard, w.Now)
+		ledger.Force(w, b)
 	})
+	for i := range w.SlicesIn.Len() {
+		key, s := w.SlicesIn.At(i)
+		if s.Reserved == 0 {
+			closeSlice(w, row(w, s.Budget), key, s)
+		}
+	}
 }
--- a/internal/system/budget/refuse.go
+++ b/internal/system/budget/refuse.go
@@ -6,32 +6,37 @@
 	"laburnumroad.dev/laburnumroad/internal/world"
 )
 
-// refused ends a request that cannot get its budget. Before that, the ledger
-// must have been read after the request arrived, or the wait timed out.
+// refused ends a request that cannot get its budget. Before it is told that the
+// budget is exhausted, the ledger was read after the request arrived, and no
+// holder has enough.
 func refused(w *world.World, b *table.Budget, r *table.Request) bool {
 	if w.Now >= giveUpAt(r) {
 		refuse(w, r, table.CodeBudgetUnreachable, "no more of the budget could be reached in time")
 		return true
 	}
 	s := ledger.Shard(w, b.Shard)
-	if !s.Known || s.ReadAt < r.ReserveSince || s.Pending != nil {
-		return false
+	fresh := s.Known && s.ReadAt >= r.ReserveSince && s.Pending == nil
+	need := r.Reserve - b.Own()
+	var free, elsewhere table.Tokens
+	if known := s.Content.Find(b.ID); known != nil {
+		free, elsewhere = known.Free(), others(w, known)
 	}
-	ledgerRow := s.Content.Find(b.ID)
-	if ledgerRow == nil {
-		refuse(w, r, table.CodeBudgetExhausted, "the budget does not exist")
+	if fresh && need > free+elsewhere {
+		refuse(w, r, table.CodeBudgetExhausted, "the rest of the budget is smaller than the reservation")
 		return true
 	}
-	free := ledgerRow.Free()
-	need := r.Reserve - b.Own()
-	if need <= free {
+	ask := w.SliceAsks.Get(b.ID)
+	if ask == nil || !ask.Done || ask.Stage != table.SliceHolders || ask.SentAt < r.ReserveSince {
 		return false
 	}
-	if need > free+others(w, ledgerRow) {
-		refuse(w, r, table.CodeBudgetExhausted, "the rest of the budget is smaller than the reservation")
+	if fresh && need <= free+ask.Released || b.AtHome {
+		return false
+	}
+	if fresh && !ask.Unreached {
+		refuse(w, r, table.CodeBudgetExhausted, "no holder has enough of the budget")
 		return true
 	}
-	refuse(w, r, table.CodeBudgetUnreachable, "the rest of the budget is held by other routers")
+	refuse(w, r, table.CodeBudgetUnreachable, "the rest of the budget is out of reach")
 	return true
 }
 
--- a/internal/system/budget/reserve.go
+++ b/internal/system/budget/reserve.go
@@ -10,14 +10,14 @@
 // that does not fit does not hold up a smaller one behind it.
 func reserveAll(w *world.World) {
 	resetShort(w)
-	if w.Requests.Count(table.RequestReserving) == 0 {
-		return
-	}
-	for _, id := range w.Requests.In(table.RequestReserving) {
-		reserve(w, w.Requests.Get(id))
+	if w.Requests.Count(table.RequestReserving) > 0 {
+		for _, id := range w.Requests.In(table.RequestReserving) {
+			reserve(w, w.Requests.Get(id))
+		}
 	}
+	serveSliceWaits(w)
 	for _, id := range w.ShortBudgets.Keys() {
-		askLedger(w, w.Budgets.Get(id))
+		pursue(w, w.Budgets.Get(id))
 	}
 }
 
@@ -28,7 +28,7 @@
 	}
 	for _, id := range w.ShortBudgets.Keys() {
 		b := w.Budgets.Get(id)
-		b.Short, b.Need, b.Waiting = false, 0, 0
+		b.Short, b.Need, b.Waiting, b.WaitSince = false, 0, 0, 0
 		w.ShortBudgets.Remove(id)
 	}
 }
@@ -42,14 +42,19 @@
 		w.Refuse(r, table.CodeBudgetUnreachable, "this router was fenced", retryAfter)
 		return
 	}
+	if r.Reserved > 0 {
+		unreserve(w, r)
+	}
 	b := row(w, r.Budget)
 	if r.ReserveSince == 0 {
 		r.ReserveSince = w.Now
 		noteReservation(b, r.Reserve)
 	}
 	b.UsedAt = w.Now
-	if r.Reserve <= b.Own() && w.Now < b.Expires {
-		reserveOwn(w, b, r)
+	w.BudgetTimers.Set(b.ID, idleAt(w, b))
+	if reserveOwn(w, b, r) || reserveSlice(w, b, r) {
+		b.Release = false
+		refillEarly(w, b)
 		return
 	}
 	if refused(w, b, r) {
@@ -58,48 +63,45 @@
 	wait(w, b, r)
 }
 
-func reserveOwn(w *world.World, b *table.Budget, r *table.Request) {
+// unreserve frees the reservation of a request that was rejected before it ran,
+// for example because the grant that pays for it was fenced.
+func unreserve(w *world.World, r *table.Request) {
+	free(w, r, 0)
+	r.ReserveSince = 0
+}
+
+func reserveOwn(w *world.World, b *table.Budget, r *table.Request) bool {
+	if r.Reserve > b.Own() || b.Expires <= w.Now {
+		return false
+	}
 	b.Reserved += r.Reserve
 	r.Reserved = r.Reserve
-	r.Grant, r.GrantExpires = w.Self(), b.Expires
-	b.Release = false
+	r.Grant, r.GrantExpires, r.Slice = w.Self(), b.Expires, table.SliceKey{}
 	w.Requests.Move(r, table.RequestQueued)
-	refillEarly(w, b)
+	return true
 }
 
-// refillEarly asks for more before requests have to wait.
-func refillEarly(w *world.World, b *table.Budget) {
-	setTarget(w, b)
-	b.Low = b.Own() < b.Target/lowShare
-	if !b.Low || b.LowAt.Add(lowInterval) > w.Now {
-		return
+// wait notes that a request waits for more of its budget.
+func wait(w *world.World, b *table.Budget, r *table.Request) {
+	if b.WaitSince == 0 || r.ReserveSince < b.WaitSince {
+		b.WaitSince = r.ReserveSince
 	}
-	b.LowAt = w.Now
-	ledger.MarkDirty(w, b)
-	ledger.Touch(w, b.Shard, w.Now)
+	needMore(w, b, r.Reserve, r.Reserve, r.ReserveSince)
+	w.BudgetTimers.Set(b.ID, giveUpAt(r))
 }
 
-// wait notes that a request waits for more of its budget.
-func wait(w *world.World, b *table.Budget, r *table.Request) {
-	need := max(0, r.Reserve-b.Own())
-	if !b.Short || need < b.Need {
-		b.Need = need
+// needMore notes that somebody waits for at least need, and best for want.
+func needMore(w *world.World, b *table.Budget, need, want table.Tokens, since table.Instant) {
+	missing := max(0, need-b.Own())
+	if !b.Short || missing < b.Need {
+		b.Need = missing
 	}
 	b.Short = true
-	b.Waiting += r.Reserve
-	b.NeedSince = max(b.NeedSince, r.ReserveSince)
+	b.Waiting += want
+	b.NeedSince = max(b.NeedSince, since)
 	w.ShortBudgets.Add(b.ID)
-	w.BudgetTimers.Set(b.ID, giveUpAt(r))
 }
 
 func giveUpAt(r *table.Request) table.Instant {
 	return min(r.ReserveSince.Add(reserveTimeout), r.Deadline)
 }
-
-// askLedger asks for a larger grant of a short budget.
-func askLedger(w *world.World, b *table.Budget) {
-	setTarget(w, b)
-	b.Release = false
-	ledger.MarkDirty(w, b)
-	ledger.Touch(w, b.Shard, w.Now)
-}
--- a/internal/system/budget/settle.go
+++ b/internal/system/budget/settle.go
@@ -22,17 +22,30 @@
 
 func settle(w *world.World, r *table.Request) {
 	charge := min(max(0, trueCost(w, r)), r.Reserved)
-	b := w.Budgets.Get(r.Budget)
-	b.Reserved -= r.Reserved
-	b.Spent += charge
-	b.UsedAt = w.Now
-	r.Reserved = 0
+	addDemand(w, row(w, r.Budget), charge)
+	free(w, r, charge)
 	r.Outcome.Charged = charge
-	addDemand(w, b, charge)
+}
+
+// free ends a reservation of which a charge was spent.
+func free(w *world.World, r *table.Request, charge table.Tokens) {
+	b := row(w, r.Budget)
+	b.UsedAt = w.Now
 	setTarget(w, b)
+	if r.Slice == (table.SliceKey{}) {
+		settleOwn(w, b, r, charge)
+	} else {
+		settleSlice(w, b, r, charge)
+	}
+	r.Reserved = 0
+}
+
+func settleOwn(w *world.World, b *table.Budget, r *table.Request, charge table.Tokens) {
+	b.Reserved -= r.Reserved
+	b.Spent += charge
 	if w.Draining {
 		release(w, b)
-		ledger.Touch(w, b.Shard, w.Now)
+		ledger.Force(w, b)
 	}
 	if charge > 0 {
 		ledger.MarkDirty(w, b)
