Check a holder against the process list before it is fenced

Cause: a router that was partitioned from a restarted one still had the old incarnation in its table, took the new incarnation's grant for a dead holder's and fenced it. The scan of the home shards is also repeated, since a write of a dead router can reach the ledger after the first scan.

Found by the property test with generated failures; go vet, staticcheck, go test -race ./internal/system/...

--- a/internal/system/recovery/recovery.go
+++ b/internal/system/recovery/recovery.go
@@ -130,7 +130,7 @@
 	case table.RecoveryWriting:
 		return written(w, r)
 	}
-	return r.Stage == table.RecoveryChecking && alive(w, r.Holder)
+	return r.Stage == table.RecoveryCancelled
 }
 
 func nextStage(w *world.World, r *table.Recovery, stage table.RecoveryStage) {
@@ -165,13 +165,16 @@
 }
 
 // checkDead goes on if the holder is gone, or no longer registered: a process
-// registers before it takes a grant.
+// registers before it takes a grant. Another incarnation in this router's own
+// table proves nothing, because the holder may be the newer one.
 func checkDead(w *world.World, r *table.Recovery, e event.ProcessList) {
-	if ledger.Gone(w, r.Holder) || !registered(e, r.Holder) {
+	p := w.Processes.Get(r.Holder.Process)
+	gone := p != nil && p.Holder == r.Holder && p.State == table.ProcessGone
+	if gone || !registered(e, r.Holder) {
 		nextStage(w, r, table.RecoveryFencing)
 		return
 	}
-	r.Call = e.Call
+	nextStage(w, r, table.RecoveryCancelled)
 }
 
 func registered(e event.ProcessList, h table.Holder) bool {
--- a/internal/system/recovery/scan.go
+++ b/internal/system/recovery/scan.go
@@ -1,18 +1,29 @@
 package recovery
 
 import (
+	"time"
+
 	"laburnumroad.dev/laburnumroad/internal/system/ledger"
 	"laburnumroad.dev/laburnumroad/internal/table"
 	"laburnumroad.dev/laburnumroad/internal/world"
 )
 
-// scan reads this router's home shards once after each change of the routers,
+const (
+	// firstRescan is the delay of the second scan after a change: a write of a
+	// router that died may have reached the ledger after the first one.
+	firstRescan = 15 * time.Second
+	// rescanInterval is the delay of all further scans.
+	rescanInterval = 10 * time.Minute
+)
+
+// scan reads this router's home shards after each change of the routers,
 // because a dead holder or a new home may be behind the change.
 type scan struct {
 	// routers sums up the routers that were live or gone at the last check.
 	routers uint64
 	started bool
 	next    table.ShardID
+	again   table.Instant
 	open    table.Set[table.ShardID]
 }
 
@@ -25,7 +36,12 @@
 			sum += uint64(p.Incarnation) * uint64(1+2*routerState(p.State))
 		}
 	})
-	if s.started && sum == s.routers {
+	switch {
+	case !s.started || sum != s.routers:
+		s.again = w.Now.Add(firstRescan)
+	case s.again <= w.Now:
+		s.again = w.Now.Add(rescanInterval)
+	default:
 		return
 	}
 	s.started, s.routers, s.next = true, sum, 0
--- a/internal/table/recovery.go
+++ b/internal/table/recovery.go
@@ -15,6 +15,8 @@
 	RecoveryAsking
 	// RecoveryWriting waits until the ledger shows no grant of the holder.
 	RecoveryWriting
+	// RecoveryCancelled found the holder alive.
+	RecoveryCancelled
 )
 
 // RecoveryAgent is an agent that is asked for the charges of a dead holder.
