Repeat a shard read that gave an old version

Cause: a stale read was dropped without another one, so that a scan for dead holders could miss a grant for ten minutes.

--- a/internal/system/ledger/ledger.go
+++ b/internal/system/ledger/ledger.go
@@ -219,18 +219,19 @@
 		retryLater(w, s)
 		return
 	}
+	if e.Version < s.Version {
+		// Nothing is ever decided on a version older than the last known one.
+		w.Count("ledger.stale_reads")
+		retryLater(w, s)
+		return
+	}
 	s.Backoff = 0
 	s.Asked = false
 	observe(w, s, e.Version, e.Content)
 }
 
-// observe takes over a content that was read. Older versions than the last
-// known one are ignored, so that nothing is ever decided on them.
+// observe takes over a content that was read.
 func observe(w *world.World, s *table.Shard, version uint64, content table.ShardContent) {
-	if version < s.Version {
-		w.Count("ledger.stale_reads")
-		return
-	}
 	s.Known, s.Version, s.Content, s.ReadAt = true, version, content, s.CalledAt
 	p := s.Pending
 	if p == nil {
--- a/internal/system/ledger/reclaim.go
+++ b/internal/system/ledger/reclaim.go
@@ -46,10 +46,15 @@
 	c.Writers = slices.DeleteFunc(c.Writers, func(w table.LedgerWriter) bool { return w.Holder == h })
 }
 
-// dropOldWriters bounds the list of writers. A writer that still waits for the
-// outcome of a write keeps its entry, because such a write concerns its grants
-// or top-ups whose ids make a repeat safe.
+// writersKept is the number of writers from which old ones are dropped.
+const writersKept = 64
+
+// dropOldWriters bounds the list of writers. A writer that is dropped although
+// it lives and waits for the outcome of a write takes itself for fenced.
 func dropOldWriters(w *world.World, c *table.ShardContent) {
+	if len(c.Writers) <= writersKept {
+		return
+	}
 	c.Writers = slices.DeleteFunc(c.Writers, func(old table.LedgerWriter) bool {
 		return old.Holder != w.Self() && Gone(w, old.Holder) && !HasGrant(c, old.Holder)
 	})
