Test budgets against named failures

Adds focused tests for fences at restarted agents, running work, gone agents, repeated slice grants, returns under way, outages, top-ups and queries. The simulated agents now count half of a run at its start and half at its end.

--- /dev/null
+++ b/internal/system/budget/failure_test.go
@@ -0,0 +1,252 @@
+package budget_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"laburnumroad.dev/laburnumroad/internal/event"
+	"laburnumroad.dev/laburnumroad/internal/system/ledger"
+	"laburnumroad.dev/laburnumroad/internal/table"
+	"laburnumroad.dev/laburnumroad/internal/world"
+)
+
+func testParams() world.Params {
+	return world.Params{Shards: 1, GrantLifetime: 30 * time.Minute, SettleInterval: 5 * time.Second}
+}
+
+// spendAll sends small requests to a router until it has nothing left.
+func spendAll(f *fleet, router table.ProcessID) {
+	for range 400 {
+		f.request(router, testBudget, 10)
+		f.runUntil(f.now + 100*time.Millisecond)
+	}
+	f.runUntil(f.now + 10*time.Second)
+}
+
+// Guards against a resumed holder that spends a reclaimed grant at an agent
+// that was restarted after the fence and so never got the fence message.
+func TestRestartedAgentRefusesFencedHolder(t *testing.T) {
+	f := newFleet(1, 2, 1, testParams())
+	f.deposit(testBudget, 600)
+	f.cut[[2]table.ProcessID{"r0", "r1"}] = true
+	f.refreshProcesses()
+	for range 3 {
+		f.request("r0", testBudget, 50)
+		f.request("r1", testBudget, 50)
+		f.runUntil(f.now + 5*time.Second)
+	}
+	paused := f.routers["r1"]
+	require.Positive(t, paused.world.Budgets.Get(testBudget).Own())
+	paused.paused, paused.goneAt = true, f.now
+	f.runUntil(f.now + 60*time.Second)
+	require.Zero(t, f.rowOf(testBudget).GrantOf(paused.holder).Amount)
+	spendAll(f, "r0")
+
+	f.killAgent(f.agents[0])
+	f.agents[0].first, f.agents[0].goneAt = false, 0
+	f.startAgent(f.agents[0])
+	f.resume(paused)
+	f.cut[[2]table.ProcessID{"r1", platformID}] = true
+	ran := len(f.runs)
+	for range 10 {
+		f.request("r1", testBudget, 10)
+		f.runUntil(f.now + 10*time.Millisecond)
+	}
+	f.runUntil(f.now + 10*time.Second)
+	require.Empty(t, f.faults)
+	require.Len(t, f.runs, ran, "the fenced holder ran work")
+}
+
+// Guards against a recovery that frees a grant while work under it still runs.
+func TestRecoveryWaitsForRunningWork(t *testing.T) {
+	f := newFleet(2, 2, 2, testParams())
+	f.deposit(testBudget, 5000)
+	f.runTime = 5 * time.Minute
+	for range 4 {
+		f.request("r1", testBudget, 100)
+	}
+	f.runUntil(f.now + time.Second)
+	dead := f.routers["r1"]
+	f.kill(dead)
+	for len(f.agents[0].running)+len(f.agents[1].running) > 0 {
+		f.runUntil(f.now + time.Second)
+		if len(f.agents[0].running)+len(f.agents[1].running) > 0 {
+			held := f.rowOf(testBudget).GrantOf(dead.holder).Amount + f.rowOf(testBudget).GrantOf(f.routers["r0"].holder).Amount
+			require.GreaterOrEqual(t, held, table.Tokens(100))
+		}
+	}
+	f.runUntil(f.now + 30*time.Second)
+	require.Zero(t, f.rowOf(testBudget).GrantOf(dead.holder).Amount)
+	require.Empty(t, f.faults)
+}
+
+// Guards against a grant that is freed although an agent with charges is gone.
+func TestGoneAgentLeavesRestWithheld(t *testing.T) {
+	f := newFleet(3, 1, 2, testParams())
+	f.deposit(testBudget, 5000)
+	for range 8 {
+		f.request("r0", testBudget, 100)
+	}
+	f.runUntil(f.now + 500*time.Millisecond)
+	f.kill(f.routers["r0"])
+	f.killAgent(f.agents[0])
+	f.startRouter("r0")
+	f.runUntil(f.now + 60*time.Second)
+	row := f.rowOf(testBudget)
+	require.Empty(t, row.Grants)
+	require.NotZero(t, row.Withheld)
+	require.GreaterOrEqual(t, row.Settled+row.Withheld, f.spent[testBudget])
+}
+
+// Guards against a slice that is spent again when its grant message arrives a
+// second time after the slice was reported and forgotten.
+func TestRepeatedSliceGrantIsNotSpentAgain(t *testing.T) {
+	f := newFleet(4, 2, 1, testParams())
+	f.deposit(testBudget, 100_000)
+	home := ledger.Home(f.routers["r0"].world, 0)
+	other := table.ProcessID("r0")
+	if home == "r0" {
+		other = "r1"
+	}
+	f.request(other, testBudget, 100)
+	f.runUntil(f.now + 3*time.Second)
+	w := f.routers[other].world
+	require.Equal(t, 1, w.SlicesIn.Len())
+	key, slice := w.SlicesIn.At(0)
+	repeated := event.SliceGrant{
+		From: key.Peer, Call: w.SliceAsks.Get(testBudget).Call, Slice: key.Slice,
+		Budget: testBudget, Amount: slice.Amount, Lifetime: time.Hour,
+	}
+	f.runUntil(f.now + 6*time.Minute)
+	require.Zero(t, w.SlicesIn.Len())
+	f.post(f.routers[other].holder, repeated)
+	require.Zero(t, w.Budgets.Get(testBudget).SliceIn)
+}
+
+// Guards against tokens that are spent here while a write that returns them to
+// the ledger is under way.
+func TestReturnedTokensAreNotReserved(t *testing.T) {
+	r := newRouter(10_000)
+	r.Processes.Put("r2", table.Process{
+		Holder: table.Holder{Process: "r2", Incarnation: 9}, Role: table.RoleRouter, State: table.ProcessLive, Connected: true,
+	})
+	r.request("workshop/a", 100)
+	r.run()
+	held := r.Budgets.Get(testBudget).Own()
+	require.Positive(t, held)
+	r.In.SliceRequests = append(r.In.SliceRequests, event.SliceRequest{
+		From: table.Holder{Process: "r2", Incarnation: 9}, Call: 1, Budget: testBudget, Want: 9000, Need: 9000, Forwarded: true,
+	})
+	r.Tick(r.now, r.systems)
+	r.Tick(r.now, r.systems)
+	require.Len(t, r.Out.WriteShards, 1)
+	r.request("workshop/b", held)
+	r.Tick(r.now, r.systems)
+	require.Equal(t, table.RequestReserving, r.Requests.Get("workshop/b").State())
+}
+
+// Guards against a platform outage that stops routers which still hold budget,
+// or whose peers do.
+func TestOutageSpendsHeldBudgetAndSlices(t *testing.T) {
+	f := newFleet(5, 3, 2, testParams())
+	f.deposit(testBudget, 100_000)
+	for range 10 {
+		f.request("r0", testBudget, 100)
+		f.runUntil(f.now + time.Second)
+	}
+	f.request("r1", testBudget, 100)
+	f.runUntil(f.now + 5*time.Second)
+	f.store.up = false
+	f.refreshProcesses()
+	served := f.served
+	f.request("r0", testBudget, 100)
+	f.request("r1", testBudget, 100)
+	f.request("r2", testBudget, 100)
+	f.runUntil(f.now + 6*time.Second)
+	require.Equal(t, served+3, f.served, "refusals: %v", f.refuse)
+}
+
+// Guards against a partition in which a top-up counts only where it was made.
+func TestTopUpDuringPartitionCountsOnBothSides(t *testing.T) {
+	f := newFleet(6, 2, 2, testParams())
+	f.cut[[2]table.ProcessID{"r0", "r1"}] = true
+	f.refreshProcesses()
+	f.topUp("r0", testBudget, 1000, "order-7")
+	f.runUntil(f.now + time.Second)
+	f.request("r0", testBudget, 100)
+	f.request("r1", testBudget, 100)
+	f.runUntil(f.now + 5*time.Second)
+	require.Equal(t, 2, f.served, "refusals: %v", f.refuse)
+}
+
+// Guards against an answer to a top-up whose outcome is not known to be true.
+func TestTopUpAnswerWaitsForOutcome(t *testing.T) {
+	f := newFleet(7, 1, 1, testParams())
+	f.store.loseNext = []int{1}
+	f.topUp("r0", testBudget, 500, "order-8")
+	f.runUntil(f.now + 3*time.Second)
+	require.Len(t, f.routers["r0"].topUps, 1)
+	for _, reply := range f.routers["r0"].topUps {
+		require.True(t, reply.OK)
+		require.Equal(t, table.Tokens(500), reply.Deposited)
+	}
+	f.store.up = false
+	f.topUp("r0", testBudget, 500, "order-9")
+	f.runUntil(f.now + 15*time.Second)
+	require.Len(t, f.routers["r0"].topUps, 2)
+	for _, reply := range f.routers["r0"].topUps {
+		require.Equal(t, reply.Deposited == 500, reply.OK)
+	}
+}
+
+// Guards against an operator's list that leaves out shards not read yet.
+func TestBudgetQueryReadsAllShards(t *testing.T) {
+	p := testParams()
+	p.Shards = 200
+	f := newFleet(8, 1, 1, p)
+	ids := []table.BudgetID{"a/1", "a/2", "a/3", "b/1"}
+	for _, id := range ids {
+		f.deposit(id, 10)
+	}
+	r := f.routers["r0"]
+	f.post(r.holder, event.BudgetQuery{Reply: 5, Customer: "a"})
+	f.runUntil(f.now + 2*time.Second)
+	require.Len(t, r.queries, 1)
+	require.Len(t, r.queries[0].Budgets, 3)
+}
+
+// Guards against bills for plain calls that did not run and for kept answers.
+func TestPlainCallAndReplayCharges(t *testing.T) {
+	r := newRouter(10_000)
+	r.Services.Put("desk", table.Service{Name: "desk", Kind: table.ServicePlain,
+		Operations: map[string]table.Operation{"book": {Cost: 7}}})
+	outcomes := map[table.RequestID]table.Outcome{
+		"workshop/ran":      {OK: true, Ran: table.DidRun},
+		"workshop/not-run":  {Ran: table.NotRun},
+		"workshop/unknown":  {Ran: table.RanUnknown},
+		"workshop/replayed": {OK: true, Ran: table.DidRun, Replayed: true},
+	}
+	want := map[table.RequestID]table.Tokens{"workshop/ran": 7, "workshop/unknown": 7}
+	for id, o := range outcomes {
+		r.Requests.Insert(table.Request{ID: id, Budget: testBudget, Kind: table.ServicePlain, Service: "desk",
+			Operation: "book", Reserve: 7, Deadline: table.Never}, table.RequestReserving)
+		r.run()
+		r.Requests.End(r.Requests.Get(id), o)
+		r.run()
+		require.Equal(t, want[id], r.Requests.Get(id).Outcome.Charged, id)
+	}
+}
+
+// Guards against a reservation that is lost when an agent rejects a request and
+// it has to reserve again.
+func TestRejectedRequestReservesAgain(t *testing.T) {
+	r := newRouter(10_000)
+	r.request("workshop/a", 500)
+	r.run()
+	r.Requests.Move(r.Requests.Get("workshop/a"), table.RequestReserving)
+	r.run()
+	require.Equal(t, table.RequestQueued, r.Requests.Get("workshop/a").State())
+	require.Equal(t, table.Tokens(500), r.Budgets.Get(testBudget).Reserved)
+}
--- a/internal/system/budget/fleet_property_test.go
+++ b/internal/system/budget/fleet_property_test.go
@@ -21,6 +21,7 @@
 		f := newFleet(rapid.Uint64().Draw(t, "seed"), 3, 2, world.Params{
 			Shards: 2, GrantLifetime: lifetime, SettleInterval: 5 * time.Second,
 		})
+		f.staleReads = rapid.Bool().Draw(t, "stale reads")
 		f.duplicates = rapid.Bool().Draw(t, "duplicates")
 		budgets := []table.BudgetID{"a/one", "b/two"}
 		for _, id := range budgets {
@@ -87,7 +88,7 @@
 	default:
 		r.paused = true
 		if rapid.Bool().Draw(t, "believed gone") {
-			r.goneAt = f.now + 2*time.Second
+			r.goneAt, r.suspected = f.now+2*time.Second, true
 		}
 	}
 }
@@ -102,7 +103,11 @@
 		}
 	}
 	for _, name := range f.names {
-		f.routers[name].world.Budgets.Each(func(id table.BudgetID, b *table.Budget) {
+		r := f.routers[name]
+		if ledger.Fenced(r.world) && !r.suspected {
+			t.Fatalf("%s takes itself for fenced, but nobody believed it gone", name)
+		}
+		r.world.Budgets.Each(func(id table.BudgetID, b *table.Budget) {
 			if b.Reserved < 0 || b.Spent < 0 || b.SliceOut < 0 || b.SliceIn < 0 || b.Lost < 0 {
 				t.Fatalf("%s: negative amount in %+v", name, *b)
 			}
@@ -141,17 +146,22 @@
 	f.tick(f.routers[f.names[0]])
 	f.runUntil(f.now + 60*time.Second)
 	check(t, f)
+	for _, name := range f.names {
+		if n := f.routers[name].world.Requests.Len(); n > 0 {
+			t.Fatalf("%s: %d requests never ended", name, n)
+		}
+	}
 	for _, id := range budgets {
 		row := f.rowOf(id)
 		spent := f.spent[id]
+		if len(row.Grants) > 0 {
+			t.Fatalf("%s: grants are left: %+v", id, row.Grants)
+		}
 		if row.Settled+row.Withheld < spent {
 			t.Fatalf("%s: settled %d and withheld %d, but spent %d", id, row.Settled, row.Withheld, spent)
 		}
 		if row.Withheld == 0 && row.Settled != spent {
 			t.Fatalf("%s: settled %d, but spent %d", id, row.Settled, spent)
 		}
-		if len(row.Grants) > 0 {
-			t.Fatalf("%s: grants are left: %+v", id, row.Grants)
-		}
 	}
 }
--- a/internal/system/budget/fleet_test.go
+++ b/internal/system/budget/fleet_test.go
@@ -30,8 +30,10 @@
 	store   simStore
 	// cut holds the pairs of processes that cannot reach each other; the
 	// platform has the id "platform".
-	cut         map[[2]table.ProcessID]bool
-	duplicates  bool
+	cut        map[[2]table.ProcessID]bool
+	duplicates bool
+	// staleReads lets some reads of shards give the version before the last.
+	staleReads  bool
 	incarnation table.Incarnation
 	requests    int
 	// runs and billed count per request, as a central counter would.
@@ -58,9 +60,12 @@
 	paused  bool
 	// goneAt is when the others believe that the process is gone.
 	goneAt time.Duration
+	// suspected is true once the others were to believe that it is gone.
+	suspected bool
 	// clocks are the last readings of the agents' clocks with their local time.
-	clocks map[table.Holder][2]table.Instant
-	topUps map[uint64]command.TopUpReply
+	clocks  map[table.Holder][2]table.Instant
+	topUps  map[uint64]command.TopUpReply
+	queries []command.BudgetReply
 	// ticks counts the ticks since tickedAt, over at most tickWindow.
 	ticks    int
 	tickedAt time.Duration
@@ -100,6 +105,8 @@
 type simObject struct {
 	version uint64
 	content table.ShardContent
+	// older is the content before the last write.
+	older table.ShardContent
 }
 
 type simEvent struct {
@@ -159,6 +166,8 @@
 	f.routers[id] = r
 	f.store.processes[id] = p.Self
 	f.refreshProcesses()
+	// The control loop ticks once at the start.
+	f.tick(r)
 }
 
 func (f *fleet) startAgent(a *simAgent) {
@@ -400,25 +409,32 @@
 	}
 	cost := 1 + table.Tokens(f.rand.Int64N(int64(d.Limit)))
 	f.runs[d.Request]++
-	f.cost[d.Request] = cost
-	f.spent[d.Budget] += cost
-	a.charges[table.ChargeKey{Holder: d.Grant, Budget: d.Budget}] += cost
 	a.running[d.Request] = d
-	f.checkSpend(d.Budget)
+	f.spend(a, d, cost/2)
 	f.at(time.Duration(f.rand.Int64N(int64(f.runTime)+1)), func() {
 		if a.alive && a.holder == d.To {
 			delete(a.running, d.Request)
+			f.spend(a, d, cost-cost/2)
 		}
-		f.reportEnd(a.holder.Process, from, d.Request, cost)
+		f.reportEnd(a.holder.Process, from, d.Request)
 	})
 }
 
+// spend counts tokens that ran at an agent.
+func (f *fleet) spend(a *simAgent, d command.Dispatch, n table.Tokens) {
+	f.cost[d.Request] += n
+	f.spent[d.Budget] += n
+	a.charges[table.ChargeKey{Holder: d.Grant, Budget: d.Budget}] += n
+	f.checkSpend(d.Budget)
+}
+
 // reportEnd tells the router the true count, as soon as it can be reached.
-func (f *fleet) reportEnd(agent table.ProcessID, to table.Holder, id table.RequestID, cost table.Tokens) {
+func (f *fleet) reportEnd(agent table.ProcessID, to table.Holder, id table.RequestID) {
 	if f.isCut(agent, to.Process) {
-		f.at(time.Second, func() { f.reportEnd(agent, to, id, cost) })
+		f.at(time.Second, func() { f.reportEnd(agent, to, id) })
 		return
 	}
+	cost := f.cost[id]
 	f.endRequest(to, id, table.Outcome{OK: true, Ran: table.DidRun, Prompt: cost / 2, Output: cost - cost/2})
 }
 
@@ -473,6 +489,7 @@
 	for _, c := range out.Fences {
 		f.at(f.delay(), func() { f.fence(h, c) })
 	}
+	r.queries = append(r.queries, out.BudgetReplies...)
 	for _, c := range out.TopUpReplies {
 		r.topUps[c.Reply] = c
 	}
@@ -546,7 +563,11 @@
 	e := event.ShardRead{Shard: c.Shard, Status: s}
 	if s == event.CallOK {
 		f.store.reads++
-		e.Version, e.Content = f.shard(c.Shard).version, f.shard(c.Shard).content
+		o := f.shard(c.Shard)
+		e.Version, e.Content = o.version, o.content
+		if f.staleReads && o.version > 1 && f.rand.IntN(10) == 0 {
+			e.Version, e.Content = o.version-1, o.older
+		}
 	}
 	return e
 }
@@ -563,7 +584,7 @@
 	}
 	f.store.writes++
 	o.version++
-	o.content = c.Content
+	o.older, o.content = o.content, c.Content
 	e.Version = o.version
 	f.checkContent(c.Content)
 	return e
