Add recovery, quickstart and the rest of the path from command line to bill

- dispatches carry grant, nonce and claim deadline; the deadline comes from the reservation, not from the budget's current grant
- claims are settled after routing (dedup.Finish); before, a claimed call was never answered (found by TestRepeatedBookingRunsOnce, which hung)
- a replayed plain call reported the agent's cost as charged; 5 before, 0 after
- a budget whose first request was small could not serve a larger one in an outage; grants now aim at 4,096 tokens at least, within the same share
- explain names the process, the grant before and after, and the bill

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -345,6 +345,7 @@
 // ExplainReply answers an ExplainQuery.
 type ExplainReply struct {
 	Reply     uint64
+	Self      table.ProcessID
 	Request   table.RequestID
 	Decisions []table.Decision
 }
--- a/internal/daemon/systems.go
+++ b/internal/daemon/systems.go
@@ -11,6 +11,7 @@
 	"laburnumroad.dev/laburnumroad/internal/system/ledger"
 	"laburnumroad.dev/laburnumroad/internal/system/membership"
 	"laburnumroad.dev/laburnumroad/internal/system/quarantine"
+	"laburnumroad.dev/laburnumroad/internal/system/recovery"
 	"laburnumroad.dev/laburnumroad/internal/system/reply"
 	"laburnumroad.dev/laburnumroad/internal/system/retry"
 	"laburnumroad.dev/laburnumroad/internal/system/routing"
@@ -23,6 +24,7 @@
 		world.SystemFunc(config.Run),
 		membership.New(),
 		ledger.New(),
+		recovery.New(),
 		world.SystemFunc(admission.Run),
 		world.SystemFunc(quarantine.Run),
 		world.SystemFunc(dedup.Run),
@@ -30,6 +32,7 @@
 		budget.New(),
 		world.SystemFunc(routing.Run),
 		drain.New(),
+		world.SystemFunc(dedup.Finish),
 		world.SystemFunc(reply.Run),
 		world.SystemFunc(explain.Run),
 	}
--- a/internal/loadtest/router.go
+++ b/internal/loadtest/router.go
@@ -58,6 +58,7 @@
 	for _, id := range w.Requests.In(table.RequestAdmitted) {
 		r := w.Requests.Get(id)
 		r.Reserved = r.Reserve
+		r.GrantExpires = table.Never
 		w.Requests.Move(r, table.RequestQueued)
 	}
 }
--- a/internal/system/budget/demand.go
+++ b/internal/system/budget/demand.go
@@ -13,6 +13,10 @@
 	defaultHorizon = time.Minute
 	// minReservations is the least number of reservations that a grant covers.
 	minReservations = 4
+	// minTarget is the least that a router wants to hold of a budget in use, in
+	// tokens: several typical requests, so that a budget whose first request was
+	// small can be spent through an outage of the platform.
+	minTarget = 4096
 	// reservationDecay is how fast a large reservation is forgotten, per request.
 	reservationDecay = 0.98
 	// lowShare is the part of the target below which more is asked for early.
@@ -44,5 +48,5 @@
 // setTarget sets how much the router wants to hold.
 func setTarget(w *world.World, b *table.Budget) {
 	demand := table.Tokens(b.Demand * horizon(w).Seconds())
-	b.Target = max(demand, minReservations*b.Reservation, b.Waiting)
+	b.Target = max(demand, minReservations*b.Reservation, b.Waiting, minTarget)
 }
--- a/internal/system/budget/reserve.go
+++ b/internal/system/budget/reserve.go
@@ -74,6 +74,7 @@
 	if r.Reserve > b.Own() || b.Expires <= w.Now {
 		return false
 	}
+	explainReserve(w, r, "own grant", b.Own())
 	b.Reserved += r.Reserve
 	r.Reserved = r.Reserve
 	r.Grant, r.GrantExpires, r.Slice = w.Self(), b.Expires, table.SliceKey{}
--- a/internal/system/budget/settle.go
+++ b/internal/system/budget/settle.go
@@ -22,6 +22,7 @@
 
 func settle(w *world.World, r *table.Request) {
 	charge := min(max(0, trueCost(w, r)), r.Reserved)
+	explainCharge(w, r, charge)
 	addDemand(w, row(w, r.Budget), charge)
 	free(w, r, charge)
 	r.Outcome.Charged = charge
--- a/internal/system/budget/slice_in.go
+++ b/internal/system/budget/slice_in.go
@@ -77,6 +77,7 @@
 		if s.Left() < r.Reserve || s.Expires <= w.Now || w.Fences.Get(key.Peer) != nil {
 			continue
 		}
+		explainReserve(w, r, "slice of "+string(key.Peer.Process), s.Left())
 		s.Reserved += r.Reserve
 		b.SliceIn -= r.Reserve
 		r.Reserved = r.Reserve
--- a/internal/system/explain/explain.go
+++ b/internal/system/explain/explain.go
@@ -15,7 +15,7 @@
 	}
 	for _, q := range w.In.Explains {
 		id, decisions := find(w, q.Request)
-		w.Out.ExplainReplies = append(w.Out.ExplainReplies, command.ExplainReply{Reply: q.Reply, Request: id, Decisions: decisions})
+		w.Out.ExplainReplies = append(w.Out.ExplainReplies, command.ExplainReply{Reply: q.Reply, Self: w.Self().Process, Request: id, Decisions: decisions})
 	}
 	for _, q := range w.In.StatusQueries {
 		w.Out.StatusReplies = append(w.Out.StatusReplies, status(w, q.Reply))
--- a/internal/system/membership/membership.go
+++ b/internal/system/membership/membership.go
@@ -320,6 +320,9 @@
 
 func (s *System) sendHeartbeat(w *world.World) {
 	s.leaving = w.Draining
+	if self := w.Processes.Get(w.Self().Process); self != nil {
+		self.LastHeard, self.Generation, self.NoticeLeaving = w.Now, w.Fleet.Generation, w.Draining
+	}
 	w.Out.Heartbeats = append(w.Out.Heartbeats, command.SendHeartbeat{Heartbeat: event.Heartbeat{
 		Peer:       w.Self(),
 		Clock:      w.Now,
--- a/internal/system/retry/retry.go
+++ b/internal/system/retry/retry.go
@@ -91,7 +91,7 @@
 	w.Explain(r.ID, System, "answer is whole")
 	w.Requests.End(r, table.Outcome{
 		OK: true, Ran: table.DidRun,
-		Prompt: r.BilledPrompt(), Output: r.Delivered, Charged: e.Cost,
+		Prompt: r.BilledPrompt(), Output: r.Delivered,
 		Replayed: e.Replayed,
 	})
 }
--- a/internal/system/routing/dispatch.go
+++ b/internal/system/routing/dispatch.go
@@ -37,7 +37,7 @@
 		Fingerprint: r.Fingerprint, Idempotent: r.Idempotent, Class: r.Class,
 		Alone: r.Alone, ReplayOnly: r.ReplayOnly,
 		Limit: r.Reserved, Priority: r.Priority, MaxOutput: r.MaxOutput - r.Delivered,
-		Expires: expires(w, r, agent),
+		Expires: expires(r, agent), Grant: r.Grant, Nonce: r.Nonce, KeyUntil: r.KeyUntil,
 	})
 	w.Count("routing.dispatched." + r.Class.String())
 }
@@ -59,21 +59,16 @@
 
 // expires converts the grant's deadline into the agent's clock. The result is
 // never later than the true deadline. Work that spends nothing needs none.
-func expires(w *world.World, r *table.Request, agent *table.Process) table.Instant {
-	b := w.Budgets.Get(r.Budget)
-	if r.ReplayOnly || r.Reserved == 0 || b == nil {
+func expires(r *table.Request, agent *table.Process) table.Instant {
+	if r.ReplayOnly || r.Reserved == 0 {
 		return table.Never
 	}
-	return agent.PeerClock.Add(b.Expires.Sub(agent.PeerClockAt))
+	return agent.PeerClock.Add(r.GrantExpires.Sub(agent.PeerClockAt))
 }
 
 // grantExpired reports whether what the request reserved may no longer be spent.
 func grantExpired(w *world.World, r *table.Request) bool {
-	if r.Reserved == 0 {
-		return false
-	}
-	b := w.Budgets.Get(r.Budget)
-	return b == nil || b.Expires <= w.Now
+	return r.Reserved > 0 && r.GrantExpires <= w.Now
 }
 
 func explainDispatch(w *world.World, r *table.Request, considered []scored) {
--- a/internal/system/routing/harness_test.go
+++ b/internal/system/routing/harness_test.go
@@ -84,6 +84,7 @@
 	for _, id := range w.Requests.In(table.RequestAdmitted) {
 		r := w.Requests.Get(id)
 		r.Reserved = r.Reserve
+		r.GrantExpires = w.Budgets.Get(r.Budget).Expires
 		w.Requests.Move(r, table.RequestQueued)
 	}
 }
--- a/internal/traffic/operatorapi/server.go
+++ b/internal/traffic/operatorapi/server.go
@@ -190,14 +190,14 @@
 	}
 	out := &pb.ExplainResponse{RequestId: string(answer.Request), Found: len(answer.Decisions) > 0}
 	for _, d := range answer.Decisions {
-		out.Steps = append(out.Steps, stepMessage(d))
+		out.Steps = append(out.Steps, stepMessage(answer.Self, d))
 	}
 	return connect.NewResponse(out), nil
 }
 
-func stepMessage(d table.Decision) *pb.Step {
+func stepMessage(self table.ProcessID, d table.Decision) *pb.Step {
 	step := &pb.Step{
-		AtMs: time.Duration(d.At).Milliseconds(), System: d.System, Decision: d.Decision, Inputs: map[string]string{},
+		Process: string(self), AtMs: time.Duration(d.At).Milliseconds(), System: d.System, Decision: d.Decision, Inputs: map[string]string{},
 	}
 	for _, in := range d.Inputs {
 		step.Inputs[in.Name] = in.Value
--- a/internal/traffic/relay/request.go
+++ b/internal/traffic/relay/request.go
@@ -158,6 +158,7 @@
 			Kind: c.Kind, Operation: c.Operation, Budget: c.Budget, Fingerprint: c.Fingerprint,
 			Idempotent: c.Idempotent, Class: c.Class, Alone: c.Alone, ReplayOnly: c.ReplayOnly,
 			Limit: c.Limit, Position: rq.delivered, Priority: c.Priority, MaxOutput: c.MaxOutput, Expires: c.Expires,
+			Grant: c.Grant, Nonce: c.Nonce, KeyUntil: c.KeyUntil,
 		},
 		Prompt: rq.payload.Prompt,
 		Prefix: rq.text.String(),
--- a/internal/traffic/store/process.go
+++ b/internal/traffic/store/process.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"laburnumroad.dev/laburnumroad/internal/command"
 	"laburnumroad.dev/laburnumroad/internal/event"
 	"laburnumroad.dev/laburnumroad/internal/table"
 	"laburnumroad.dev/laburnumroad/internal/traffic/platform"
@@ -70,10 +71,12 @@
 	}
 }
 
-func (s *Store) readProcesses(ctx context.Context) {
+func (s *Store) readProcesses(ctx context.Context, c command.ReadProcesses) {
 	objects, err := s.client.List(ctx, KindProcess)
 	if s.status(err) == event.CallOK {
-		s.post(processList(objects))
+		list := processList(objects)
+		list.Call = c.Call
+		s.post(list)
 	}
 }
 
--- a/internal/traffic/store/store.go
+++ b/internal/traffic/store/store.go
@@ -155,8 +155,11 @@
 	for _, c := range out.WriteQuarantines {
 		s.writeQuarantine(c)
 	}
-	for range out.ReadProcesses {
-		s.submit(s.readProcesses, func() {})
+	for range out.ReadQuarantines {
+		s.submit(s.readQuarantine, func() { s.post(event.QuarantineList{Status: event.CallNotApplied}) })
+	}
+	for _, c := range out.ReadProcesses {
+		s.submit(func(ctx context.Context) { s.readProcesses(ctx, c) }, func() {})
 	}
 }
 
--- a/scripts/quickstart.sh
+++ b/scripts/quickstart.sh
@@ -54,7 +54,14 @@
     sleep 0.2
   done
 }
-ready() { [ "$($ctl status | grep -c ' live ')" -ge 10 ]; }
+# Three routers and four agents are live and enforce the configuration, and
+# their four endpoints are live.
+ready() {
+  local status
+  status=$($ctl status)
+  [ "$(grep -cE '^(router|agent)-.* live +1 +false' <<<"$status")" -eq 7 ] &&
+    [ "$(grep -cE '^(tutor-model|classroom-app)-.* live ' <<<"$status")" -eq 4 ]
+}
 
 $ctl validate examples/sankofa.yaml
 $ctl validate examples/guild.yaml
