routing: count other routers' work before long work takes a slot

Cause: each router left a quarter of an endpoint's slots free by its own count only, so that the routers together filled all slots with long work.

Long work now goes by the agent's last count of all work. Quick work still goes by this router's own count and by refusals, because the count is up to a second old.

TestRandomRunsKeepInvariants now takes a slot that the agent counted as used by other routers as not free for long work. The new TestLongWorkCountsOtherRouters fails with the earlier rule.

--- a/internal/system/routing/choose.go
+++ b/internal/system/routing/choose.go
@@ -41,7 +41,7 @@
 		}
 	}
 	candidates = prefer(candidates, func(e *table.Endpoint) bool { return !slices.Contains(r.Tried, e.ID) })
-	candidates = prefer(candidates, func(e *table.Endpoint) bool { return !believedFull(p.w, e, r) })
+	candidates = prefer(candidates, func(e *table.Endpoint) bool { return !believedFull(e) })
 	candidates = prefer(candidates, func(e *table.Endpoint) bool { return e.Region == p.w.Params.Self.Region })
 	return p.best(candidates)
 }
--- a/internal/system/routing/property_test.go
+++ b/internal/system/routing/property_test.go
@@ -97,7 +97,8 @@
 }
 
 // checkWorkConserving looks for a queued request and a free slot for its class
-// at an endpoint that may get it.
+// at an endpoint that may get it. A slot that the agent counted as used by other
+// routers is not free for long work.
 func (f *fleet) checkWorkConserving() {
 	for _, id := range f.w.Requests.In(table.RequestQueued) {
 		r := f.w.Requests.Get(id)
@@ -105,7 +106,7 @@
 			a := f.w.Processes.Get(e.Agent)
 			slots := testSlots
 			if r.Class == table.ClassLong {
-				slots--
+				slots -= 1 + e.OthersInFlight
 			}
 			allowed := e.Service == r.Service && e.State == table.EndpointLive && a.Connected &&
 				a.State == table.ProcessLive && !e.Ejected && e.BusyUntil[r.Class] <= f.now
--- a/internal/system/routing/slots.go
+++ b/internal/system/routing/slots.go
@@ -15,15 +15,17 @@
 	return min(max(1, int(share*float64(e.Slots))), e.Slots-1)
 }
 
-// hasSlot reports whether an endpoint has a free slot for the request's class as
-// far as this router knows at first hand: by its own work there, and not within
-// the delay after a refusal. The agent refuses what is above its slots.
+// hasSlot reports whether an endpoint has a free slot for the request's class.
+// Quick work goes by this router's own work there and by refusals alone: counts
+// of other routers' work are too old for it, and the agent refuses what is above
+// its slots. Long work can wait for the next count, and without it the routers
+// together would fill the slots that each of them leaves free.
 func hasSlot(w *world.World, e *table.Endpoint, r *table.Request) bool {
 	if !open(w, e, r) {
 		return false
 	}
 	if r.Class == table.ClassLong {
-		return e.InFlight < e.Slots-kept(w, e, r)
+		return e.InFlight+e.OthersInFlight < e.Slots-kept(w, e, r)
 	}
 	return e.InFlight < e.Slots
 }
@@ -32,8 +34,7 @@
 // endpoint only as many as are kept for quick work.
 func hasAgedSlot(w *world.World, e *table.Endpoint, r *table.Request) bool {
 	long := e.InFlight - e.InFlightQuick + e.OthersLong
-	limit := max(1, kept(w, e, r))
-	return open(w, e, r) && e.InFlight < e.Slots && long < limit
+	return open(w, e, r) && e.InFlight < e.Slots && long < max(1, kept(w, e, r))
 }
 
 // open reports whether an endpoint is held neither for another request nor back
@@ -50,10 +51,4 @@
 }
 
 // believedFull reports whether the agent's last count leaves no slot.
-func believedFull(w *world.World, e *table.Endpoint, r *table.Request) bool {
-	limit := e.Slots
-	if r.Class == table.ClassLong {
-		limit -= kept(w, e, r)
-	}
-	return e.InFlight+e.OthersInFlight >= limit
-}
+func believedFull(e *table.Endpoint) bool { return e.InFlight+e.OthersInFlight >= e.Slots }
--- a/internal/system/routing/starvation_test.go
+++ b/internal/system/routing/starvation_test.go
@@ -100,3 +100,18 @@
 	require.InDelta(t, 300, served["c1"], 15)
 	require.InDelta(t, 100, served["c0"], 15)
 }
+
+// Guards against routers that together fill the slots that each of them leaves
+// free for quick work.
+func TestLongWorkCountsOtherRouters(t *testing.T) {
+	h := newHarness(1, 4)
+	beat := event.Heartbeat{Endpoints: []event.EndpointLoad{{Endpoint: "tutor-model-0", InFlight: 3}}}
+	h.tick(ms(1), beat)
+	h.tick(ms(2), h.arrival(0, 3000, 1000), h.arrival(0, 50, 50))
+	sent := h.takeSent()
+	require.Len(t, sent, 1)
+	require.Equal(t, table.ClassQuick, sent[0].Class)
+	beat.Endpoints[0].InFlight = 1
+	h.tick(ms(3), beat)
+	require.Len(t, h.takeSent(), 1)
+}
