retry: go on after a busy agent that ran an earlier attempt

Cause: the agent's Ran covers the whole key. A continued answer that met a busy agent of an earlier attempt was ended as if this attempt had run. Only work that must not repeat now ends there.

A request that its caller marked as a retry was never refused for its deadline, because it may have run elsewhere. It is now refused, with RAN_UNKNOWN, unless an attempt of this router may have run.

--- a/internal/system/retry/decide.go
+++ b/internal/system/retry/decide.go
@@ -27,13 +27,14 @@
 	exhaustedRetry = time.Second
 )
 
-// rejected handles an attempt that the agent refused.
+// rejected handles an attempt that the agent refused. What the agent says of the
+// key covers earlier attempts too, which matter only to work that must not repeat.
 func rejected(w *world.World, r *table.Request, e *event.AttemptEnd) {
 	w.Count("retry.rejected." + string(e.Code))
 	switch {
 	case r.Cancelled:
 		end(w, r, table.CodeCancelled, "the request was cancelled", 0)
-	case e.Ran != table.NotRun:
+	case !r.Idempotent && e.Ran != table.NotRun:
 		end(w, r, e.Code, e.Reason, 0)
 	case e.Code == table.CodeBusy:
 		busy(w, r)
--- a/internal/system/routing/deadline.go
+++ b/internal/system/routing/deadline.go
@@ -26,9 +26,9 @@
 }
 
 // late reports whether a request cannot have its first token in time. Work that
-// may have run is carried on: its tokens are paid for.
+// may have run here is carried on: its tokens are paid for.
 func late(w *world.World, r *table.Request, firstToken time.Duration) bool {
-	if r.Deadline == table.Never || r.RanSoFar() != table.NotRun {
+	if r.Deadline == table.Never || r.RanHere() {
 		return false
 	}
 	return w.Now.Add(firstToken) >= r.Deadline
--- a/internal/system/routing/property_test.go
+++ b/internal/system/routing/property_test.go
@@ -162,6 +162,9 @@
 		f.excused[d.Request] = true
 		e := busy(d)
 		e.AgentInFlight = testSlots
+		if f.mayHaveRun[d.Request] && d.Idempotent {
+			e.Ran = table.RanUnknown
+		}
 		f.step(e)
 	case "not ready":
 		e := end(d, event.AttemptRejected, table.NotRun)
--- a/internal/system/routing/refuse_test.go
+++ b/internal/system/routing/refuse_test.go
@@ -105,3 +105,33 @@
 	require.Empty(t, h.takeSent())
 	require.Equal(t, table.CodeBudgetUnreachable, h.replies["c0/k2"].Code)
 }
+
+// Guards against a retry that waits for ever behind its deadline, and against a
+// NOT_RUN for it: its first sending may have run at another router.
+func TestRetryPastDeadlineIsRefused(t *testing.T) {
+	h := newHarness(1, 1)
+	h.tick(ms(1), h.arrival(0, 50, 50))
+	late := h.arrival(0, 50, 50)
+	late.Deadline, late.Retry = 100*time.Millisecond, true
+	h.tick(ms(2), late)
+	h.tick(ms(102))
+	require.Equal(t, table.CodeDeadline, h.replies["c0/k2"].Code)
+	require.Equal(t, table.RanUnknown, h.replies["c0/k2"].Ran)
+}
+
+// Guards against the end of a continued answer when a busy agent says that it ran
+// an earlier attempt of the request.
+func TestBusyAgentThatRanItBefore(t *testing.T) {
+	h := newHarness(1, 4)
+	h.tick(ms(1), h.arrival(0, 50, 50))
+	broken := end(h.takeSent()[0], event.AttemptBroken, table.DidRun)
+	broken.Prompt, broken.Delivered = 50, 5
+	h.tick(ms(2), broken)
+	h.tick(ms(100))
+	refused := busy(h.takeSent()[0])
+	refused.Ran = table.DidRun
+	h.tick(ms(101), refused)
+	h.tick(ms(300))
+	require.Len(t, h.takeSent(), 1)
+	require.Empty(t, h.replies)
+}
--- a/internal/table/request.go
+++ b/internal/table/request.go
@@ -187,11 +187,18 @@
 // State returns the stage of the request.
 func (r *Request) State() RequestState { return r.state }
 
+// RanHere reports whether an attempt of this router may have run.
+func (r *Request) RanHere() bool { return r.Ran != 0 || r.produced() }
+
+func (r *Request) produced() bool {
+	return r.Delivered > 0 || r.PromptRun > 0 || r.FirstToken != 0
+}
+
 // RanSoFar says what is certain about the attempts made. A key that is bound to
 // an agent may have been run for another router.
 func (r *Request) RanSoFar() Ran {
 	switch {
-	case r.Delivered > 0, r.PromptRun > 0, r.FirstToken != 0, r.Ran == DidRun:
+	case r.Ran == DidRun, r.produced():
 		return DidRun
 	case r.Ran == RanUnknown, r.Retry, r.Pinned != Holder{}, r.state == RequestRunning, r.state == RequestClaiming:
 		return RanUnknown
