--- a/internal/system/dedup/cases_test.go
+++ b/internal/system/dedup/cases_test.go
@@ -102,15 +102,10 @@
 		f.platform.mode = platformUp
 		f.settle()
 		require.True(t, c.outcome.OK, c.outcome.Reason)
-		f.checkOnceIn(t)
+		require.Len(t, f.runs, 1)
 	}
 }
 
-func (f *fleet) checkOnceIn(t *testing.T) {
-	t.Helper()
-	require.Len(t, f.runs, 1)
-}
-
 // Guards against a second run when a router died between claim and dispatch, or
 // resumes after its claim has passed to another router.
 func TestClaimPassesFromPausedRouter(t *testing.T) {
@@ -192,3 +187,72 @@
 		event.KeyIssue{KeyHash: table.KeyHash{1}, Service: "other"})
 	require.Empty(t, f.issued)
 }
+
+// Guards against the late end of an earlier call that is taken for the answer of
+// a later one with the same key at the same router.
+func TestLateEndOfEarlierCallIsDropped(t *testing.T) {
+	f := newFleet(t, 1, 1)
+	id := f.issueKey()
+	f.call(f.routers[0], id, 1, false)
+	for len(f.runs) == 0 {
+		f.deliver(0)
+	}
+	late := f.seenAttempt(id)
+	f.lose(f.routers[0], f.agents[0].holder())
+	second := f.call(f.routers[0], id, 2, false)
+	f.tick(f.routers[0], event.AttemptEnd{Request: id, Attempt: late, Status: event.AttemptDone, Ran: table.DidRun})
+	require.False(t, second.answered)
+	f.settle()
+	requireOutcome(t, second, table.CodeKeyMismatch, table.NotRun)
+}
+
+func (f *fleet) seenAttempt(id table.RequestID) uint32 {
+	return f.routers[0].w.Requests.Get(id).Attempt
+}
+
+// Guards against a dispatch that was on its way when its router died, and runs
+// beside the retry at another router.
+func TestLateDispatchOfDeadRouterDoesNotRun(t *testing.T) {
+	f := newFleet(t, 2, 2)
+	f.model = true
+	f.call(f.routers[0], booking(1), 1, false)
+	var late []message
+	for late == nil {
+		if _, ok := f.net[0].event.(event.Dispatch); ok {
+			late = append(late, f.net[0])
+		}
+		if late == nil {
+			f.deliver(0)
+		}
+	}
+	f.net = nil
+	f.kill(f.routers[0])
+	f.syncAll()
+	again := f.call(f.routers[1], booking(1), 1, true)
+	f.settle()
+	f.net = late
+	f.settle()
+	require.True(t, again.outcome.OK, again.outcome.Reason)
+	require.Len(t, f.runs, 1)
+}
+
+// Guards against a router that runs a failed key again although a retry at
+// another router has it by then.
+func TestFailedKeyBelongsToTheRetry(t *testing.T) {
+	f := newFleet(t, 2, 1)
+	f.model = true
+	id := booking(1)
+	f.call(f.routers[0], id, 1, false)
+	for len(f.runs) == 0 {
+		f.deliver(0)
+	}
+	f.end(f.runs[0], event.RunBroken)
+	f.net = nil
+	first := f.routers[0].w.Requests.Get(id)
+	lookup := event.Lookup{From: f.routers[1].holder(), Request: id, Refuse: true, Nonce: first.Nonce + 1}
+	f.tick(f.agents[0], lookup)
+	f.tick(f.routers[0], event.AttemptEnd{Request: id, Attempt: first.Attempt, Status: event.AttemptBroken, Ran: table.DidRun})
+	f.settle()
+	require.Len(t, f.runs, 1)
+	requireOutcome(t, f.calls[0], table.CodeKeyInUse, table.RanUnknown)
+}
--- a/internal/system/dedup/fleet_test.go
+++ b/internal/system/dedup/fleet_test.go
@@ -116,6 +116,8 @@
 	issued   []string
 	model    bool
 	crasher  table.Fingerprint
+	// slots of each endpoint.
+	slots int
 }
 
 func drawnFleet(t *rapid.T, routers, agents int) *fleet {
@@ -125,7 +127,7 @@
 }
 
 func newFleet(t rapid.TB, routers, agents int) *fleet {
-	f := &fleet{t: t, now: table.Instant(time.Hour), answers: map[answerKey]table.Fingerprint{}}
+	f := &fleet{t: t, now: table.Instant(time.Hour), answers: map[answerKey]table.Fingerprint{}, slots: 2}
 	f.platform.claims = map[table.RequestID]storedClaim{}
 	for i := range routers {
 		f.routers = append(f.routers, f.newRouter(table.ProcessID(fmt.Sprintf("r%d", i))))
@@ -164,7 +166,7 @@
 func (f *fleet) newAgent(id table.ProcessID) *node {
 	n := f.newNode(id, table.RoleAgent, quarantine.Run, gate.Run)
 	e := endpointOf(id)
-	n.w.Endpoints.Put(e, table.Endpoint{ID: e, Agent: id, Service: testService, Slots: 2})
+	n.w.Endpoints.Put(e, table.Endpoint{ID: e, Agent: id, Service: testService, Slots: f.slots})
 	f.tick(n, event.Registered{})
 	return n
 }
--- a/internal/system/dedup/once_test.go
+++ b/internal/system/dedup/once_test.go
@@ -173,6 +173,7 @@
 	}
 	rapid.Check(t, func(t *rapid.T) {
 		f := drawnFleet(t, 3, 2)
+		f.useOneSlot()
 		f.steps(faults, f.checkOnce)
 		f.heal()
 		f.checkOnce()
@@ -180,6 +181,14 @@
 	})
 }
 
+// useOneSlot makes agents refuse work as busy often.
+func (f *fleet) useOneSlot() {
+	f.slots = 1
+	for _, a := range f.agents {
+		a.w.Endpoints.Get(endpointOf(a.holder().Process)).Slots = 1
+	}
+}
+
 // Guards against a second run or a second bill of a model request whose router
 // died, and against one that is never answered again.
 func TestGenerateRunsToTheEndOnce(t *testing.T) {
--- a/internal/system/dedup/standin_test.go
+++ b/internal/system/dedup/standin_test.go
@@ -74,10 +74,12 @@
 }
 
 const (
-	// maxAttempts bounds the attempts of the stand-in for retry, besides those
-	// that a busy agent refused.
-	maxAttempts = 8
-	busyDelay   = 10 * time.Millisecond
+	// maxAttempts bounds the attempts of the stand-in for retry, besides those of
+	// model requests that a busy agent refused. Calls give up soon, so that some
+	// end with NotRun.
+	maxAttempts     = 8
+	maxCallAttempts = 2
+	busyDelay       = 10 * time.Millisecond
 )
 
 // fakeRetry follows the rules of section 5: what certainly did not run, or may
@@ -91,15 +93,15 @@
 		switch {
 		case e.Status == event.AttemptDone:
 			w.Requests.End(r, table.Outcome{OK: true, Ran: table.DidRun, Replayed: e.Replayed})
-		case e.Code == table.CodeBusy && e.Ran == table.NotRun:
+		case e.Code == table.CodeBusy && e.Ran == table.NotRun && r.Idempotent:
 			r.Attempts--
 			r.NotBefore = w.Now.Add(busyDelay)
 			w.Requests.Move(r, table.RequestBackoff)
 		case e.Status == event.AttemptRejected && (e.Ran != table.NotRun || final(e.Code)):
-			w.Requests.End(r, table.Outcome{Code: e.Code, Ran: e.Ran})
+			w.Requests.End(r, table.Outcome{Code: e.Code, Ran: lastRan(r, e)})
 		case e.Status != event.AttemptRejected && (!r.Idempotent || r.ReplayOnly):
 			w.Requests.End(r, table.Outcome{Code: table.CodeEndpointFailed, Ran: table.RanUnknown})
-		case r.Attempts >= maxAttempts:
+		case r.Attempts >= maxAttempts || (!r.Idempotent && r.Attempts >= maxCallAttempts):
 			w.Requests.End(r, table.Outcome{Code: e.Code, Ran: lastRan(r, e)})
 		default:
 			w.Requests.Move(r, table.RequestQueued)
@@ -124,7 +126,7 @@
 // lastRan is NotRun only for calls, whose attempts before this one were all
 // refused: any other end of an attempt ended the call.
 func lastRan(r *table.Request, e event.AttemptEnd) table.Ran {
-	if r.Idempotent {
+	if r.Idempotent && e.Ran == table.NotRun {
 		return table.RanUnknown
 	}
 	return e.Ran
