Check cancelled claims at the moment of the cancel

The trace shows an allowed case. The claim was cancelled before anything ran, a call of another router then took the cancelled claim over and ran, and the answer to the cancel arrived last. The call that was told NotRun never ran.

The check now fails when a claim is cancelled after a run of its key, and when the holder is told NotRun without a cancel that took effect, which is as strict about the moment that counts.

--- a/internal/system/dedup/fleet_test.go
+++ b/internal/system/dedup/fleet_test.go
@@ -129,6 +129,7 @@
 func newFleet(t rapid.TB, routers, agents int) *fleet {
 	f := &fleet{t: t, now: table.Instant(time.Hour), answers: map[answerKey]table.Fingerprint{}, slots: 2}
 	f.platform.claims = map[table.RequestID]storedClaim{}
+	f.platform.cancelled = map[uint64]bool{}
 	for i := range routers {
 		f.routers = append(f.routers, f.newRouter(table.ProcessID(fmt.Sprintf("r%d", i))))
 	}
@@ -367,8 +368,7 @@
 		c.nonce = row.Nonce
 	}
 	if row.ClaimVersion != 0 && r.Outcome.Ran == table.NotRun {
-		ran := slices.ContainsFunc(f.runs, func(x *execution) bool { return x.id == c.id })
-		require.False(f.t, ran, "the holder of the claim of %s was told NotRun after the key ran", c.id)
+		require.True(f.t, f.platform.cancelled[row.Nonce], "the holder of the claim of %s was told NotRun before it was cancelled", c.id)
 	}
 	if r.Outcome.OK {
 		require.Equal(f.t, c.print, f.answers[answerKey{n.holder(), c.id, row.Attempt}], "an answer for another request")
@@ -389,6 +389,13 @@
 	return c
 }
 
+// checkCancelled fails if a claim is cancelled, and its holder told NotRun, after
+// the key ran for anyone. Another call may run it later.
+func (f *fleet) checkCancelled(c event.Claim) {
+	ran := slices.ContainsFunc(f.runs, func(x *execution) bool { return x.id == c.Request })
+	require.False(f.t, ran, "the claim of %s was cancelled after the key ran", c.Request)
+}
+
 // deliver carries out the message at a position.
 func (f *fleet) deliver(i int) {
 	m := f.net[i]
--- a/internal/system/dedup/standin_test.go
+++ b/internal/system/dedup/standin_test.go
@@ -157,6 +157,8 @@
 	claims     map[table.RequestID]storedClaim
 	fences     []table.Holder
 	quarantine event.QuarantineList
+	// cancelled are the nonces of the claims that were cancelled.
+	cancelled map[uint64]bool
 	// calls counts claim calls, writes those that are not reads.
 	calls, writes int
 }
@@ -177,22 +179,26 @@
 		result.Status, result.Version, result.Claim = event.CallOK, stored.version, stored.claim
 	case p.mode == platformLate:
 		result.Status = event.CallUnknown
-		f.net = append(f.net, message{from: n.holder(), apply: func() { p.write(c) }})
+		f.net = append(f.net, message{from: n.holder(), apply: func() { p.write(f, c) }})
 	case p.mode == platformLosesAnswers:
-		p.write(c)
+		p.write(f, c)
 		result.Status = event.CallUnknown
 	default:
-		result.Status, result.Version = p.write(c)
+		result.Status, result.Version = p.write(f, c)
 	}
 	f.net = append(f.net, message{to: n.holder().Process, only: n.holder(), event: result})
 }
 
-func (p *fakePlatform) write(c command.ClaimCall) (event.CallStatus, uint64) {
+func (p *fakePlatform) write(f *fleet, c command.ClaimCall) (event.CallStatus, uint64) {
 	stored := p.claims[c.Claim.Request]
 	if stored.version != c.Version {
 		return event.CallConflict, 0
 	}
 	p.claims[c.Claim.Request] = storedClaim{version: c.Version + 1, claim: c.Claim}
+	if c.Claim.State == event.ClaimCancelled {
+		f.checkCancelled(c.Claim)
+		p.cancelled[c.Claim.Nonce] = true
+	}
 	return event.CallOK, c.Version + 1
 }
 
