--- a/internal/system/budget/ask.go
+++ b/internal/system/budget/ask.go
@@ -1,6 +1,7 @@
 package budget
 
 import (
+	"slices"
 	"time"
 
 	"laburnumroad.dev/laburnumroad/internal/command"
@@ -14,7 +15,10 @@
 	// hotReservations is the number of reservations spent per grant horizon
 	// from which a router takes its own ledger grants, so that regions spend
 	// locally. Below it, the home's writes serve all routers.
-	hotReservations = 16
+	hotReservations = 8
+	// sliceReservations bounds a slice from the home, because a slice that is
+	// not reported, for example during a partition, is lost to both sides.
+	sliceReservations = 4
 	// homeTimeout and holdersTimeout bound the wait for answers.
 	homeTimeout    = 250 * time.Millisecond
 	holdersTimeout = 500 * time.Millisecond
@@ -49,7 +53,7 @@
 // homeFirst returns the home router if this router should ask it before it
 // takes a ledger grant of its own.
 func homeFirst(w *world.World, b *table.Budget) (table.ProcessID, bool) {
-	if hot(w, b) {
+	if !w.Params.SlicesFirst || hot(w, b) {
 		return "", false
 	}
 	home := ledger.Home(w, b.Shard)
@@ -138,7 +142,7 @@
 }
 
 func sendAsk(w *world.World, b *table.Budget, to table.ProcessID, call uint64, forwarded bool) {
-	want := max(b.Need, b.Target-b.Held(), 1)
+	want := max(1, min(b.Target-b.Held(), sliceReservations*b.Reservation))
 	need := b.Need
 	if b.Short {
 		// A slice is used on its own, not together with the own grant.
@@ -199,6 +203,7 @@
 	if !s.Known {
 		askUnknownHolders(w, b, s, &round)
 	}
+	askReceivers(w, b, &round)
 	round.Done = len(round.Open) == 0
 	w.SliceAsks.Put(b.ID, round)
 	w.WakeAt(w.Now.Add(holdersTimeout))
@@ -207,6 +212,24 @@
 	}
 }
 
+// askReceivers asks the routers that hold slices of this router's own grant.
+func askReceivers(w *world.World, b *table.Budget, round *table.SliceAsk) {
+	if b.SliceOut == 0 {
+		return
+	}
+	for _, key := range passedOf(w, b.ID).Keys() {
+		id := key.Peer.Process
+		if !reachable(w, id) {
+			round.Unreached = true
+			continue
+		}
+		if !slices.Contains(round.Open, id) {
+			round.Open = append(round.Open, id)
+			sendAsk(w, b, id, round.Call, true)
+		}
+	}
+}
+
 // askUnknownHolders lets the home pass the request on.
 func askUnknownHolders(w *world.World, b *table.Budget, s *table.Shard, round *table.SliceAsk) {
 	round.Unreached = true
--- a/internal/system/budget/failure_test.go
+++ b/internal/system/budget/failure_test.go
@@ -13,7 +13,7 @@
 )
 
 func testParams() world.Params {
-	return world.Params{Shards: 1, GrantLifetime: 30 * time.Minute, SettleInterval: 5 * time.Second}
+	return world.Params{Shards: 1, GrantLifetime: 30 * time.Minute, SettleInterval: 5 * time.Second, SlicesFirst: true}
 }
 
 // spendAll sends small requests to a router until it has nothing left.
--- a/internal/system/budget/fleet_test.go
+++ b/internal/system/budget/fleet_test.go
@@ -44,9 +44,14 @@
 	served int
 	refuse map[table.Code]int
 	// onEnd, if set, is told each outcome at a router.
-	onEnd   func(r *table.Request)
-	faults  []string
-	runTime time.Duration
+	onEnd func(r *table.Request)
+	// onRequest and onQueued, if set, are told new and reserved requests.
+	onRequest func(id table.RequestID)
+	onQueued  func(id table.RequestID)
+	faults    []string
+	runTime   time.Duration
+	// costOf gives the true cost of a request.
+	costOf func(d command.Dispatch) table.Tokens
 }
 
 const platformID = table.ProcessID("platform")
@@ -138,6 +143,7 @@
 		store: simStore{up: true, shards: map[table.ShardID]*simObject{}, processes: map[table.ProcessID]table.Process{}},
 		now:   time.Second, runTime: 2 * time.Second,
 	}
+	f.costOf = func(d command.Dispatch) table.Tokens { return 1 + table.Tokens(f.rand.Int64N(int64(d.Limit))) }
 	for i := range agents {
 		a := &simAgent{holder: table.Holder{Process: table.ProcessID(fmt.Sprintf("a%d", i))}, first: true}
 		f.agents = append(f.agents, a)
@@ -361,6 +367,9 @@
 	w := r.world
 	for _, id := range w.Requests.In(table.RequestQueued) {
 		q := w.Requests.Get(id)
+		if f.onQueued != nil {
+			f.onQueued(id)
+		}
 		var up []*simAgent
 		for _, a := range f.agents {
 			if _, known := r.clocks[a.holder]; known && a.alive && !f.isCut(r.holder.Process, a.holder.Process) {
@@ -407,7 +416,7 @@
 		f.endRequest(from, d.Request, table.Outcome{Code: table.CodeExpired, Ran: table.NotRun})
 		return
 	}
-	cost := 1 + table.Tokens(f.rand.Int64N(int64(d.Limit)))
+	cost := f.costOf(d)
 	f.runs[d.Request]++
 	a.running[d.Request] = d
 	f.spend(a, d, cost/2)
@@ -663,6 +672,9 @@
 	}
 	f.requests++
 	key := table.MakeRequestID(id.Customer(), fmt.Sprint(f.requests))
+	if f.onRequest != nil {
+		f.onRequest(key)
+	}
 	r.world.Requests.Insert(table.Request{
 		ID: key, Customer: id.Customer(), Budget: id, Kind: table.ServiceModel, Reserve: reserve, Deadline: table.Never,
 	}, table.RequestReserving)
--- a/internal/system/budget/refuse.go
+++ b/internal/system/budget/refuse.go
@@ -19,7 +19,7 @@
 	need := r.Reserve - b.Own()
 	var free, elsewhere table.Tokens
 	if known := s.Content.Find(b.ID); known != nil {
-		free, elsewhere = known.Free(), others(w, known)
+		free, elsewhere = known.Free(), others(w, known)+b.SliceOut+b.SliceIn
 	}
 	if fresh && need > free+elsewhere {
 		refuse(w, r, table.CodeBudgetExhausted, "the rest of the budget is smaller than the reservation")
--- a/internal/system/budget/slice_out.go
+++ b/internal/system/budget/slice_out.go
@@ -52,13 +52,58 @@
 	if cut(w, call, b, e.Want, e.Need) {
 		return
 	}
-	var released table.Tokens
-	if !b.Short && b.Own() > 0 {
-		released = b.Own()
+	if b.Short && e.From.Process > w.Self().Process {
+		// Of two short routers, one keeps its remainder.
+		refuseSlice(w, call, e.Budget, 0)
+		return
+	}
+	refuseSlice(w, call, e.Budget, releaseUnused(w, b)+recall(w, call, b, e))
+}
+
+// releaseUnused returns what this router does not use, and reports how much.
+func releaseUnused(w *world.World, b *table.Budget) table.Tokens {
+	released := max(0, b.Own())
+	if released > 0 {
 		release(w, b)
 		ledger.Force(w, b)
 	}
-	refuseSlice(w, call, e.Budget, released)
+	for _, key := range slicesOf(w, b.ID).Keys() {
+		s := w.SlicesIn.Get(key)
+		released += s.Left()
+		closeSlice(w, b, key, s)
+	}
+	return released
+}
+
+// recall asks the receivers of this router's slices to return what they do not
+// use, and reports what they may have.
+func recall(w *world.World, call table.SliceCall, b *table.Budget, e event.SliceRequest) table.Tokens {
+	var sum table.Tokens
+	for _, key := range passedOf(w, b.ID).Keys() {
+		if key.Peer == call.Peer || !reachable(w, key.Peer.Process) {
+			continue
+		}
+		sum += w.SlicesOut.Get(key).Amount
+		w.Out.SliceRequests = append(w.Out.SliceRequests, command.SendSliceRequest{To: key.Peer.Process, Request: e})
+	}
+	return sum
+}
+
+func passedOf(w *world.World, id table.BudgetID) *table.Set[table.SliceKey] {
+	if s := w.SlicesPassed.Get(id); s != nil {
+		return s
+	}
+	return w.SlicesPassed.Put(id, table.Set[table.SliceKey]{})
+}
+
+func dropSliceOut(w *world.World, key table.SliceKey, id table.BudgetID) {
+	w.SlicesOut.Delete(key)
+	if passed := passedOf(w, id); passed.Has(key) {
+		passed.Remove(key)
+		if passed.Len() == 0 {
+			w.SlicesPassed.Delete(id)
+		}
+	}
 }
 
 // cut passes a part of the own grant to another router: half of what is unused,
@@ -76,6 +121,7 @@
 	lifetime := min(sliceLifetime, b.Expires.Sub(w.Now))
 	b.SliceOut += amount
 	b.UsedAt = w.Now
+	passedOf(w, b.ID).Add(key)
 	w.SlicesOut.Put(key, table.SliceOut{Budget: b.ID, Amount: amount, Expires: w.Now.Add(lifetime)})
 	w.SliceOutTimers.Set(key, w.Now.Add(remindInterval))
 	answerSlice(w, key.Peer, event.SliceGrant{
@@ -178,7 +224,7 @@
 	}
 	amount := s.Amount
 	returned := min(max(0, e.Returned), amount-min(max(0, e.Spent), amount))
-	w.SlicesOut.Delete(key)
+	dropSliceOut(w, key, s.Budget)
 	b := w.Budgets.Get(e.Budget)
 	b.SliceOut -= amount
 	b.Spent += amount - returned
@@ -217,6 +263,6 @@
 	b.SliceOut -= s.Amount
 	b.Lost += s.Amount
 	ledger.MarkDirty(w, b)
-	w.SlicesOut.Delete(key)
+	dropSliceOut(w, key, b.ID)
 	w.Count("budget.slices_withheld")
 }
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -26,10 +26,14 @@
 
 // Params are the settings of the process that systems need.
 type Params struct {
-	Self              table.Process
-	Shards            uint32
-	GrantLifetime     time.Duration
-	SettleInterval    time.Duration
+	Self           table.Process
+	Shards         uint32
+	GrantLifetime  time.Duration
+	SettleInterval time.Duration
+	// SlicesFirst lets routers with little demand for a budget ask its home
+	// router for a slice before they take a ledger grant. It saves platform
+	// writes when there are many budgets.
+	SlicesFirst       bool
 	AnswerRetention   time.Duration
 	DetachGrace       time.Duration
 	DrainTimeout      time.Duration
@@ -59,8 +63,10 @@
 	SliceAsks      table.Table[table.BudgetID, table.SliceAsk]
 	SliceInTimers  table.Timers[table.SliceKey]
 	SliceOutTimers table.Timers[table.SliceKey]
-	// BudgetSlices lists the slices received of each budget.
+	// BudgetSlices lists the slices received of each budget, SlicesPassed those
+	// passed to other routers.
 	BudgetSlices table.Table[table.BudgetID, table.Set[table.SliceKey]]
+	SlicesPassed table.Table[table.BudgetID, table.Set[table.SliceKey]]
 	// ShardsSeen are the shards whose content changed, for recovery.
 	ShardsSeen table.Set[table.ShardID]
 	Recoveries table.Table[table.Holder, table.Recovery]
