--- /dev/null
+++ b/scripts/bench.sh
@@ -0,0 +1,17 @@
+#!/usr/bin/env bash
+# Runs the capacity benchmarks one package at a time, five times each, and
+# writes their output to a file. The heap benchmarks build their tables anew in
+# each iteration, so one iteration is enough.
+set -euo pipefail
+out=${1:?usage: bench.sh OUTPUT}
+module=$(go list -m)
+: > "$out"
+run() { # package pattern benchtime
+  go test "$module/$1" -run '^$' -bench "$2" -benchtime "$3" -count 5 -timeout 20m | tee -a "$out"
+}
+run internal/daemon 'BudgetTables|ShardContents|ConfigurationRows|FleetRows|ExplainHistory|AgentRows' 1x
+run internal/daemon 'IdleTick|RequestBudgets|RequestEndpoints|RequestCustomers|RequestRunning|AgentRun|Publish' 1000x
+run internal/daemon 'HeartbeatReceived|Configuration$' 100x
+run internal/traffic/wire 'Frame' 300x
+run internal/traffic/store 'LedgerShard' 30x
+run internal/traffic/runner 'KeptAnswer' 1x
