--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -193,6 +193,12 @@
 	InFlightTokens table.Tokens
 	ReportTokens   table.Tokens
 	ReportAge      time.Duration
+	// FirstTokenTime and TokenTime are the agent's own moving averages over the
+	// runs of all routers, first-token times of quick runs only; 0 when unknown.
+	// Observed counts the samples in them.
+	FirstTokenTime time.Duration
+	TokenTime      time.Duration
+	Observed       uint64
 }
 
 // Heartbeat is a sign of life of a process.
@@ -225,6 +231,8 @@
 
 // ProcessList holds the process objects read from the platform.
 type ProcessList struct {
+	// Call repeats the number of the ReadProcesses that was answered.
+	Call      uint64
 	Processes []table.Process
 	Endpoints []table.Endpoint
 }
@@ -340,24 +348,33 @@
 	Call   uint64
 	Budget table.BudgetID
 	Want   table.Tokens
+	// Need is the least amount that is of use.
+	Need table.Tokens
 	// Forwarded is true when the home asks a holder for another router.
 	Forwarded bool
 }
 
 // SliceGrant answers a SliceRequest. Amount may be 0.
 type SliceGrant struct {
-	From   table.Holder
+	From table.Holder
+	// Call repeats the number of the request, Slice is the grantor's number of
+	// the slice. A repeated request may lead to a second slice.
 	Call   uint64
+	Slice  uint64
 	Budget table.BudgetID
 	Amount table.Tokens
 	// Lifetime is counted from when the request was sent.
 	Lifetime time.Duration
+	// Released is what the sender returns to the ledger instead of a slice.
+	Released table.Tokens
+	// Reported acknowledges the SliceReport of the slice.
+	Reported bool
 }
 
 // SliceReport returns a slice: what was spent and what comes back unused.
 type SliceReport struct {
 	From     table.Holder
-	Call     uint64
+	Slice    uint64
 	Budget   table.BudgetID
 	Spent    table.Tokens
 	Returned table.Tokens
@@ -369,6 +386,9 @@
 	From    table.Holder
 	Request table.RequestID
 	Agent   table.Holder
+	// Nonce names the call, so that the end of one call of a router does not
+	// remove what another one recorded.
+	Nonce uint64
 }
 
 // KeyQuery asks an index router about a key, and notes the asking router as the
@@ -377,6 +397,8 @@
 	From    table.Holder
 	Call    uint64
 	Request table.RequestID
+	// Nonce names the call that asks.
+	Nonce uint64
 }
 
 // KeyResult answers a KeyQuery.
@@ -395,8 +417,8 @@
 	From    table.Holder
 	Call    uint64
 	Request table.RequestID
-	// Refuse turns a key that was never run into one that only the call with
-	// this Nonce can run, or none if Nonce is 0.
+	// Refuse turns a key that was never run, or whose run failed, into one that
+	// only the call with this Nonce can run, or none if Nonce is 0.
 	Refuse bool
 	Nonce  uint64
 	// KeyUntil is the deadline of the key's claim in the agent's clock, or 0.
@@ -433,6 +455,9 @@
 	Class       table.Class
 	Alone       bool
 	ReplayOnly  bool
+	// Grant is the holder of the ledger grant that pays. It differs from Holder
+	// when a router spends a slice of another router's grant.
+	Grant table.Holder
 	// Limit is the most that may be charged: prompt plus output tokens.
 	Limit    table.Tokens
 	Position table.Tokens
@@ -513,7 +538,10 @@
 	Call    uint64
 	Holder  table.Holder
 	Running bool
-	Charges []HolderCharge
+	// Complete is true if no earlier incarnation of the agent can have run work
+	// under the holder's grants, so that no charge is missing.
+	Complete bool
+	Charges  []HolderCharge
 }
 
 // TopUp adds to a budget.
--- a/internal/system/dedup/dedup.go
+++ b/internal/system/dedup/dedup.go
@@ -9,7 +9,6 @@
 import (
 	"time"
 
-	"laburnumroad.dev/laburnumroad/internal/event"
 	"laburnumroad.dev/laburnumroad/internal/table"
 	"laburnumroad.dev/laburnumroad/internal/world"
 )
@@ -23,6 +22,9 @@
 	// retryAfter is when a caller may ask again: by then a silent peer is suspect
 	// or has answered.
 	retryAfter = time.Second
+	// attemptShift leaves 31 random bits of a nonce as the start of a request's
+	// attempt numbers.
+	attemptShift = 33
 	// system names this system in explanations.
 	system = "dedup"
 )
@@ -46,6 +48,9 @@
 // admit chooses the way in which a request's key is checked.
 func admit(w *world.World, r *table.Request) {
 	r.Nonce = w.Rand.Uint64()
+	// Attempts of two requests with one key must differ, because messages of an
+	// earlier request's attempt may arrive late and are matched by the attempt.
+	r.Attempt = uint32(r.Nonce >> attemptShift)
 	key, issued := table.ParseIssuedKey(r.ID.Key())
 	switch {
 	case issued:
@@ -92,9 +97,6 @@
 // attach asks the agent that runs or ran the key for its answer.
 func attach(w *world.World, r *table.Request, agent table.Holder) {
 	w.Searches.Delete(r.ID)
-	if indexed(r) {
-		record(w, event.KeyRecord{From: w.Self(), Request: r.ID, Agent: agent})
-	}
 	r.Pinned, r.ReplayOnly = agent, true
 	w.Count("dedup.attached")
 	w.Explain(r.ID, system, "attached to an earlier run", table.Input{Name: "agent", Value: string(agent.Process)})
--- a/internal/table/request.go
+++ b/internal/table/request.go
@@ -135,10 +135,16 @@
 	// GrantExpires its deadline when the reservation was made.
 	Grant        Holder
 	GrantExpires Instant
+	// Slice is the slice that the reservation was made from; zero for the
+	// router's own grant.
+	Slice SliceKey
 	// ReserveSince is when the request began to wait for budget, or zero.
 	ReserveSince Instant
 
-	Attempt    uint32
+	// Attempt numbers the current attempt. It starts at a random number, so that
+	// no late message of an earlier request with this key matches.
+	Attempt uint32
+	// Attempts counts the attempts made.
 	Attempts   int
 	Endpoint   EndpointID
 	Agent      Holder
@@ -194,6 +200,8 @@
 	// MarkAt and MarkTokens are the last progress seen, for the token time.
 	MarkAt     Instant
 	MarkTokens Tokens
+	// Probe is true if the attempt tests an ejected endpoint.
+	Probe bool
 }
 
 // State returns the stage of the request.
