--- a/Makefile
+++ b/Makefile
@@ -32,3 +32,10 @@
 
 quickstart: build
 	scripts/quickstart.sh
+
+# Regenerates the table of slopes in docs/CAPACITY.md from benchmarks; it takes
+# some 10 minutes on a quiet machine.
+bench:
+	go build -o bin/ ./cmd/laburnumload
+	scripts/bench.sh bin/bench.txt
+	bin/laburnumload fit bin/bench.txt | tee bin/slopes.md
--- a/internal/capacity/fit.go
+++ b/internal/capacity/fit.go
@@ -38,6 +38,10 @@
 	Runs int
 }
 
+// rounding is the share of the squared mean up to which a variance is that of
+// rounding errors.
+const rounding = 1e-24
+
 // Fit returns the line of least squares through all samples of a series.
 func (s *Series) Fit() Line {
 	n := float64(len(s.Samples))
@@ -59,7 +63,7 @@
 	}
 	l.Intercept = meanY - l.Slope*meanX
 	l.R2 = 1
-	if xx > 0 && yy > 0 {
+	if xx > 0 && yy > rounding*n*meanY*meanY {
 		l.R2 = xy * xy / (xx * yy)
 	}
 	l.Spread, l.Runs = s.spread()
