Charge runs to the holder of the grant that pays

A router may spend a slice of another router's grant. The agent charged such a run to the spender, so recovery of the grantor did not see it and returned spent tokens to the budget. A dispatch now names the holder of the grant; charges, runs in progress and fences follow it.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -427,6 +427,9 @@
 	Class       table.Class
 	Alone       bool
 	ReplayOnly  bool
+	// Grant is the holder of the ledger grant that pays. It differs from Holder
+	// when a router spends a slice of another router's grant.
+	Grant table.Holder
 	// Limit is the most that may be charged: prompt plus output tokens.
 	Limit     table.Tokens
 	Position  table.Tokens
--- a/internal/system/gate/check.go
+++ b/internal/system/gate/check.go
@@ -65,6 +65,9 @@
 	if w.Fences.Get(d.Holder) != nil {
 		return refusal{table.CodeFenced, "the router's incarnation is fenced", ranHere(row)}
 	}
+	if w.Fences.Get(payer(d)) != nil && !d.ReplayOnly {
+		return refusal{table.CodeFenced, "the holder of the grant that pays is fenced", ranHere(row)}
+	}
 	return refusal{}
 }
 
@@ -122,6 +125,15 @@
 	return false
 }
 
+// payer returns whose ledger grant is charged. A slice belongs to the grant it
+// was cut from, so recovery of that grant's holder must find the charge.
+func payer(d *event.Dispatch) table.Holder {
+	if d.Grant == (table.Holder{}) {
+		return d.Holder
+	}
+	return d.Grant
+}
+
 func sameCall(d *event.Dispatch, row *table.Run) bool {
 	return row.Holder == d.Holder && row.Nonce == d.Nonce
 }
--- a/internal/system/gate/gate_test.go
+++ b/internal/system/gate/gate_test.go
@@ -242,3 +242,20 @@
 	}, out.FenceResults[0].Result, "never more than the limit of 10")
 	a.requireReject(a.tick(a.dispatch("c/k3")), table.CodeFenced, table.NotRun)
 }
+
+// Guards against spend of a slice that is missed when the router that cut it is
+// recovered, and against a slice spent after that.
+func TestSliceIsChargedToItsGrant(t *testing.T) {
+	a := readyAgent(t)
+	d := a.dispatch("c/k1")
+	d.Grant = other
+	a.tick(d)
+	out := a.tick(event.Fence{From: router, Call: 1, Holder: other})
+	require.True(t, out.FenceResults[0].Result.Running)
+	out = a.tick(event.RunEnd{Request: "c/k1", Attempt: 1, Status: event.RunDone})
+	require.Equal(t, []event.HolderCharge{{Budget: "c/b", Spent: 10}}, out.FenceResults[0].Result.Charges)
+	d = a.dispatch("c/k2")
+	d.Grant = other
+	a.requireReject(a.tick(d), table.CodeFenced, table.NotRun)
+	require.Len(t, a.tick(a.dispatch("c/k3")).Runs, 1, "the router's own grant is not fenced")
+}
--- a/internal/system/gate/runs.go
+++ b/internal/system/gate/runs.go
@@ -9,7 +9,7 @@
 	"laburnumroad.dev/laburnumroad/internal/world"
 )
 
-// run starts a run and charges its limit to the holder until it ends.
+// run starts a run and charges its limit to the payer until it ends.
 func run(w *world.World, d *event.Dispatch) {
 	row := w.Runs.Get(d.Request)
 	if row == nil {
@@ -30,15 +30,16 @@
 	}
 	runs.Running = append(runs.Running, d.Request)
 	runs.Alone = d.Alone
-	charge := chargeOf(w, d.Holder, d.Budget)
+	charge := chargeOf(w, row.Payer, d.Budget)
 	charge.Running += d.Limit
 	charge.LastUse = w.Now
-	holderWork(w, d.Holder).Running++
+	holderWork(w, row.Payer).Running++
 	w.Count("gate.run")
 }
 
 func setRun(w *world.World, row *table.Run, d *event.Dispatch) {
 	row.State = table.RunRunning
+	row.Payer = payer(d)
 	row.Holder, row.Nonce, row.Attempt, row.Session = d.Holder, d.Nonce, d.Attempt, d.Session
 	row.Latest = d.Attempt
 	row.Budget, row.Endpoint, row.Service, row.Kind = d.Budget, d.Endpoint, d.Service, d.Kind
@@ -120,14 +121,14 @@
 
 // settle moves a run's charge from its limit to what it produced.
 func settle(w *world.World, row *table.Run) {
-	charge := chargeOf(w, row.Holder, row.Budget)
+	charge := chargeOf(w, row.Payer, row.Budget)
 	charge.Running -= row.Limit
 	charge.Spent += cost(row)
 	charge.LastUse = w.Now
-	work := holderWork(w, row.Holder)
+	work := holderWork(w, row.Payer)
 	work.Running--
 	if work.Running == 0 {
-		answerAsking(w, row.Holder)
+		answerAsking(w, row.Payer)
 	}
 }
 
--- a/internal/table/run.go
+++ b/internal/table/run.go
@@ -20,9 +20,11 @@
 // Run is what an agent knows of one request id. Invariant: the endpoint runs a
 // non-idempotent request id at most once in an incarnation of the agent.
 type Run struct {
-	ID       RequestID
-	State    RunState
-	Holder   Holder
+	ID     RequestID
+	State  RunState
+	Holder Holder
+	// Payer is the holder of the ledger grant that the run is charged to.
+	Payer    Holder
 	Budget   BudgetID
 	Endpoint EndpointID
 	Service  ServiceName
@@ -80,7 +82,7 @@
 	At          Instant
 }
 
-// HolderWork is what an agent runs for one holder.
+// HolderWork is what an agent runs at the cost of one holder's grants.
 type HolderWork struct {
 	Running int
 	Budgets []BudgetID
@@ -120,7 +122,8 @@
 	Ready
 )
 
-// ChargeKey identifies a charge record at an agent.
+// ChargeKey identifies a charge record at an agent. The holder is that of the
+// ledger grant, also when another router spent a slice of it.
 type ChargeKey struct {
 	Holder Holder
 	Budget BudgetID
