Call a process gone only when a list that was read since omits it

Cause: a membership list that arrived before the process was known left it unlisted, so a lost session during an outage made it gone after 10 s and started the recovery of its grants. Found by TestSilenceMakesSuspectThenGone.

--- a/internal/daemon/capacity_world_test.go
+++ b/internal/daemon/capacity_world_test.go
@@ -97,7 +97,7 @@
 	b.w.Processes.Put(processName(i), table.Process{
 		Holder: holderOf(i), Role: role, Region: fmt.Sprintf("region-%d", i%3), Domain: fmt.Sprintf("domain-%d", i%7),
 		Address: fmt.Sprintf("10.0.%d.%d:7300", i/256, i%256), State: table.ProcessLive, Connected: true,
-		LastHeard: table.Never / 2, Listed: true, PeerClockAt: b.now, PeerClock: b.now,
+		LastHeard: table.Never / 2, PeerClockAt: b.now, PeerClock: b.now,
 	})
 }
 
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -9,18 +9,17 @@
 
 // fleetRows turns a checked configuration into the rows of the control thread.
 func fleetRows(c *fleetconfig.Config, g table.Generation, text string, now time.Time) table.Fleet {
-	d := c.Defaults
 	f := table.Fleet{
 		Generation: g,
 		Text:       text,
-		Defaults: table.FleetDefaults{
-			RetryShare: d.RetryBudget, RetryBurst: float64(d.RetryBurst), EjectionFactor: d.EjectionFactor,
-			CrashLimit: d.CrashLimit, GrantHorizon: d.GrantHorizon,
-		},
-		Limits: make(map[table.RuleKey]table.Limits),
+		Defaults:   defaultsRow(c.Defaults),
+		Limits:     make(map[table.RuleKey]table.Limits),
+		ByService:  make(map[table.ServiceName]table.FleetDefaults),
 	}
 	for i := range c.Services {
-		f.Services = append(f.Services, serviceRow(&c.Services[i]))
+		row := serviceRow(&c.Services[i])
+		f.Services = append(f.Services, row)
+		f.ByService[row.Name] = defaultsRow(c.LimitsAt("", c.Services[i].Name, now))
 	}
 	for i := range c.Customers {
 		f.Customers = append(f.Customers, customerRow(&c.Customers[i], c, now))
@@ -32,6 +31,13 @@
 	return f
 }
 
+func defaultsRow(l fleetconfig.Limits) table.FleetDefaults {
+	return table.FleetDefaults{
+		RetryShare: l.RetryBudget, RetryBurst: float64(l.RetryBurst),
+		EjectionFactor: l.EjectionFactor, CrashLimit: l.CrashLimit,
+	}
+}
+
 func serviceRow(s *fleetconfig.Service) table.Service {
 	row := table.Service{Name: table.ServiceName(s.Name), Kind: table.ServiceModel}
 	if s.Kind == fleetconfig.KindPlain {
@@ -45,7 +51,8 @@
 }
 
 func customerRow(cu *fleetconfig.Customer, c *fleetconfig.Config, now time.Time) table.Customer {
-	row := table.Customer{ID: table.CustomerID(cu.ID), Weight: c.LimitsAt(cu.ID, "", now).Weight}
+	l := c.LimitsAt(cu.ID, "", now)
+	row := table.Customer{ID: table.CustomerID(cu.ID), Weight: l.Weight, GrantHorizon: l.GrantHorizon}
 	for _, k := range cu.Keys {
 		row.KeyHashes = append(row.KeyHashes, table.KeyHash(k))
 	}
@@ -59,7 +66,7 @@
 	row := table.Limits{
 		RequestsPerSecond: l.RequestsPerSecond, Burst: int(l.Burst), Concurrency: int(l.Concurrency),
 		Priority: l.Priority, MaxOutput: table.Tokens(l.MaxOutputTokens), FirstTokenDeadline: l.Deadline,
-		QuickTokens: table.Tokens(l.QuickTokens), QuickShare: l.QuickShare, Hedge: l.Hedging,
+		QuickTokens: table.Tokens(l.QuickTokens), QuickShare: l.QuickShare,
 	}
 	for _, a := range l.Applied {
 		row.Exceptions = append(row.Exceptions, table.AppliedException{Setting: string(a.Setting), Reason: a.Reason})
--- a/internal/fake/platform.go
+++ b/internal/fake/platform.go
@@ -49,6 +49,8 @@
 type Member struct {
 	Host    string `json:"host"`
 	Leaving bool   `json:"leaving"`
+	// Gone removes the host from the list; the list itself never shows it.
+	Gone bool `json:"gone,omitempty"`
 }
 
 // CallCount counts the calls of one operation on one kind.
@@ -247,7 +249,10 @@
 
 func (e setMember) arrive(w *platformWorld) {
 	state := memberLive
-	if e.member.Leaving {
+	switch {
+	case e.member.Gone:
+		state = memberGone
+	case e.member.Leaving:
 		state = memberLeaving
 	}
 	w.setMember(e.member.Host, state)
--- a/internal/fleetconfig/limits.go
+++ b/internal/fleetconfig/limits.go
@@ -32,8 +32,6 @@
 	// CrashLimit is the sum of crash weights at which a request is quarantined;
 	// in endpoint deaths.
 	CrashLimit float64
-	// Hedging allows a second attempt before the first token.
-	Hedging bool
 	// GrantHorizon is the time of demand that one budget grant covers.
 	GrantHorizon time.Duration
 
--- a/internal/fleetconfig/load_test.go
+++ b/internal/fleetconfig/load_test.go
@@ -135,11 +135,11 @@
 
 // Guards against limits that depend on the order of two exceptions.
 func TestAmbiguousExceptionsAreRejected(t *testing.T) {
-	customer := "{customer: small, setting: hedging, value: true, reason: r}"
-	service := "{service: tutor, setting: hedging, value: false, reason: r}"
-	both := "{customer: small, service: tutor, setting: hedging, value: false, reason: r}"
-	notCallable := "{customer: large, setting: hedging, value: false, reason: r}"
-	desk := "{service: desk, setting: hedging, value: false, reason: r}"
+	customer := "{customer: small, setting: quick_tokens, value: 100, reason: r}"
+	service := "{service: tutor, setting: quick_tokens, value: 200, reason: r}"
+	both := "{customer: small, service: tutor, setting: quick_tokens, value: 200, reason: r}"
+	notCallable := "{customer: large, setting: quick_tokens, value: 200, reason: r}"
+	desk := "{service: desk, setting: quick_tokens, value: 200, reason: r}"
 
 	for _, entries := range [][]string{{customer, customer}, {customer, service}, {service, customer}, {both, both}} {
 		_, found := Load("f", exceptions(entries...))
--- a/internal/fleetconfig/setting.go
+++ b/internal/fleetconfig/setting.go
@@ -24,7 +24,6 @@
 	SettingRetryBurst        Setting = "retry_burst"
 	SettingEjectionFactor    Setting = "ejection_factor"
 	SettingCrashLimit        Setting = "crash_limit"
-	SettingHedging           Setting = "hedging"
 	SettingGrantHorizon      Setting = "grant_horizon"
 )
 
@@ -68,7 +67,6 @@
 	RetryBurst:        10,  // retries
 	EjectionFactor:    3,
 	CrashLimit:        2, // endpoint deaths
-	Hedging:           true,
 	GrantHorizon:      60 * time.Second,
 }
 
@@ -109,7 +107,6 @@
 	newSetting(SettingRetryBurst, scopeService, integers(0, MaxRetryBurst), func(l *Limits) *int64 { return &l.RetryBurst }),
 	newSetting(SettingEjectionFactor, scopeService, floats(MinEjectionFactor, MaxEjectionFactor), func(l *Limits) *float64 { return &l.EjectionFactor }),
 	newSetting(SettingCrashLimit, scopeService, floats(MinCrashLimit, MaxCrashLimit), func(l *Limits) *float64 { return &l.CrashLimit }),
-	newSetting(SettingHedging, scopeAny, yamlread.Value.Bool, func(l *Limits) *bool { return &l.Hedging }),
 	newSetting(SettingGrantHorizon, scopeCustomer, durations(MinGrantHorizon, MaxGrantHorizon), func(l *Limits) *time.Duration { return &l.GrantHorizon }),
 }
 
--- a/internal/system/budget/demand.go
+++ b/internal/system/budget/demand.go
@@ -25,16 +25,16 @@
 	lowInterval = time.Second
 )
 
-func horizon(w *world.World) time.Duration {
-	if h := w.Fleet.Defaults.GrantHorizon; h > 0 {
-		return h
+func horizon(w *world.World, b *table.Budget) time.Duration {
+	if c := w.Customers.Get(b.ID.Customer()); c != nil && c.GrantHorizon > 0 {
+		return c.GrantHorizon
 	}
 	return defaultHorizon
 }
 
 // addDemand updates the moving average of the spend rate.
 func addDemand(w *world.World, b *table.Budget, spent table.Tokens) {
-	h := horizon(w).Seconds()
+	h := horizon(w, b).Seconds()
 	elapsed := w.Now.Sub(b.DemandAt).Seconds()
 	b.Demand = b.Demand*math.Exp(-elapsed/h) + float64(spent)/h
 	b.DemandAt = w.Now
@@ -47,6 +47,6 @@
 
 // setTarget sets how much the router wants to hold.
 func setTarget(w *world.World, b *table.Budget) {
-	demand := table.Tokens(b.Demand * horizon(w).Seconds())
+	demand := table.Tokens(b.Demand * horizon(w, b).Seconds())
 	b.Target = max(demand, minReservations*b.Reservation, b.Waiting, minTarget)
 }
--- /dev/null
+++ b/internal/system/config/config_test.go
@@ -0,0 +1,71 @@
+package config
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"laburnumroad.dev/laburnumroad/internal/event"
+	"laburnumroad.dev/laburnumroad/internal/table"
+	"laburnumroad.dev/laburnumroad/internal/world"
+)
+
+// Guards against a configuration that reverts when stale or repeated ones
+// arrive from the platform and from peers in any order.
+func TestGenerationNeverFalls(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		w := world.New(world.Params{}, 1)
+		systems := []world.System{world.SystemFunc(Run)}
+		var highest table.Generation
+		for tick := range rapid.IntRange(1, 20).Draw(rt, "ticks") {
+			for range rapid.IntRange(0, 4).Draw(rt, "events") {
+				g := table.Generation(rapid.Uint64Range(0, 9).Draw(rt, "generation"))
+				w.In.Configs = append(w.In.Configs, event.ConfigSeen{Fleet: fleetOf(g)})
+				highest = max(highest, g)
+			}
+			w.Tick(table.Instant(tick), systems)
+			require.Equal(rt, highest, w.Fleet.Generation)
+			require.Equal(rt, fleetOf(highest).Text, w.Fleet.Text)
+			require.Equal(rt, len(fleetOf(highest).Customers), w.Customers.Len())
+			w.Clear()
+		}
+	})
+}
+
+// fleetOf returns a configuration whose content depends on its generation.
+func fleetOf(g table.Generation) table.Fleet {
+	if g == 0 {
+		return table.Fleet{}
+	}
+	f := table.Fleet{Generation: g, Text: string(rune('a' + g))}
+	for i := range g {
+		f.Customers = append(f.Customers, table.Customer{ID: table.CustomerID(rune('a' + i))})
+	}
+	return f
+}
+
+// Guards against counters and rate limits that start anew with each change of
+// the configuration, which would let a customer pass its limits.
+func TestRuntimeStateSurvivesChange(t *testing.T) {
+	w := world.New(world.Params{}, 1)
+	systems := []world.System{world.SystemFunc(Run)}
+	w.In.Configs = []event.ConfigSeen{{Fleet: fleetOf(1)}}
+	w.Tick(1, systems)
+	w.Customers.Get("a").InFlight = 3
+	w.In.Configs = []event.ConfigSeen{{Fleet: fleetOf(2)}}
+	w.Tick(2, systems)
+	require.Equal(t, 3, w.Customers.Get("a").InFlight)
+}
+
+// Guards against a process that stays behind although a peer is ahead.
+func TestPeerAheadIsAsked(t *testing.T) {
+	w := world.New(world.Params{}, 1)
+	w.In.Heartbeats = []event.Heartbeat{
+		{Peer: table.Holder{Process: "router-1"}, Generation: 4},
+		{Peer: table.Holder{Process: "router-2"}},
+	}
+	w.Tick(1, []world.System{world.SystemFunc(Run)})
+	require.Len(t, w.Out.ConfigAsks, 1)
+	require.EqualValues(t, "router-1", w.Out.ConfigAsks[0].To)
+}
--- a/internal/system/membership/membership.go
+++ b/internal/system/membership/membership.go
@@ -90,10 +90,10 @@
 }
 
 func readMembers(w *world.World, l event.MemberList) {
-	w.Processes.Each(func(_ table.ProcessID, p *table.Process) { p.Listed, p.ListedLeaving = false, false })
+	w.Processes.Each(func(_ table.ProcessID, p *table.Process) { p.Unlisted, p.ListedLeaving = true, false })
 	for _, m := range l.Members {
 		if p := w.Processes.Get(m.Process); p != nil {
-			p.Listed, p.ListedLeaving = true, m.Leaving
+			p.Unlisted, p.ListedLeaving = false, m.Leaving
 		}
 	}
 }
@@ -114,7 +114,7 @@
 	if old.Connected || old.Incarnation == p.Incarnation {
 		return
 	}
-	p.Listed, p.ListedLeaving, p.LastHeard = old.Listed, old.ListedLeaving, w.Now
+	p.Unlisted, p.ListedLeaving, p.LastHeard = old.Unlisted, old.ListedLeaving, w.Now
 	*old = p
 }
 
@@ -134,7 +134,7 @@
 		p.Connected, p.Session, p.LastHeard, p.State = true, up.Session, w.Now, table.ProcessLive
 		p.PeerClock, p.PeerClockAt = up.Clock, w.Now
 		if old := w.Processes.Get(p.ID()); old != nil {
-			p.Listed, p.ListedLeaving = old.Listed, old.ListedLeaving
+			p.Unlisted, p.ListedLeaving = old.Unlisted, old.ListedLeaving
 			reportState(w, old, p.State, "session opened")
 		}
 		w.Processes.Put(p.ID(), p)
@@ -259,7 +259,7 @@
 func stateOf(w *world.World, p *table.Process, silent time.Duration) (table.ProcessState, string) {
 	quiet := w.Now.Sub(p.LastHeard)
 	switch {
-	case !p.Connected && !p.Listed && quiet > goneAfter:
+	case !p.Connected && p.Unlisted && quiet > goneAfter:
 		return table.ProcessGone, "off the platform's list and silent"
 	case p.NoticeLeaving:
 		return table.ProcessLeaving, "leaving notice"
--- a/internal/system/quarantine/quarantine.go
+++ b/internal/system/quarantine/quarantine.go
@@ -79,9 +79,9 @@
 			}
 			continue
 		}
-		share := 1 / float64(len(c.Fingerprints))
+		share, limit := 1/float64(len(c.Fingerprints)), limitOf(w, c.Endpoint)
 		for _, f := range c.Fingerprints {
-			blame(w, f, share)
+			blame(w, f, share, limit)
 		}
 		isolateRequests(w)
 		w.Count("quarantine.crashes")
@@ -99,14 +99,14 @@
 	return false
 }
 
-func blame(w *world.World, f table.Fingerprint, share float64) {
+func blame(w *world.World, f table.Fingerprint, share, limit float64) {
 	s := w.Suspects.Get(f)
 	if s == nil {
 		s = w.Suspects.Put(f, table.Suspect{})
 	}
 	s.Weight = decayed(s, w.Now) + share
 	s.LastCrash = w.Now
-	if s.Weight >= limit(w)-tolerance && !s.Quarantined {
+	if s.Weight >= limit-tolerance && !s.Quarantined {
 		quarantine(w, f, w.Now.Add(duration))
 		w.Unstored.Set(f, w.Now.Add(time.Duration(rank(w, f))*writeStep))
 		w.Count("quarantine.started")
@@ -114,9 +114,14 @@
 	w.SuspectTimers.Set(f, forgetAt(s))
 }
 
-func limit(w *world.World) float64 {
-	if l := w.Fleet.Defaults.CrashLimit; l > 0 {
-		return l
+// limitOf returns the crash limit of the service that the endpoint belongs to.
+func limitOf(w *world.World, id table.EndpointID) float64 {
+	d := w.Fleet.Defaults
+	if e := w.Endpoints.Get(id); e != nil {
+		d = w.Fleet.For(e.Service)
+	}
+	if d.CrashLimit > 0 {
+		return d.CrashLimit
 	}
 	return defaultLimit
 }
--- a/internal/system/retry/budget.go
+++ b/internal/system/retry/budget.go
@@ -14,7 +14,7 @@
 			continue
 		}
 		if s := w.Services.Get(r.Service); s != nil {
-			s.RetryTokens = min(0, s.RetryTokens+w.Fleet.Defaults.RetryShare)
+			s.RetryTokens = min(0, s.RetryTokens+w.Fleet.For(r.Service).RetryShare)
 		}
 	}
 }
@@ -22,7 +22,7 @@
 // take uses one retry of the service's budget, if there is one.
 func take(w *world.World, name table.ServiceName) bool {
 	s := w.Services.Get(name)
-	if s == nil || w.Fleet.Defaults.RetryBurst+s.RetryTokens < 1 {
+	if s == nil || w.Fleet.For(name).RetryBurst+s.RetryTokens < 1 {
 		return false
 	}
 	s.RetryTokens--
--- a/internal/system/routing/eject.go
+++ b/internal/system/routing/eject.go
@@ -69,7 +69,7 @@
 		return ""
 	}
 	updateMedians(w, s)
-	factor := w.Fleet.Defaults.EjectionFactor
+	factor := w.Fleet.For(e.Service).EjectionFactor
 	if exceeds(e.FirstTokenTime, s.MedianFirstToken, factor) {
 		return fmt.Sprintf("first token takes %s, the median is %s", e.FirstTokenTime, s.MedianFirstToken)
 	}
--- a/internal/table/fleet.go
+++ b/internal/table/fleet.go
@@ -44,6 +44,8 @@
 	Weight    float64
 	KeyHashes []KeyHash
 	Services  []ServiceName
+	// GrantHorizon is the time of demand that one budget grant covers.
+	GrantHorizon time.Duration
 	// InFlight counts requests in progress at this router.
 	InFlight int
 	// RateTokens is the request rate limit's token bucket, as of RateAt.
@@ -75,8 +77,6 @@
 	QuickTokens Tokens
 	// QuickShare is the share of an endpoint's slots kept for quick work.
 	QuickShare float64
-	// Hedge allows a second attempt before the first token.
-	Hedge bool
 	// Exceptions are the exceptions that changed a value, for explain.
 	Exceptions []AppliedException
 }
@@ -93,8 +93,6 @@
 	RetryBurst     float64
 	EjectionFactor float64
 	CrashLimit     float64
-	// GrantHorizon is the time of demand that one grant covers.
-	GrantHorizon time.Duration
 }
 
 // Fleet is a checked configuration as rows.
@@ -106,4 +104,14 @@
 	Customers []Customer
 	Services  []Service
 	Limits    map[RuleKey]Limits
+	// ByService holds the defaults of services with exceptions applied.
+	ByService map[ServiceName]FleetDefaults
+}
+
+// For returns the defaults in force for a service.
+func (f *Fleet) For(s ServiceName) FleetDefaults {
+	if d, ok := f.ByService[s]; ok {
+		return d
+	}
+	return f.Defaults
 }
--- a/internal/table/process.go
+++ b/internal/table/process.go
@@ -54,8 +54,9 @@
 	LastHeard Instant
 	// Generation is the configuration the process last said it enforces.
 	Generation Generation
-	// Listed and ListedLeaving repeat the platform's membership list.
-	Listed        bool
+	// Unlisted and ListedLeaving repeat the platform's membership list. A process
+	// that no list was read for yet is not Unlisted: recovery starts with it.
+	Unlisted      bool
 	ListedLeaving bool
 	// NoticeLeaving is set by the process's own leaving notice.
 	NoticeLeaving bool
--- a/internal/traffic/callerapi/http.go
+++ b/internal/traffic/callerapi/http.go
@@ -16,12 +16,18 @@
 	bodyTimeout    = 30 * time.Second
 	idleTimeout    = 2 * time.Minute
 	maxHeaderBytes = 16 << 10
+	// writeTimeout ends an answer whose caller does not read, so that it cannot
+	// hold memory and a drain for ever. It bounds each message, not the answer.
+	writeTimeout = 30 * time.Second
 	// messageOverhead is what a request may have beside its prompt or body;
 	// JSON and base64 need up to twice the content.
 	messageOverhead = 64 << 10
 )
 
-type bodyReadKey struct{}
+// callContext gives handlers the deadlines of their connection.
+type callContext struct{ ctl *http.ResponseController }
+
+type callContextKey struct{}
 
 // Handler returns the HTTP handler of the caller API.
 func (s *Server) Handler() http.Handler {
@@ -32,15 +38,22 @@
 		ctl := http.NewResponseController(w)
 		// The deadline covers the body only; answers may take much longer.
 		_ = ctl.SetReadDeadline(time.Now().Add(bodyTimeout))
-		clear := func() { _ = ctl.SetReadDeadline(time.Time{}) }
-		mux.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), bodyReadKey{}, clear)))
+		call := callContext{ctl: ctl}
+		mux.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), callContextKey{}, call)))
 	})
 }
 
 // bodyRead ends the deadline for the request body.
 func bodyRead(ctx context.Context) {
-	if clear, ok := ctx.Value(bodyReadKey{}).(func()); ok {
-		clear()
+	if c, ok := ctx.Value(callContextKey{}).(callContext); ok {
+		_ = c.ctl.SetReadDeadline(time.Time{})
+	}
+}
+
+// beforeWrite starts the deadline of one message to the caller.
+func beforeWrite(ctx context.Context) {
+	if c, ok := ctx.Value(callContextKey{}).(callContext); ok {
+		_ = c.ctl.SetWriteDeadline(time.Now().Add(writeTimeout))
 	}
 }
 
--- a/internal/traffic/callerapi/server.go
+++ b/internal/traffic/callerapi/server.go
@@ -65,11 +65,12 @@
 	setKey(&a, m.IdempotencyKey)
 	ctx, span := s.start(ctx, "router.generate", a)
 	defer span.End()
-	result := s.Relay.Run(ctx, a, relay.Payload{Prompt: m.Prompt}, &generateWriter{stream: stream, key: a.Key})
+	result := s.Relay.Run(ctx, a, relay.Payload{Prompt: m.Prompt}, &generateWriter{ctx: ctx, stream: stream, key: a.Key})
 	if !result.Outcome.OK {
 		span.SetStatus(codes.Error, string(result.Outcome.Code))
 		return refusal(result.Request, result.Outcome)
 	}
+	beforeWrite(ctx)
 	return stream.Send(&pb.GenerateResponse{Event: &pb.GenerateResponse_Finished{Finished: &pb.Finished{
 		PromptTokens: int64(result.Outcome.Prompt),
 		OutputTokens: int64(result.Outcome.Output),
@@ -258,18 +259,22 @@
 	return badRequest(strings.Join(problems, "; "))
 }
 
+// generateWriter writes an answer to its caller.
 type generateWriter struct {
+	ctx    context.Context
 	stream *connect.ServerStream[pb.GenerateResponse]
 	key    string
 }
 
 func (w *generateWriter) Started(id table.RequestID) error {
+	beforeWrite(w.ctx)
 	return w.stream.Send(&pb.GenerateResponse{Event: &pb.GenerateResponse_Started{Started: &pb.Started{
 		RequestId: string(id), IdempotencyKey: w.key,
 	}}})
 }
 
 func (w *generateWriter) Chunk(position, tokens table.Tokens, text string) error {
+	beforeWrite(w.ctx)
 	return w.stream.Send(&pb.GenerateResponse{Event: &pb.GenerateResponse_Chunk{Chunk: &pb.Chunk{
 		Position: int64(position), Tokens: int64(tokens), Text: text,
 	}}})
