Count quick runs at the agent's endpoints

Routers subtract the quick work of other routers from an endpoint's load; the agent counted all work but not its class.

Checked with a test of the counts over run, break and refusal, and with go test -race on internal/system.

--- a/internal/system/gate/gate_test.go
+++ b/internal/system/gate/gate_test.go
@@ -259,3 +259,18 @@
 	a.requireReject(a.tick(d), table.CodeFenced, table.NotRun)
 	require.Len(t, a.tick(a.dispatch("c/k3")).Runs, 1, "the router's own grant is not fenced")
 }
+
+// Guards against counts in heartbeats that drift away from the runs in progress.
+func TestEndpointCountsFollowRuns(t *testing.T) {
+	a := readyAgent(t)
+	quick, long := a.dispatch("c/k1"), a.dispatch("c/k2")
+	long.Class = table.ClassLong
+	a.tick(quick, long)
+	ep := a.w.Endpoints.Get("e1")
+	require.Equal(t, [3]int{2, 1, 20}, [3]int{ep.InFlight, ep.InFlightQuick, int(ep.InFlightTokens)})
+	a.tick(event.RunEnd{Request: "c/k1", Attempt: 1, Status: event.RunBroken})
+	require.Equal(t, [3]int{1, 0, 10}, [3]int{ep.InFlight, ep.InFlightQuick, int(ep.InFlightTokens)})
+	a.tick(event.RunEnd{Request: "c/k2", Attempt: 1, Status: event.RunNotRun})
+	a.tick(event.RunEnd{Request: "c/k2", Attempt: 1, Status: event.RunNotRun})
+	require.Equal(t, [3]int{}, [3]int{ep.InFlight, ep.InFlightQuick, int(ep.InFlightTokens)})
+}
--- a/internal/system/gate/runs.go
+++ b/internal/system/gate/runs.go
@@ -24,6 +24,9 @@
 	ep := w.Endpoints.Get(d.Endpoint)
 	ep.InFlight++
 	ep.InFlightTokens += d.Limit
+	if d.Class == table.ClassQuick {
+		ep.InFlightQuick++
+	}
 	runs := w.EndpointRuns.Get(d.Endpoint)
 	if runs == nil {
 		runs = w.EndpointRuns.Put(d.Endpoint, table.EndpointRuns{})
@@ -44,7 +47,7 @@
 	row.Latest = d.Attempt
 	row.Budget, row.Endpoint, row.Service, row.Kind = d.Budget, d.Endpoint, d.Service, d.Kind
 	row.Fingerprint, row.Idempotent = d.Fingerprint, d.Idempotent || d.Kind == table.ServiceModel
-	row.Limit, row.Position, row.Alone = d.Limit, d.Position, d.Alone
+	row.Limit, row.Position, row.Alone, row.Class = d.Limit, d.Position, d.Alone, d.Class
 	row.Prompt, row.Output = 0, 0
 	row.Expires, row.Started = d.Expires, w.Now
 	row.Keep = max(row.Keep, d.KeyUntil)
@@ -145,6 +148,9 @@
 	if ep := w.Endpoints.Get(row.Endpoint); ep != nil {
 		ep.InFlight--
 		ep.InFlightTokens -= row.Limit
+		if row.Class == table.ClassQuick {
+			ep.InFlightQuick--
+		}
 	}
 	runs := w.EndpointRuns.Get(row.Endpoint)
 	if runs == nil {
--- a/internal/table/run.go
+++ b/internal/table/run.go
@@ -41,6 +41,7 @@
 	Expires  Instant
 	Started  Instant
 	Alone    bool
+	Class    Class
 	Kind     ServiceKind
 	// Session gets the output of the attempt.
 	Session uint64
