Connect what systems ask of traffic: re-attach, pace of runs, same call, sessions

- a caller that comes back to its running request gets it handed over from the former handler (Accept.Attach was ignored)
- a router that re-attaches to its own run is billed for it (Replay.SameCall)
- the late end of a replaced session no longer ends attempts of the new one

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -485,6 +485,15 @@
 	Request table.RequestID
 	Prompt  table.Tokens
 	Output  table.Tokens
+	Pace    Pace
+}
+
+// Pace is how fast a run produces tokens. Zero values are unknown.
+type Pace struct {
+	// FirstToken is the time from the start of the run to its first token.
+	FirstToken time.Duration
+	// Token is the mean time per token since the last report.
+	Token time.Duration
 }
 
 // RunStatus is how a run at an endpoint ended.
@@ -508,6 +517,7 @@
 	Code    table.Code
 	Prompt  table.Tokens
 	Output  table.Tokens
+	Pace    Pace
 }
 
 // EngineState is an endpoint's health and load report.
--- a/internal/system/gate/runs.go
+++ b/internal/system/gate/runs.go
@@ -48,7 +48,7 @@
 	row.Budget, row.Endpoint, row.Service, row.Kind = d.Budget, d.Endpoint, d.Service, d.Kind
 	row.Fingerprint, row.Idempotent = d.Fingerprint, d.Idempotent || d.Kind == table.ServiceModel
 	row.Limit, row.Position, row.Alone, row.Class = d.Limit, d.Position, d.Alone, d.Class
-	row.Prompt, row.Output = 0, 0
+	row.Prompt, row.Output, row.PaceSeen = 0, 0, false
 	row.Expires, row.Started = d.Expires, w.Now
 	row.Keep = max(row.Keep, d.KeyUntil)
 	if key, ok := table.ParseIssuedKey(d.Request.Key()); ok {
@@ -86,6 +86,7 @@
 			continue
 		}
 		row.Prompt, row.Output = max(row.Prompt, e.Prompt), max(row.Output, e.Output)
+		learnPace(w, row, e.Pace)
 	}
 }
 
@@ -102,6 +103,7 @@
 func end(w *world.World, row *table.Run, e event.RunEnd) {
 	row.Prompt, row.Output = max(row.Prompt, e.Prompt), max(row.Output, e.Output)
 	row.State = stateAfter(e.Status)
+	learnPace(w, row, e.Pace)
 	if e.Status == event.RunNotRun {
 		row.Prompt, row.Output = 0, 0
 		addRejected(row, table.RejectedAttempt{Holder: row.Holder, Nonce: row.Nonce, Attempt: row.Attempt})
--- a/internal/system/membership/membership.go
+++ b/internal/system/membership/membership.go
@@ -346,8 +346,9 @@
 			state = table.EndpointLeaving
 		}
 		loads = append(loads, event.EndpointLoad{
-			Endpoint: id, State: state, Slots: e.Slots, InFlight: e.InFlight,
+			Endpoint: id, State: state, Slots: e.Slots, InFlight: e.InFlight, InFlightQuick: e.InFlightQuick,
 			InFlightTokens: e.InFlightTokens, ReportTokens: e.ReportTokens, ReportAge: e.ReportAge,
+			FirstTokenTime: e.FirstTokenTime, TokenTime: e.TokenTime, Observed: e.Observed,
 		})
 	})
 	return loads
--- a/internal/system/retry/retry.go
+++ b/internal/system/retry/retry.go
@@ -28,7 +28,7 @@
 		attemptEnd(w, &w.In.AttemptEnds[i])
 	}
 	for _, e := range w.In.SessionDowns {
-		sessionDown(w, e.Peer)
+		sessionDown(w, e)
 	}
 	queueDue(w)
 }
@@ -98,10 +98,10 @@
 
 // sessionDown ends the attempts at an agent whose session is lost. It visits
 // all running requests, which is acceptable for a rare event.
-func sessionDown(w *world.World, peer table.Holder) {
+func sessionDown(w *world.World, down event.SessionDown) {
 	for _, id := range w.Requests.In(table.RequestRunning) {
 		r := w.Requests.Get(id)
-		if r.Agent != peer {
+		if r.Agent != down.Peer || r.Session != down.Session {
 			continue
 		}
 		lost := event.AttemptEnd{
--- a/internal/system/routing/dispatch.go
+++ b/internal/system/routing/dispatch.go
@@ -29,6 +29,7 @@
 	r.Attempts++
 	r.Endpoint = endpoint
 	r.Agent = agent.Holder
+	r.Session = agent.Session
 	r.Dispatched = w.Now
 	w.Requests.Move(r, table.RequestRunning)
 	w.Out.Dispatches = append(w.Out.Dispatches, command.Dispatch{
--- a/internal/table/request.go
+++ b/internal/table/request.go
@@ -149,6 +149,8 @@
 	Endpoint   EndpointID
 	Agent      Holder
 	Dispatched Instant
+	// Session is the session that the current attempt was sent on.
+	Session uint64
 	// FirstToken is zero until the first token of any attempt.
 	FirstToken Instant
 	NotBefore  Instant
--- a/internal/table/run.go
+++ b/internal/table/run.go
@@ -41,6 +41,8 @@
 	Expires  Instant
 	Started  Instant
 	Alone    bool
+	// PaceSeen is true once the first-token time of the run was learned.
+	PaceSeen bool
 	Class    Class
 	Kind     ServiceKind
 	// Session gets the output of the attempt.
--- a/internal/traffic/callerapi/server.go
+++ b/internal/traffic/callerapi/server.go
@@ -200,7 +200,7 @@
 func setKey(a *event.Arrival, key string) {
 	a.Key, a.CallerKey = key, key != ""
 	if key == "" {
-		a.Key = rand.Text()
+		a.Key = table.GeneratedKey(rand.Text())
 	}
 }
 
--- a/internal/traffic/relay/relay.go
+++ b/internal/traffic/relay/relay.go
@@ -21,6 +21,10 @@
 	chunk    *wire.Chunk
 	end      *wire.End
 	reply    *command.Reply
+	// move orders the request's goroutine to hand over to another queue; moved
+	// is what that queue gets.
+	move  *queue
+	moved *handover
 }
 
 // queue is an unbounded queue with one reader. What waits in it is bounded by
@@ -94,16 +98,21 @@
 	return true
 }
 
-// Accept binds a request id to the handler that waits for it.
+// Accept binds a request id to the handler that waits for it. With Attach, the
+// handler that had the request so far hands over to the new one.
 func (d *Directory) Accept(c command.Accept) {
 	d.mu.Lock()
-	q := d.byReply[c.Reply]
+	q, former := d.byReply[c.Reply], d.byRequest[c.Request]
 	if q != nil {
 		d.byRequest[c.Request] = q
 	}
 	d.mu.Unlock()
-	if q != nil {
-		q.put(item{accept: &c})
+	if q == nil {
+		return
+	}
+	q.put(item{accept: &c})
+	if c.Attach && former != nil && former != q {
+		former.put(item{move: q})
 	}
 }
 
--- a/internal/traffic/relay/request.go
+++ b/internal/traffic/relay/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
@@ -59,15 +60,37 @@
 	writer  Writer
 	skip    table.Tokens
 
-	id        table.RequestID
+	id table.RequestID
+	progress
+	gone   bool
+	result *Result
+	// waiting is true until a former handler hands over; held items follow then.
+	waiting bool
+	held    []item
+}
+
+// progress is how far a request's answer has come.
+type progress struct {
 	attempt   uint32
 	span      trace.Span
-	text      strings.Builder
+	text      *strings.Builder
+	marks     []mark
 	delivered table.Tokens
 	reported  table.Tokens
 	body      []byte
-	gone      bool
-	result    *Result
+}
+
+// mark is where a chunk starts in the text.
+type mark struct {
+	position table.Tokens
+	offset   int
+}
+
+// handover is what a handler gives to the one that its caller came back with.
+type handover struct {
+	payload  Payload
+	progress progress
+	rest     []item
 }
 
 // Run posts the arrival and relays until the request ends. It returns after the
@@ -75,16 +98,14 @@
 func (r *Relay) Run(ctx context.Context, a event.Arrival, p Payload, w Writer) Result {
 	reply, q := r.Directory.open()
 	a.Reply = reply
-	rq := &request{relay: r, ctx: ctx, payload: p, writer: w, skip: a.Position}
+	rq := &request{relay: r, ctx: ctx, payload: p, writer: w, skip: a.Position, progress: progress{text: &strings.Builder{}}}
 	defer func() { r.Directory.close(reply, rq.id) }()
 	r.Post(a)
 	done := ctx.Done()
 	for rq.result == nil {
 		select {
 		case <-q.signal:
-			for _, it := range q.takeAll() {
-				rq.handle(it)
-			}
+			rq.handleAll(q.takeAll())
 		case <-done:
 			done = nil
 			rq.disconnect()
@@ -93,6 +114,58 @@
 	return *rq.result
 }
 
+// handleAll handles items in order. While the request's progress is on its way
+// from a former handler, all other items wait. Items behind a move belong to
+// the handler that takes over.
+func (rq *request) handleAll(items []item) {
+	for i, it := range items {
+		switch {
+		case it.moved != nil:
+			rq.takeOver(it.moved, items[i+1:])
+			return
+		case rq.waiting:
+			rq.held = append(rq.held, it)
+		case it.move != nil:
+			rq.handOver(it.move, items[i+1:])
+			return
+		default:
+			rq.handle(it)
+		}
+	}
+}
+
+// handOver ends this handler, whose caller went away, in favour of another.
+func (rq *request) handOver(to *queue, rest []item) {
+	to.put(item{moved: &handover{payload: rq.payload, progress: rq.progress, rest: rest}})
+	rq.progress.span = nil
+	rq.result = &Result{Request: rq.id, Outcome: table.Outcome{
+		Code: table.CodeCancelled, Reason: "the caller came back with another connection", Ran: table.RanUnknown,
+	}}
+}
+
+// takeOver continues a request that another handler began.
+func (rq *request) takeOver(h *handover, next []item) {
+	rq.waiting = false
+	rq.payload, rq.progress = h.payload, h.progress
+	if rq.delivered > rq.skip && !rq.gone {
+		from := rq.markAt(rq.skip)
+		rq.noteWrite(rq.writer.Chunk(from.position, rq.delivered-from.position, rq.text.String()[from.offset:]))
+	}
+	items := slices.Concat(h.rest, rq.held, next)
+	rq.held = nil
+	rq.handleAll(items)
+}
+
+// markAt returns the start of the chunk that a position is in.
+func (p *progress) markAt(position table.Tokens) mark {
+	for i := len(p.marks) - 1; i >= 0; i-- {
+		if p.marks[i].position <= position {
+			return p.marks[i]
+		}
+	}
+	return mark{}
+}
+
 func (rq *request) handle(it item) {
 	switch {
 	case it.accept != nil:
@@ -110,6 +183,7 @@
 
 func (rq *request) accept(c *command.Accept) {
 	rq.id = c.Request
+	rq.waiting = c.Attach
 	if rq.gone {
 		rq.relay.Post(event.Disconnect{Request: rq.id})
 		return
@@ -188,6 +262,7 @@
 		return
 	}
 	first := rq.delivered == 0
+	rq.marks = append(rq.marks, mark{position: c.Position, offset: rq.text.Len()})
 	rq.text.WriteString(c.Text)
 	rq.delivered += c.Tokens
 	if rq.delivered > rq.skip && !rq.gone {
--- a/internal/traffic/runner/runner.go
+++ b/internal/traffic/runner/runner.go
@@ -125,7 +125,7 @@
 		})
 		return
 	}
-	a.subscribe(subscriber{session: p.session, attempt: c.Attempt, replay: true}, c.Position)
+	a.subscribe(subscriber{session: p.session, attempt: c.Attempt, replay: !c.SameCall}, c.Position)
 }
 
 // Stop cancels a run.
@@ -159,7 +159,8 @@
 func (r *Runner) run(ctx context.Context, cancel context.CancelFunc, c command.Run, d wire.Dispatch, a *answer) {
 	ctx, span := r.Tracer.Start(ctx, "agent.run", trace.WithAttributes(
 		attribute.String("endpoint", string(c.Endpoint)), attribute.Int("attempt", int(c.Attempt))))
-	end, err := r.execute(ctx, c, d, a)
+	pace := newPacer()
+	end, err := r.execute(ctx, c, d, a, pace)
 	if errors.Is(err, engine.ErrDown) {
 		// Posted before the end of the run, so that the crash is counted against
 		// all runs that were in progress.
@@ -176,17 +177,17 @@
 	span.End()
 	r.Post(event.RunEnd{
 		Request: c.Request, Attempt: c.Attempt, Status: runStatus(end), Code: end.Code,
-		Prompt: end.Prompt, Output: a.position - d.Position,
+		Prompt: end.Prompt, Output: a.position - d.Position, Pace: pace.report(a.position - d.Position),
 	})
 	a.finish(end)
 }
 
 // execute runs the request and returns its end, with the error if it failed.
-func (r *Runner) execute(ctx context.Context, c command.Run, d wire.Dispatch, a *answer) (wire.End, error) {
+func (r *Runner) execute(ctx context.Context, c command.Run, d wire.Dispatch, a *answer, pace *pacer) (wire.End, error) {
 	var end wire.End
 	var err error
 	if c.Kind == table.ServiceModel {
-		end, err = r.generate(ctx, c, d, a)
+		end, err = r.generate(ctx, c, d, a, pace)
 	} else {
 		end, err = r.call(ctx, c, d)
 	}
@@ -209,7 +210,7 @@
 	}
 }
 
-func (r *Runner) generate(ctx context.Context, c command.Run, d wire.Dispatch, a *answer) (wire.End, error) {
+func (r *Runner) generate(ctx context.Context, c command.Run, d wire.Dispatch, a *answer, pace *pacer) (wire.End, error) {
 	ctx, span := r.Tracer.Start(ctx, "engine.generate", trace.WithSpanKind(trace.SpanKindClient))
 	defer span.End()
 	stream, err := r.Engines[c.Endpoint].Generate(ctx, engine.GenerateRequest{
@@ -220,12 +221,12 @@
 		return wire.End{}, err
 	}
 	defer stream.Close()
-	return r.copyStream(c, a, stream)
+	return r.copyStream(c, a, stream, pace)
 }
 
 // copyStream copies the engine's output to the answer. The end it returns with
 // an error has only the prompt count.
-func (r *Runner) copyStream(c command.Run, a *answer, stream *engine.Stream) (wire.End, error) {
+func (r *Runner) copyStream(c command.Run, a *answer, stream *engine.Stream, pace *pacer) (wire.End, error) {
 	var prompt, reported table.Tokens
 	start := a.position
 	for {
@@ -238,13 +239,14 @@
 		}
 		if delta.Tokens > 0 {
 			a.append(table.Tokens(delta.Tokens), delta.Text)
+			pace.produced(a.position - start)
 		}
 		if delta.Done {
 			return wire.End{Status: event.AttemptDone, Ran: table.DidRun, Prompt: prompt}, nil
 		}
 		if out := a.position - start; out-reported >= progressEvery {
 			reported = out
-			r.Post(event.RunProgress{Request: c.Request, Prompt: prompt, Output: out})
+			r.Post(event.RunProgress{Request: c.Request, Prompt: prompt, Output: out, Pace: pace.report(out)})
 		}
 	}
 }
