Give back the grants of a dead router whose agents are known to be complete

Processes now draw a start number before they take grants; an agent is complete for a holder that started later, or if it had no earlier incarnation. An agent's object stays after a graceful end, because its charges end with it. Also: a budget query forgot shard contents before recovery saw them, so that a polled status hid dead holders (found by TestGrantsOfDeadRouterReturn).

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -366,7 +366,11 @@
 }
 
 // Exit ends the process after the last stream.
-type Exit struct{ Reason string }
+type Exit struct {
+	Reason string
+	// Returned is true if no grant of this process is left in the ledger.
+	Returned bool
+}
 
 // SendDrain passes an operator's drain order on to the agent of an endpoint.
 type SendDrain struct {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -67,6 +67,8 @@
 	stopLoop chan struct{}
 	shutdown atomic.Bool
 	killed   atomic.Bool
+	returned atomic.Bool
+	started  atomic.Uint64
 	trace    func(context.Context)
 }
 
@@ -134,12 +136,14 @@
 
 func (d *Daemon) hello() wire.Hello {
 	p := d.self
+	p.Start = d.started.Load()
 	p.Generation = d.metrics.current.Load().Generation
 	return wire.Hello{Version: wire.Version, Process: p, Clock: d.clock(), Endpoints: d.opts.endpoints()}
 }
 
 func (d *Daemon) newRole() error {
 	w := world.New(d.params(), uint64(d.self.Incarnation))
+	w.AwaitRegistration = true
 	w.Processes.Put(d.opts.ID, d.self)
 	for _, e := range d.opts.endpoints() {
 		w.Endpoints.Put(e.ID, e)
@@ -270,7 +274,7 @@
 // registerAndWatch reads the fences only after the process is registered, so
 // that a router that fences a holder later finds this process.
 func (d *Daemon) registerAndWatch(ctx context.Context) {
-	d.store.Register(ctx, d.self, d.opts.endpoints())
+	d.store.Register(ctx, d.self, d.opts.endpoints(), d.started.Store)
 	d.store.WatchFences(ctx)
 }
 
@@ -317,10 +321,10 @@
 // Kill ends the daemon at once, as the death of its process would.
 func (d *Daemon) Kill() {
 	d.killed.Store(true)
-	d.finish("killed")
+	d.finish()
 }
 
-func (d *Daemon) finish(string) { d.once.Do(func() { close(d.finished) }) }
+func (d *Daemon) finish() { d.once.Do(func() { close(d.finished) }) }
 
 // stop ends traffic: open replies are written, then sessions flush their queues.
 func (d *Daemon) stop() {
@@ -335,7 +339,7 @@
 			s.Close()
 		}
 	}
-	d.store.Deregister(ctx, d.opts.ID)
+	d.store.Deregister(ctx, d.opts.ID, d.opts.Role == table.RoleRouter && d.returned.Load())
 	d.node.Close(ctx)
 	d.cancel()
 	d.wg.Wait()
--- a/internal/daemon/flush.go
+++ b/internal/daemon/flush.go
@@ -26,7 +26,8 @@
 			Str("reason", c.Reason).Msg("state changed")
 	}
 	for _, c := range out.Exits {
-		d.finish(c.Reason)
+		d.returned.Store(c.Returned)
+		d.finish()
 	}
 }
 
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -340,7 +340,11 @@
 type PlatformState struct{ Reachable bool }
 
 // Registered says that this process's object is written to the platform.
-type Registered struct{}
+type Registered struct {
+	Start uint64
+	// First is true if no earlier incarnation of this process was registered.
+	First bool
+}
 
 // SliceRequest asks for part of a budget.
 type SliceRequest struct {
--- a/internal/system/budget/reserve.go
+++ b/internal/system/budget/reserve.go
@@ -49,6 +49,7 @@
 	if r.ReserveSince == 0 {
 		r.ReserveSince = w.Now
 		noteReservation(b, r.Reserve)
+		setTarget(w, b)
 	}
 	b.UsedAt = w.Now
 	w.BudgetTimers.Set(b.ID, idleAt(w, b))
--- a/internal/system/drain/drain.go
+++ b/internal/system/drain/drain.go
@@ -86,5 +86,5 @@
 func (s *System) exit(w *world.World, reason string) {
 	s.exited = true
 	w.Change("process", string(w.Self().Process), "draining", "stopped", reason)
-	w.Out.Exits = append(w.Out.Exits, command.Exit{Reason: reason})
+	w.Out.Exits = append(w.Out.Exits, command.Exit{Reason: reason, Returned: !holdsGrants(w)})
 }
--- a/internal/system/gate/fence.go
+++ b/internal/system/gate/fence.go
@@ -45,7 +45,7 @@
 
 // report sends the holder's charges and says whether they may still grow.
 func report(w *world.World, h table.Holder, call table.FenceCall) bool {
-	result := event.FenceResult{Agent: w.Self(), Call: call.Call, Holder: h}
+	result := event.FenceResult{Agent: w.Self(), Call: call.Call, Holder: h, Complete: complete(w, h)}
 	if work := w.HolderWork.Get(h); work != nil {
 		result.Running = work.Running > 0
 		result.Charges = chargesOf(w, h, work)
@@ -57,6 +57,24 @@
 	return result.Running
 }
 
+func noteStarts(w *world.World) {
+	for _, up := range w.In.SessionUps {
+		if up.Process.Role == table.RoleRouter {
+			w.HolderStarts.Put(up.Process.Holder, up.Process.Start)
+		}
+	}
+}
+
+// complete reports whether no earlier incarnation of this agent can have run
+// work under the holder's grants: there was none, or the holder started later.
+func complete(w *world.World, h table.Holder) bool {
+	if w.FirstStart {
+		return true
+	}
+	started := w.HolderStarts.Get(h)
+	return started != nil && *started > w.Params.Self.Start
+}
+
 func chargesOf(w *world.World, h table.Holder, work *table.HolderWork) []event.HolderCharge {
 	charges := make([]event.HolderCharge, 0, len(work.Budgets))
 	for _, b := range work.Budgets {
--- a/internal/system/gate/gate.go
+++ b/internal/system/gate/gate.go
@@ -26,6 +26,7 @@
 
 // Run checks dispatches and keeps the records of what ran.
 func Run(w *world.World) {
+	noteStarts(w)
 	start(w)
 	applyEngineStates(w)
 	applyFences(w)
@@ -46,6 +47,7 @@
 	if w.Readiness == table.Starting {
 		if len(w.In.Registered) > 0 {
 			w.Readiness = table.ReadingFences
+			w.FirstStart = w.In.Registered[0].First
 			readFences(w)
 		}
 		// A list of this tick may have been read before the registration.
--- a/internal/system/ledger/query.go
+++ b/internal/system/ledger/query.go
@@ -75,7 +75,10 @@
 			q.found = append(q.found, info(w, row))
 		}
 	}
-	Forget(s)
+	// Recovery has not looked at a changed content yet and forgets it then.
+	if !w.ShardsSeen.Has(s.ID) {
+		Forget(s)
+	}
 }
 
 func (q *query) answer(w *world.World) {
--- a/internal/system/ledger/size.go
+++ b/internal/system/ledger/size.go
@@ -10,7 +10,7 @@
 // exhaustion, and at least what serves a waiting request.
 func extraGrant(w *world.World, b *table.Budget, row *table.LedgerBudget) table.Tokens {
 	free := row.Free()
-	if b.AtHome || (w.Draining || b.Release) && !b.Short {
+	if w.AwaitRegistration || b.AtHome || (w.Draining || b.Release) && !b.Short {
 		return 0
 	}
 	share := free / table.Tokens(2*LiveRouters(w))
--- a/internal/system/membership/membership.go
+++ b/internal/system/membership/membership.go
@@ -49,6 +49,7 @@
 	readSessions(w)
 	readHeartbeats(w)
 	readPlatform(w)
+	readRegistered(w)
 	changed := s.readDrains(w)
 	if now := w.Now; now >= s.nextBeat || changed || s.leaving != w.Draining {
 		s.updateStates(w)
@@ -111,7 +112,11 @@
 		w.Processes.Put(p.ID(), p)
 		return
 	}
-	if old.Connected || old.Incarnation == p.Incarnation {
+	if old.Incarnation == p.Incarnation {
+		old.Left = p.Left
+		return
+	}
+	if old.Connected {
 		return
 	}
 	p.Unlisted, p.ListedLeaving, p.LastHeard = old.Unlisted, old.ListedLeaving, w.Now
@@ -128,6 +133,17 @@
 	old.Region, old.Domain, old.ChecksFencing = e.Region, e.Domain, e.ChecksFencing
 }
 
+// readRegistered notes this process's own start number.
+func readRegistered(w *world.World) {
+	for _, e := range w.In.Registered {
+		w.AwaitRegistration = false
+		w.Params.Self.Start = e.Start
+		if self := w.Processes.Get(w.Self().Process); self != nil {
+			self.Start = e.Start
+		}
+	}
+}
+
 func readSessions(w *world.World) {
 	for _, up := range w.In.SessionUps {
 		p := up.Process
@@ -259,6 +275,8 @@
 func stateOf(w *world.World, p *table.Process, silent time.Duration) (table.ProcessState, string) {
 	quiet := w.Now.Sub(p.LastHeard)
 	switch {
+	case !p.Connected && p.Left:
+		return table.ProcessGone, "ended gracefully"
 	case !p.Connected && p.Unlisted && quiet > goneAfter:
 		return table.ProcessGone, "off the platform's list and silent"
 	case p.NoticeLeaving:
--- a/internal/table/process.go
+++ b/internal/table/process.go
@@ -42,7 +42,12 @@
 // Process is a daemon as this process knows it, itself included.
 type Process struct {
 	Holder
-	Role    Role
+	Role Role
+	// Start numbers the starts of the fleet's processes in their order; 0 until
+	// the process registered. A process with a higher number started later.
+	Start uint64
+	// Left is true after a graceful end.
+	Left    bool
 	Region  string
 	Domain  string
 	Address string
--- a/internal/table/run.go
+++ b/internal/table/run.go
@@ -108,6 +108,10 @@
 	// ChargeExpiry says when the charges of a fenced holder may be forgotten.
 	ChargeExpiry Timers[Holder]
 	Readiness    Readiness
+	// FirstStart is true if this agent had no earlier incarnation.
+	FirstStart bool
+	// HolderStarts are the start numbers of the routers that opened sessions.
+	HolderStarts Table[Holder, uint64]
 	// FenceReadAt is when to read the fence list again, or zero.
 	FenceReadAt Instant
 }
--- a/internal/traffic/store/process.go
+++ b/internal/traffic/store/process.go
@@ -5,8 +5,6 @@
 	"encoding/json"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"laburnumroad.dev/laburnumroad/internal/command"
 	"laburnumroad.dev/laburnumroad/internal/event"
 	"laburnumroad.dev/laburnumroad/internal/table"
@@ -17,6 +15,8 @@
 type processObject struct {
 	Process   table.Process    `json:"process"`
 	Endpoints []table.Endpoint `json:"endpoints"`
+	// First is true if no earlier incarnation of the process was registered.
+	First bool `json:"first"`
 }
 
 const (
@@ -24,50 +24,99 @@
 	lastRetry  = 5 * time.Second
 )
 
-// Register writes this process's object, repeating until it is stored, then
-// posts Registered and the fences read after it.
-func (s *Store) Register(ctx context.Context, p table.Process, endpoints []table.Endpoint) {
-	value, err := json.Marshal(processObject{Process: p, Endpoints: endpoints})
-	if err != nil {
-		return
-	}
+// Register draws this process's start number and writes its object, repeating
+// until it is stored, then posts Registered. started is called with the number
+// before that.
+func (s *Store) Register(ctx context.Context, p table.Process, endpoints []table.Endpoint, started func(uint64)) {
 	for delay := firstRetry; ; delay = min(2*delay, lastRetry) {
-		if s.register(ctx, string(p.ID()), value) == nil {
-			break
+		first, err := s.register(ctx, &p, endpoints, started)
+		if err == nil {
+			s.post(event.Registered{Start: p.Start, First: first})
+			return
 		}
 		if sleep(ctx, delay) != nil {
 			return
 		}
 	}
-	s.post(event.Registered{})
 }
 
 // register overwrites the object of this process id whatever its version: the
-// newest incarnation is the one that runs.
-func (s *Store) register(ctx context.Context, name string, value []byte) error {
+// newest incarnation is the one that runs. It reports whether there was none.
+func (s *Store) register(ctx context.Context, p *table.Process, endpoints []table.Endpoint, started func(uint64)) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	var version uint64
-	o, err := s.client.Get(ctx, KindProcess, name)
-	switch {
-	case err == nil:
-		version = o.Version
-	case !errors.Is(err, platform.ErrNotFound):
-		s.status(err)
+	if p.Start == 0 {
+		start, err := s.drawStart(ctx)
+		if err != nil {
+			return false, err
+		}
+		p.Start = start
+		started(start)
+	}
+	old, err := s.client.Get(ctx, KindProcess, string(p.ID()))
+	if s.status(err) != event.CallOK {
+		return false, err
+	}
+	var earlier processObject
+	if err == nil && json.Unmarshal(old.Value, &earlier) == nil && earlier.Process.Holder == p.Holder {
+		// A write of this incarnation took effect although its answer was lost.
+		return earlier.First, nil
+	}
+	object := processObject{Process: *p, Endpoints: endpoints, First: old.Version == 0}
+	return object.First, s.putProcess(ctx, old.Version, object)
+}
+
+func (s *Store) putProcess(ctx context.Context, version uint64, o processObject) error {
+	value, err := json.Marshal(o)
+	if err != nil {
 		return err
 	}
-	_, err = s.put(ctx, KindProcess, name, version, value)
+	_, err = s.put(ctx, KindProcess, string(o.Process.ID()), version, value)
 	s.status(err)
 	return err
 }
 
-// Deregister removes the object of a process that ends gracefully.
-func (s *Store) Deregister(ctx context.Context, id table.ProcessID) {
+// drawStart takes the next start number. A number whose write has an unknown
+// outcome is skipped.
+func (s *Store) drawStart(ctx context.Context) (uint64, error) {
+	o, err := s.client.Get(ctx, KindStart, current)
+	if s.status(err) != event.CallOK {
+		return 0, err
+	}
+	var last uint64
+	if err == nil {
+		if err := json.Unmarshal(o.Value, &last); err != nil {
+			return 0, err
+		}
+	}
+	value, err := json.Marshal(last + 1)
+	if err != nil {
+		return 0, err
+	}
+	_, err = s.put(ctx, KindStart, current, o.Version, value)
+	s.status(err)
+	return last + 1, err
+}
+
+// Deregister marks the process as left, or removes its object if nothing
+// refers to the incarnation any more. An agent's object stays, because the
+// charges of its runs are lost with it and recovery has to know that.
+func (s *Store) Deregister(ctx context.Context, id table.ProcessID, remove bool) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if o, err := s.client.Get(ctx, KindProcess, string(id)); err == nil {
+	o, err := s.client.Get(ctx, KindProcess, string(id))
+	if err != nil {
+		return
+	}
+	if remove {
 		// A failure leaves the object behind; the platform's list drops the host.
 		_ = s.client.Delete(ctx, KindProcess, string(id), o.Version)
+		return
+	}
+	var p processObject
+	if json.Unmarshal(o.Value, &p) == nil {
+		p.Process.Left = true
+		_ = s.putProcess(ctx, o.Version, p)
 	}
 }
 
--- a/internal/traffic/store/store.go
+++ b/internal/traffic/store/store.go
@@ -27,6 +27,7 @@
 	KindClaim      = "claim"
 	KindProcess    = "process"
 	KindFence      = "fence"
+	KindStart      = "start"
 	KindQuarantine = "quarantine"
 )
 
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -99,6 +99,9 @@
 	// PlatformUp says whether the platform answered last, since PlatformSince.
 	PlatformUp    bool
 	PlatformSince table.Instant
+	// AwaitRegistration is true until this process is registered. A router takes
+	// no grant before, so that its start number is older than its grants.
+	AwaitRegistration bool
 	// Draining is true after the start of a graceful shutdown.
 	Draining bool
 	// Decisions are the decisions of this tick, for explain.
