Read shard contents again when there are many budgets

Cause: a router with 21,000 budgets in 2,048 shards would keep the rows of all 630,000 budgets, about 100 MB. With ManyBudgets, contents are dropped between writes; the setting also asks the home for slices before the ledger.

--- a/internal/system/ledger/ledger.go
+++ b/internal/system/ledger/ledger.go
@@ -27,6 +27,9 @@
 	// refillShare is the part of its target that a budget without waiting
 	// requests must gain for a write of its own.
 	refillShare = 4
+	// lowReadInterval bounds the reads of a shard whose content was dropped, for
+	// budgets that no request waits for.
+	lowReadInterval = 10 * time.Second
 	// conflictDelay is the unit of the random delay after repeated conflicts.
 	conflictDelay = 5 * time.Millisecond
 	// maxConflictSteps bounds the growth of the delay after conflicts.
@@ -126,7 +129,7 @@
 		return
 	}
 	if !s.Known {
-		if s.Dirty.Len() > 0 || len(s.TopUps) > 0 || len(s.Reclaims) > 0 {
+		if needsContent(w, s) {
 			read(w, s)
 		}
 		return
@@ -137,6 +140,31 @@
 	readIfShort(w, s)
 }
 
+// needsContent reports whether an unknown shard has to be read now.
+func needsContent(w *world.World, s *table.Shard) bool {
+	if len(s.TopUps) > 0 || len(s.Reclaims) > 0 {
+		return true
+	}
+	if s.Dirty.Len() == 0 {
+		return false
+	}
+	due := settlementDue(w, s)
+	if due <= w.Now || w.Draining || s.Force {
+		return true
+	}
+	Touch(w, s.ID, due)
+	for _, id := range s.Dirty.Keys() {
+		b := w.Budgets.Get(id)
+		if b == nil || b.AtHome {
+			continue
+		}
+		if b.Short || b.Low && s.ReadAt.Add(lowReadInterval) <= w.Now {
+			return true
+		}
+	}
+	return false
+}
+
 // resolve reads back after a lost answer, or repeats the identical write.
 func resolve(w *world.World, s *table.Shard) {
 	if s.Pending.Unsure {
--- a/internal/system/ledger/query.go
+++ b/internal/system/ledger/query.go
@@ -75,7 +75,7 @@
 			q.found = append(q.found, info(w, row))
 		}
 	}
-	Forget(s)
+	Forget(w, s)
 }
 
 func (q *query) answer(w *world.World) {
@@ -93,12 +93,20 @@
 	return out
 }
 
-// Forget drops a content that this router has no use for, to bound its memory.
-// The version stays, so that an older content is never taken over later.
-func Forget(s *table.Shard) {
-	if s.Dirty.Len() > 0 || s.Held.Len() > 0 || s.Pending != nil || len(s.TopUps) > 0 || len(s.Reclaims) > 0 || s.Asked {
+// Forget drops a content that this router has no use for now, to bound its
+// memory. The version stays, so that an older content is never taken over later.
+func Forget(w *world.World, s *table.Shard) {
+	if s.Pending != nil || len(s.TopUps) > 0 || len(s.Reclaims) > 0 || s.Asked || s.Force {
 		return
 	}
+	if !w.Params.ManyBudgets && s.Dirty.Len()+s.Held.Len() > 0 {
+		return
+	}
+	for _, id := range s.Dirty.Keys() {
+		if b := w.Budgets.Get(id); b != nil && (b.Short || b.Low) {
+			return
+		}
+	}
 	s.Known = false
 	s.Content = table.ShardContent{}
 }
--- a/internal/system/recovery/recovery.go
+++ b/internal/system/recovery/recovery.go
@@ -78,7 +78,7 @@
 			continue
 		}
 		if ledger.Home(w, id) != w.Self().Process {
-			ledger.Forget(s)
+			ledger.Forget(w, s)
 			continue
 		}
 		for i := range s.Content.Budgets {
@@ -86,7 +86,7 @@
 				suspect(w, id, g.Holder)
 			}
 		}
-		ledger.Forget(s)
+		ledger.Forget(w, s)
 	}
 }
 
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -30,10 +30,10 @@
 	Shards         uint32
 	GrantLifetime  time.Duration
 	SettleInterval time.Duration
-	// SlicesFirst lets routers with little demand for a budget ask its home
-	// router for a slice before they take a ledger grant. It saves platform
-	// writes when there are many budgets.
-	SlicesFirst       bool
+	// ManyBudgets saves platform writes and memory in a large fleet: routers
+	// with little demand for a budget ask its home router for a slice before
+	// they take a ledger grant, and shard contents are read again for each write.
+	ManyBudgets       bool
 	AnswerRetention   time.Duration
 	DetachGrace       time.Duration
 	DrainTimeout      time.Duration
