--- a/internal/system/budget/failure_test.go
+++ b/internal/system/budget/failure_test.go
@@ -253,3 +253,42 @@
 	require.Equal(t, table.RequestQueued, r.Requests.Get("workshop/a").State())
 	require.Equal(t, table.Tokens(500), r.Budgets.Get(testBudget).Reserved)
 }
+
+// Guards against a request that spends an expired grant before the ledger has
+// renewed it.
+func TestExpiredGrantIsRenewedBeforeUse(t *testing.T) {
+	r := newRouter(10_000)
+	r.request("workshop/a", 100)
+	r.run()
+	require.Positive(t, r.Budgets.Get(testBudget).Own())
+	r.now = r.Budgets.Get(testBudget).Expires
+	r.request("workshop/b", 100)
+	r.Tick(r.now, r.systems)
+	require.Equal(t, table.RequestReserving, r.Requests.Get("workshop/b").State())
+	r.run()
+	require.Equal(t, table.RequestQueued, r.Requests.Get("workshop/b").State())
+	require.Greater(t, r.Budgets.Get(testBudget).Expires, r.now)
+}
+
+// Guards against a slice whose report was lost with its session and that stays
+// counted as used.
+func TestReportIsRepeatedAfterSession(t *testing.T) {
+	f := newFleet(9, 2, 1, testParams())
+	f.deposit(testBudget, 100_000)
+	home := ledger.Home(f.routers["r0"].world, 0)
+	other := table.ProcessID("r0")
+	if home == "r0" {
+		other = "r1"
+	}
+	f.request(other, testBudget, 100)
+	f.runUntil(f.now + 3*time.Second)
+	f.cutOff(other, false)
+	f.runUntil(f.now + 6*time.Minute)
+	require.Positive(t, f.routers[home].world.Budgets.Get(testBudget).SliceOut)
+	f.cut = map[[2]table.ProcessID]bool{}
+	f.refreshProcesses()
+	f.post(f.routers[other].holder, event.SessionUp{Process: table.Process{Holder: f.routers[home].holder}})
+	f.runUntil(f.now + 100*time.Millisecond)
+	require.Zero(t, f.routers[home].world.Budgets.Get(testBudget).SliceOut)
+	require.Zero(t, f.routers[other].world.SlicesIn.Len())
+}
