Read the fence list at once after a lost race

Cause: two home routers that recover the same holder write the list at the same time; the loser waited one to three seconds, as after a failed call.

--- a/internal/system/recovery/fences.go
+++ b/internal/system/recovery/fences.go
@@ -32,7 +32,8 @@
 	}
 	for _, e := range w.In.FenceWrites {
 		f.open, f.known = false, false
-		if e.Status != event.CallOK {
+		// After a conflict the list is read again at once.
+		if e.Status != event.CallOK && e.Status != event.CallConflict {
 			f.retryLater(w)
 		}
 	}
