--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -326,6 +326,9 @@
 	Need table.Tokens
 	// Forwarded is true when the home asks a holder for another router.
 	Forwarded bool
+	// Recall is true when a grantor asks for its slices on behalf of From; such
+	// a request is not passed on again.
+	Recall bool
 }
 
 // SliceGrant answers a SliceRequest. Amount may be 0.
--- a/internal/system/ledger/reclaim.go
+++ b/internal/system/ledger/reclaim.go
@@ -13,6 +13,8 @@
 	s := Shard(w, id)
 	s.Reclaims = slices.DeleteFunc(s.Reclaims, func(old table.Reclaim) bool { return old.Holder == r.Holder })
 	s.Reclaims = append(s.Reclaims, r)
+	// The shard is read first: the known content may show no grant any more.
+	s.Asked = true
 	Touch(w, id, w.Now)
 }
 
--- a/internal/system/recovery/fences.go
+++ b/internal/system/recovery/fences.go
@@ -22,6 +22,9 @@
 	open    bool
 	sentAt  table.Instant
 	nextTry table.Instant
+	// readAt is when the list was last wanted for another reason than a write.
+	readAt   table.Instant
+	wantRead bool
 }
 
 func (f *fenceList) add(h table.Holder) { f.wanted.Add(h) }
@@ -48,7 +51,7 @@
 	if e.Version < f.version {
 		return
 	}
-	f.known, f.version, f.holders = true, e.Version, e.Holders
+	f.known, f.version, f.holders, f.wantRead = true, e.Version, e.Holders, false
 	for _, h := range e.Holders {
 		f.wanted.Remove(h)
 		if w.Fences.Get(h) == nil {
@@ -61,13 +64,26 @@
 	}
 }
 
+// recheck has the list read from time to time, and when an agent refuses this
+// router as fenced, so that a router that was paused learns of its own fence.
+func (f *fenceList) recheck(w *world.World) {
+	due := f.readAt.Add(fenceInterval) <= w.Now
+	for _, e := range w.In.AttemptEnds {
+		due = due || e.Code == table.CodeFenced && f.readAt.Add(checkInterval) <= w.Now
+	}
+	if due {
+		f.readAt, f.known, f.wantRead = w.Now, false, true
+	}
+	w.WakeAt(f.readAt.Add(fenceInterval))
+}
+
 func (f *fenceList) retryLater(w *world.World) {
 	f.nextTry = w.Now.Add(callTimeout/2 + time.Duration(w.Rand.Int64N(int64(callTimeout))))
 }
 
 // call sends the next call, one at a time.
 func (f *fenceList) call(w *world.World) {
-	if f.wanted.Len() == 0 {
+	if f.wanted.Len() == 0 && !f.wantRead {
 		return
 	}
 	if f.open && f.sentAt.Add(callTimeout) > w.Now {
--- a/internal/system/recovery/recovery.go
+++ b/internal/system/recovery/recovery.go
@@ -23,6 +23,8 @@
 	callTimeout = 2 * time.Second
 	// askInterval is how often an agent without a final answer is asked again.
 	askInterval = time.Second
+	// fenceInterval is how often a router reads the fence list without cause.
+	fenceInterval = 20 * time.Second
 	// scanReads bounds the shard reads that a scan has open.
 	scanReads = 16
 	// fencesKept bounds the fence list. At 300 restarts a day it covers three
@@ -42,6 +44,7 @@
 // Run implements world.System.
 func (s *system) Run(w *world.World) {
 	s.fences.take(w)
+	s.fences.recheck(w)
 	for _, e := range w.In.ProcessLists {
 		onProcessList(w, e)
 	}
@@ -77,6 +80,7 @@
 		if !s.Known {
 			continue
 		}
+		noteRecovered(w, s)
 		if ledger.Home(w, id) != w.Self().Process {
 			ledger.Forget(w, s)
 			continue
@@ -186,18 +190,18 @@
 	return false
 }
 
+// noteRecovered takes a shard off the recoveries whose holder has no grant in it
+// any more. It runs before the content may be dropped.
+func noteRecovered(w *world.World, s *table.Shard) {
+	w.Recoveries.Each(func(h table.Holder, r *table.Recovery) {
+		if r.Stage == table.RecoveryWriting && !ledger.HasGrant(&s.Content, h) {
+			r.Shards.Remove(s.ID)
+		}
+	})
+}
+
 // written reports whether the ledger shows no grant of the holder any more.
 func written(w *world.World, r *table.Recovery) bool {
-	for _, id := range r.Shards.Keys() {
-		s := w.Shards.Get(id)
-		if !s.Known && !s.Asked {
-			s.Asked = true
-			ledger.Touch(w, id, w.Now)
-		}
-		if s.Known && s.Pending == nil && !ledger.HasGrant(&s.Content, r.Holder) {
-			r.Shards.Remove(id)
-		}
-	}
 	if r.Shards.Len() > 0 {
 		return false
 	}
