--- a/internal/system/budget/fleet_property_test.go
+++ b/internal/system/budget/fleet_property_test.go
@@ -37,6 +37,10 @@
 	})
 }
 
+// quietReads bounds the shard reads of three routers with two shards in 30 s
+// without requests, so that no system polls the platform.
+const quietReads = 30
+
 func act(t *rapid.T, f *fleet, budgets []table.BudgetID) {
 	router := rapid.SampledFrom(f.names).Draw(t, "router")
 	id := rapid.SampledFrom(budgets).Draw(t, "budget")
@@ -132,7 +136,12 @@
 			f.startRouter(name)
 		}
 	}
-	f.runUntil(f.now + 60*time.Second)
+	f.runUntil(f.now + 30*time.Second)
+	reads := f.store.reads
+	f.runUntil(f.now + 30*time.Second)
+	if n := f.store.reads - reads; n > quietReads {
+		t.Fatalf("%d shard reads in 30 s without requests", n)
+	}
 	check(t, f)
 	for _, name := range f.names[1:] {
 		f.routers[name].world.Draining = true
--- a/internal/system/budget/slice_out.go
+++ b/internal/system/budget/slice_out.go
@@ -57,7 +57,11 @@
 		refuseSlice(w, call, e.Budget, 0)
 		return
 	}
-	refuseSlice(w, call, e.Budget, releaseUnused(w, b)+recall(w, call, b, e))
+	released := releaseUnused(w, b)
+	if !e.Recall {
+		released += recall(w, call, b, e)
+	}
+	refuseSlice(w, call, e.Budget, released)
 }
 
 // releaseUnused returns what this router does not use, and reports how much.
@@ -78,12 +82,18 @@
 // recall asks the receivers of this router's slices to return what they do not
 // use, and reports what they may have.
 func recall(w *world.World, call table.SliceCall, b *table.Budget, e event.SliceRequest) table.Tokens {
+	e.Recall = true
 	var sum table.Tokens
+	var asked []table.Holder
 	for _, key := range passedOf(w, b.ID).Keys() {
 		if key.Peer == call.Peer || !reachable(w, key.Peer.Process) {
 			continue
 		}
 		sum += w.SlicesOut.Get(key).Amount
+		if slices.Contains(asked, key.Peer) {
+			continue
+		}
+		asked = append(asked, key.Peer)
 		w.Out.SliceRequests = append(w.Out.SliceRequests, command.SendSliceRequest{To: key.Peer.Process, Request: e})
 	}
 	return sum
