--- a/internal/system/dedup/standin_test.go
+++ b/internal/system/dedup/standin_test.go
@@ -74,10 +74,12 @@
 }
 
 const (
-	// maxAttempts bounds the attempts of the stand-in for retry, besides those
-	// that a busy agent refused.
-	maxAttempts = 8
-	busyDelay   = 10 * time.Millisecond
+	// maxAttempts bounds the attempts of the stand-in for retry, besides those of
+	// model requests that a busy agent refused. Calls give up soon, so that some
+	// end with NotRun.
+	maxAttempts     = 8
+	maxCallAttempts = 2
+	busyDelay       = 10 * time.Millisecond
 )
 
 // fakeRetry follows the rules of section 5: what certainly did not run, or may
@@ -91,15 +93,15 @@
 		switch {
 		case e.Status == event.AttemptDone:
 			w.Requests.End(r, table.Outcome{OK: true, Ran: table.DidRun, Replayed: e.Replayed})
-		case e.Code == table.CodeBusy && e.Ran == table.NotRun:
+		case e.Code == table.CodeBusy && e.Ran == table.NotRun && r.Idempotent:
 			r.Attempts--
 			r.NotBefore = w.Now.Add(busyDelay)
 			w.Requests.Move(r, table.RequestBackoff)
 		case e.Status == event.AttemptRejected && (e.Ran != table.NotRun || final(e.Code)):
-			w.Requests.End(r, table.Outcome{Code: e.Code, Ran: e.Ran})
+			w.Requests.End(r, table.Outcome{Code: e.Code, Ran: lastRan(r, e)})
 		case e.Status != event.AttemptRejected && (!r.Idempotent || r.ReplayOnly):
 			w.Requests.End(r, table.Outcome{Code: table.CodeEndpointFailed, Ran: table.RanUnknown})
-		case r.Attempts >= maxAttempts:
+		case r.Attempts >= maxAttempts || (!r.Idempotent && r.Attempts >= maxCallAttempts):
 			w.Requests.End(r, table.Outcome{Code: e.Code, Ran: lastRan(r, e)})
 		default:
 			w.Requests.Move(r, table.RequestQueued)
@@ -124,7 +126,7 @@
 // lastRan is NotRun only for calls, whose attempts before this one were all
 // refused: any other end of an attempt ended the call.
 func lastRan(r *table.Request, e event.AttemptEnd) table.Ran {
-	if r.Idempotent {
+	if r.Idempotent && e.Ran == table.NotRun {
 		return table.RanUnknown
 	}
 	return e.Ran
@@ -155,6 +157,8 @@
 	claims     map[table.RequestID]storedClaim
 	fences     []table.Holder
 	quarantine event.QuarantineList
+	// cancelled are the nonces of the claims that were cancelled.
+	cancelled map[uint64]bool
 	// calls counts claim calls, writes those that are not reads.
 	calls, writes int
 }
@@ -175,22 +179,26 @@
 		result.Status, result.Version, result.Claim = event.CallOK, stored.version, stored.claim
 	case p.mode == platformLate:
 		result.Status = event.CallUnknown
-		f.net = append(f.net, message{from: n.holder(), apply: func() { p.write(c) }})
+		f.net = append(f.net, message{from: n.holder(), apply: func() { p.write(f, c) }})
 	case p.mode == platformLosesAnswers:
-		p.write(c)
+		p.write(f, c)
 		result.Status = event.CallUnknown
 	default:
-		result.Status, result.Version = p.write(c)
+		result.Status, result.Version = p.write(f, c)
 	}
 	f.net = append(f.net, message{to: n.holder().Process, only: n.holder(), event: result})
 }
 
-func (p *fakePlatform) write(c command.ClaimCall) (event.CallStatus, uint64) {
+func (p *fakePlatform) write(f *fleet, c command.ClaimCall) (event.CallStatus, uint64) {
 	stored := p.claims[c.Claim.Request]
 	if stored.version != c.Version {
 		return event.CallConflict, 0
 	}
 	p.claims[c.Claim.Request] = storedClaim{version: c.Version + 1, claim: c.Claim}
+	if c.Claim.State == event.ClaimCancelled {
+		f.checkCancelled(c.Claim)
+		p.cancelled[c.Claim.Nonce] = true
+	}
 	return event.CallOK, c.Version + 1
 }
 
--- a/internal/system/gate/runs.go
+++ b/internal/system/gate/runs.go
@@ -9,7 +9,7 @@
 	"laburnumroad.dev/laburnumroad/internal/world"
 )
 
-// run starts a run and charges its limit to the holder until it ends.
+// run starts a run and charges its limit to the payer until it ends.
 func run(w *world.World, d *event.Dispatch) {
 	row := w.Runs.Get(d.Request)
 	if row == nil {
@@ -24,27 +24,31 @@
 	ep := w.Endpoints.Get(d.Endpoint)
 	ep.InFlight++
 	ep.InFlightTokens += d.Limit
+	if d.Class == table.ClassQuick {
+		ep.InFlightQuick++
+	}
 	runs := w.EndpointRuns.Get(d.Endpoint)
 	if runs == nil {
 		runs = w.EndpointRuns.Put(d.Endpoint, table.EndpointRuns{})
 	}
 	runs.Running = append(runs.Running, d.Request)
 	runs.Alone = d.Alone
-	charge := chargeOf(w, d.Holder, d.Budget)
+	charge := chargeOf(w, row.Payer, d.Budget)
 	charge.Running += d.Limit
 	charge.LastUse = w.Now
-	holderWork(w, d.Holder).Running++
+	holderWork(w, row.Payer).Running++
 	w.Count("gate.run")
 }
 
 func setRun(w *world.World, row *table.Run, d *event.Dispatch) {
 	row.State = table.RunRunning
+	row.Payer = payer(d)
 	row.Holder, row.Nonce, row.Attempt, row.Session = d.Holder, d.Nonce, d.Attempt, d.Session
 	row.Latest = d.Attempt
 	row.Budget, row.Endpoint, row.Service, row.Kind = d.Budget, d.Endpoint, d.Service, d.Kind
 	row.Fingerprint, row.Idempotent = d.Fingerprint, d.Idempotent || d.Kind == table.ServiceModel
-	row.Limit, row.Position, row.Alone = d.Limit, d.Position, d.Alone
-	row.Prompt, row.Output = 0, 0
+	row.Limit, row.Position, row.Alone, row.Class = d.Limit, d.Position, d.Alone, d.Class
+	row.Prompt, row.Output, row.PaceSeen = 0, 0, false
 	row.Expires, row.Started = d.Expires, w.Now
 	row.Keep = max(row.Keep, d.KeyUntil)
 	if key, ok := table.ParseIssuedKey(d.Request.Key()); ok {
@@ -82,6 +86,7 @@
 			continue
 		}
 		row.Prompt, row.Output = max(row.Prompt, e.Prompt), max(row.Output, e.Output)
+		learnPace(w, row, e.Pace)
 	}
 }
 
@@ -98,6 +103,7 @@
 func end(w *world.World, row *table.Run, e event.RunEnd) {
 	row.Prompt, row.Output = max(row.Prompt, e.Prompt), max(row.Output, e.Output)
 	row.State = stateAfter(e.Status)
+	learnPace(w, row, e.Pace)
 	if e.Status == event.RunNotRun {
 		row.Prompt, row.Output = 0, 0
 		addRejected(row, table.RejectedAttempt{Holder: row.Holder, Nonce: row.Nonce, Attempt: row.Attempt})
@@ -120,14 +126,14 @@
 
 // settle moves a run's charge from its limit to what it produced.
 func settle(w *world.World, row *table.Run) {
-	charge := chargeOf(w, row.Holder, row.Budget)
+	charge := chargeOf(w, row.Payer, row.Budget)
 	charge.Running -= row.Limit
 	charge.Spent += cost(row)
 	charge.LastUse = w.Now
-	work := holderWork(w, row.Holder)
+	work := holderWork(w, row.Payer)
 	work.Running--
 	if work.Running == 0 {
-		answerAsking(w, row.Holder)
+		answerAsking(w, row.Payer)
 	}
 }
 
@@ -144,6 +150,9 @@
 	if ep := w.Endpoints.Get(row.Endpoint); ep != nil {
 		ep.InFlight--
 		ep.InFlightTokens -= row.Limit
+		if row.Class == table.ClassQuick {
+			ep.InFlightQuick--
+		}
 	}
 	runs := w.EndpointRuns.Get(row.Endpoint)
 	if runs == nil {
--- a/internal/table/run.go
+++ b/internal/table/run.go
@@ -20,9 +20,11 @@
 // Run is what an agent knows of one request id. Invariant: the endpoint runs a
 // non-idempotent request id at most once in an incarnation of the agent.
 type Run struct {
-	ID       RequestID
-	State    RunState
-	Holder   Holder
+	ID     RequestID
+	State  RunState
+	Holder Holder
+	// Payer is the holder of the ledger grant that the run is charged to.
+	Payer    Holder
 	Budget   BudgetID
 	Endpoint EndpointID
 	Service  ServiceName
@@ -39,6 +41,9 @@
 	Expires  Instant
 	Started  Instant
 	Alone    bool
+	// PaceSeen is true once the first-token time of the run was learned.
+	PaceSeen bool
+	Class    Class
 	Kind     ServiceKind
 	// Session gets the output of the attempt.
 	Session uint64
@@ -80,7 +85,7 @@
 	At          Instant
 }
 
-// HolderWork is what an agent runs for one holder.
+// HolderWork is what an agent runs at the cost of one holder's grants.
 type HolderWork struct {
 	Running int
 	Budgets []BudgetID
@@ -120,7 +125,8 @@
 	Ready
 )
 
-// ChargeKey identifies a charge record at an agent.
+// ChargeKey identifies a charge record at an agent. The holder is that of the
+// ledger grant, also when another router spent a slice of it.
 type ChargeKey struct {
 	Holder Holder
 	Budget BudgetID
