Look only at the senders of heartbeats, and encode a heartbeat once

A heartbeat was also encoded anew for each session, with a sender that receivers ignore.

Dials that are due between heartbeats now have a wake-up of their own; it was lost at the next tick before.

--- a/internal/daemon/flush.go
+++ b/internal/daemon/flush.go
@@ -112,14 +112,7 @@
 		}
 	}
 	for i := range out.Heartbeats {
-		c := &out.Heartbeats[i]
-		if c.To != "" {
-			d.peers.send(c.To, wire.TypeHeartbeat, &c.Heartbeat)
-			continue
-		}
-		for _, s := range d.peers.all() {
-			_ = s.Send(wire.TypeHeartbeat, &c.Heartbeat)
-		}
+		d.sendHeartbeat(&out.Heartbeats[i])
 	}
 	for i := range out.Crashes {
 		for _, s := range d.peers.all() {
@@ -131,6 +124,23 @@
 	}
 }
 
+// sendHeartbeat encodes a heartbeat to all sessions once. The sender is left out
+// because receivers take it from the session.
+func (d *Daemon) sendHeartbeat(c *command.SendHeartbeat) {
+	c.Heartbeat.Peer = table.Holder{}
+	if c.To != "" {
+		d.peers.send(c.To, wire.TypeHeartbeat, &c.Heartbeat)
+		return
+	}
+	frame, err := wire.AppendFrame(nil, wire.TypeHeartbeat, &c.Heartbeat)
+	if err != nil {
+		return
+	}
+	for _, s := range d.peers.all() {
+		_ = s.SendFrame(frame)
+	}
+}
+
 func (d *Daemon) dial(c command.Dial) {
 	if !d.peers.beginDial(c.Process) {
 		return
--- a/internal/system/membership/membership.go
+++ b/internal/system/membership/membership.go
@@ -31,6 +31,8 @@
 type System struct {
 	nextBeat table.Instant
 	dials    table.Table[table.ProcessID, dial]
+	// nextDial is when the next dial is due, or Never.
+	nextDial table.Instant
 	// leaving is what the last heartbeat said, so that a change is sent at once.
 	leaving bool
 }
@@ -41,7 +43,7 @@
 }
 
 // New returns the system.
-func New() *System { return &System{} }
+func New() *System { return &System{nextDial: table.Never} }
 
 // Run implements world.System.
 func (s *System) Run(w *world.World) {
@@ -55,11 +57,17 @@
 		s.dialPeers(w)
 		s.sendHeartbeat(w)
 		s.nextBeat = now.Add(interval(w))
-	} else if len(w.In.SessionUps)+len(w.In.SessionDowns)+len(w.In.ProcessLists)+len(w.In.MemberLists)+len(w.In.Heartbeats) > 0 {
+	} else if len(w.In.SessionUps)+len(w.In.SessionDowns)+len(w.In.ProcessLists)+len(w.In.MemberLists) > 0 {
 		s.updateStates(w)
 		s.dialPeers(w)
+	} else {
+		updateHeard(w)
+		if now >= s.nextDial {
+			s.dialPeers(w)
+		}
 	}
 	w.WakeAt(s.nextBeat)
+	w.WakeAt(s.nextDial)
 }
 
 func interval(w *world.World) time.Duration {
@@ -250,12 +258,26 @@
 		if id == w.Self().Process {
 			return
 		}
-		state, reason := stateOf(w, p, silent)
-		reportState(w, p, state, reason)
-		p.State = state
+		updateState(w, p, silent)
 	})
 }
 
+func updateState(w *world.World, p *table.Process, silent time.Duration) {
+	state, reason := stateOf(w, p, silent)
+	reportState(w, p, state, reason)
+	p.State = state
+}
+
+// updateHeard looks only at the processes that sent a heartbeat. A look at all
+// of them per heartbeat would grow with the square of the fleet.
+func updateHeard(w *world.World) {
+	for _, h := range w.In.Heartbeats {
+		if p := w.Processes.Get(h.Peer.Process); p != nil && p.Holder == h.Peer {
+			updateState(w, p, w.Params.HeartbeatInterval*suspectAfter)
+		}
+	}
+}
+
 func stateOf(w *world.World, p *table.Process, silent time.Duration) (table.ProcessState, string) {
 	quiet := w.Now.Sub(p.LastHeard)
 	switch {
@@ -287,6 +309,7 @@
 // dialPeers opens missing sessions. A router dials agents, and routers with a
 // higher id, so that two processes never dial each other.
 func (s *System) dialPeers(w *world.World) {
+	s.nextDial = table.Never
 	if w.Params.Self.Role != table.RoleRouter || w.Draining {
 		return
 	}
@@ -315,7 +338,7 @@
 		d.next = w.Now.Add(d.delay + jitter)
 		d.delay = min(2*d.delay, lastRedial)
 	}
-	w.WakeAt(d.next)
+	s.nextDial = min(s.nextDial, d.next)
 }
 
 func (s *System) sendHeartbeat(w *world.World) {
--- a/internal/traffic/wire/session.go
+++ b/internal/traffic/wire/session.go
@@ -58,6 +58,22 @@
 	if err != nil {
 		return err
 	}
+	return s.setQueue(queue)
+}
+
+// SendFrame is Send of a message that is already encoded, for one that goes to
+// many sessions.
+func (s *Session) SendFrame(frame []byte) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return ErrClosed
+	}
+	return s.setQueue(append(s.queue, frame...))
+}
+
+// setQueue stores the queue with a new message and wakes the writer.
+func (s *Session) setQueue(queue []byte) error {
 	s.queue = queue
 	if len(s.queue) > maxQueued {
 		s.closeLocked()
