--- a/internal/system/budget/failure_test.go
+++ b/internal/system/budget/failure_test.go
@@ -292,3 +292,33 @@
 	require.Zero(t, f.routers[home].world.Budgets.Get(testBudget).SliceOut)
 	require.Zero(t, f.routers[other].world.SlicesIn.Len())
 }
+
+// Guards against two routers with slices of each other that pass a recall back
+// and forth without end.
+func TestRecallIsPassedOnOnce(t *testing.T) {
+	r := newRouter(10_000)
+	other := table.Holder{Process: "r2", Incarnation: 9}
+	third := table.Holder{Process: "r3", Incarnation: 10}
+	r.Processes.Put("r2", table.Process{Holder: other, Role: table.RoleRouter, State: table.ProcessLive, Connected: true})
+	r.Processes.Put("r3", table.Process{Holder: third, Role: table.RoleRouter, State: table.ProcessLive, Connected: true})
+	r.request("workshop/a", 100)
+	r.run()
+	request := event.SliceRequest{From: other, Call: 1, Budget: testBudget, Want: 50, Need: 50, Forwarded: true}
+	r.In.SliceRequests = append(r.In.SliceRequests, request)
+	r.Tick(r.now, r.systems)
+	r.Clear()
+	require.Equal(t, 1, r.SlicesOut.Len())
+
+	request.From, request.Call, request.Want, request.Need = third, 2, 90_000, 90_000
+	r.In.SliceRequests = append(r.In.SliceRequests, request)
+	r.Tick(r.now, r.systems)
+	require.Len(t, r.Out.SliceRequests, 1)
+	require.Equal(t, table.ProcessID("r2"), r.Out.SliceRequests[0].To)
+	require.True(t, r.Out.SliceRequests[0].Request.Recall)
+	r.Clear()
+
+	request.Recall = true
+	r.In.SliceRequests = append(r.In.SliceRequests, request)
+	r.Tick(r.now, r.systems)
+	require.Empty(t, r.Out.SliceRequests)
+}
