Pursue budgets again after the registration; start the drain of a fenced router

Cause 2: the drain of a fenced router counted its timeout from the start of the process and could cut streams at once. Start numbers are drawn again at once after a conflict.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -166,6 +166,7 @@
 		Self: d.self, Shards: d.opts.LedgerShards, GrantLifetime: d.opts.GrantLifetime,
 		SettleInterval: d.opts.SettleInterval, AnswerRetention: d.opts.AnswerRetention,
 		DetachGrace: d.opts.DetachGrace, DrainTimeout: d.opts.DrainTimeout,
+		ManyBudgets:       d.opts.LedgerShards > manyShards,
 		HeartbeatInterval: heartbeatInterval, ExplainLimit: explainLimit,
 	}
 }
--- a/internal/daemon/options.go
+++ b/internal/daemon/options.go
@@ -55,6 +55,9 @@
 
 const (
 	heartbeatInterval = time.Second
+	// manyShards is the number of ledger shards above which cold budgets are
+	// spent through their home router, so that one write covers many of them.
+	manyShards = 256
 	// explainLimit bounds the memory of explain: a decision takes some 500 bytes.
 	explainLimit = 16384
 )
--- a/internal/system/drain/drain.go
+++ b/internal/system/drain/drain.go
@@ -16,29 +16,43 @@
 
 // System follows one shutdown.
 type System struct {
-	started table.Instant
-	idle    table.Instant
-	exited  bool
+	draining bool
+	started  table.Instant
+	idle     table.Instant
+	exited   bool
 }
 
 // New returns the system.
 func New() *System { return &System{} }
 
-// Run implements world.System.
+// Run implements world.System. Recovery starts a drain too, when this
+// incarnation was fenced.
 func (s *System) Run(w *world.World) {
-	if len(w.In.Shutdowns) > 0 && !w.Draining {
+	if len(w.In.Shutdowns) > 0 {
 		w.Draining = true
-		s.started = w.Now
-		w.Change("process", string(w.Self().Process), "serving", "draining", "shutdown requested")
-		w.WakeAt(w.Now)
-		return
 	}
 	if !w.Draining || s.exited {
 		return
 	}
+	if !s.draining {
+		s.draining, s.started = true, w.Now
+		w.Change("process", string(w.Self().Process), "serving", "draining", reason(w))
+		// The other systems see the drain before it can end.
+		w.WakeAt(w.Now)
+		return
+	}
 	s.follow(w)
 }
 
+func reason(w *world.World) string {
+	if fenced(w) {
+		return "this incarnation was fenced"
+	}
+	return "shutdown requested"
+}
+
+func fenced(w *world.World) bool { return w.Fences.Get(w.Self()) != nil }
+
 func (s *System) follow(w *world.World) {
 	deadline := s.started.Add(w.Params.DrainTimeout)
 	if w.Now >= deadline {
@@ -75,7 +89,12 @@
 	return inFlight > 0
 }
 
+// holdsGrants reports whether the ledger still has a grant of this process that
+// it can return itself.
 func holdsGrants(w *world.World) bool {
+	if fenced(w) {
+		return false
+	}
 	held := false
 	w.Budgets.Each(func(_ table.BudgetID, b *table.Budget) {
 		held = held || b.Granted > 0 || b.Spent > 0
@@ -86,5 +105,5 @@
 func (s *System) exit(w *world.World, reason string) {
 	s.exited = true
 	w.Change("process", string(w.Self().Process), "draining", "stopped", reason)
-	w.Out.Exits = append(w.Out.Exits, command.Exit{Reason: reason, Returned: !holdsGrants(w)})
+	w.Out.Exits = append(w.Out.Exits, command.Exit{Reason: reason, Returned: !fenced(w) && !holdsGrants(w)})
 }
--- a/internal/system/ledger/ledger.go
+++ b/internal/system/ledger/ledger.go
@@ -45,6 +45,7 @@
 
 // Run implements world.System.
 func (l *system) Run(w *world.World) {
+	onRegistered(w)
 	for _, e := range w.In.ShardReads {
 		onRead(w, e)
 	}
@@ -81,6 +82,19 @@
 	return w.Shards.Put(id, table.Shard{ID: id})
 }
 
+// onRegistered looks again at the budgets that requests wait for: before the
+// registration, no grant was taken for them.
+func onRegistered(w *world.World) {
+	if len(w.In.Registered) == 0 {
+		return
+	}
+	for _, id := range w.ShortBudgets.Keys() {
+		b := w.Budgets.Get(id)
+		MarkDirty(w, b)
+		Touch(w, b.Shard, w.Now)
+	}
+}
+
 // Touch asks the ledger to look at a shard at time t.
 func Touch(w *world.World, id table.ShardID, t table.Instant) {
 	t = max(t, w.Now)
--- a/internal/system/membership/membership.go
+++ b/internal/system/membership/membership.go
@@ -3,6 +3,7 @@
 package membership
 
 import (
+	"strconv"
 	"time"
 
 	"laburnumroad.dev/laburnumroad/internal/command"
@@ -145,6 +146,7 @@
 func readRegistered(w *world.World) {
 	for _, e := range w.In.Registered {
 		w.AwaitRegistration = false
+		w.Change("process", string(w.Self().Process), "starting", "registered", "start "+strconv.FormatUint(e.Start, 10))
 		w.Params.Self.Start = e.Start
 		if self := w.Processes.Get(w.Self().Process); self != nil {
 			self.Start = e.Start
--- a/internal/traffic/store/process.go
+++ b/internal/traffic/store/process.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"laburnumroad.dev/laburnumroad/internal/command"
 	"laburnumroad.dev/laburnumroad/internal/event"
 	"laburnumroad.dev/laburnumroad/internal/table"
@@ -22,6 +25,8 @@
 const (
 	firstRetry = 200 * time.Millisecond
 	lastRetry  = 5 * time.Second
+	// startJitter spreads processes that start together and draw a number.
+	startJitter = 50 * time.Millisecond
 )
 
 // Register draws this process's start number and writes its object, repeating
@@ -77,8 +82,21 @@
 }
 
 // drawStart takes the next start number. A number whose write has an unknown
-// outcome is skipped.
+// outcome is skipped. A conflict means that another process took a number, so
+// the next try follows at once.
 func (s *Store) drawStart(ctx context.Context) (uint64, error) {
+	for {
+		start, err := s.tryStart(ctx)
+		if !errors.Is(err, platform.ErrConflict) {
+			return start, err
+		}
+		if err := sleep(ctx, rand.N(startJitter)); err != nil {
+			return 0, err
+		}
+	}
+}
+
+func (s *Store) tryStart(ctx context.Context) (uint64, error) {
 	o, err := s.client.Get(ctx, KindStart, current)
 	if s.status(err) != event.CallOK {
 		return 0, err
