--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -75,7 +75,11 @@
 }
 
 func takeSnapshot(w *world.World) *snapshot {
-	s := &snapshot{Generation: w.Fleet.Generation, ConfigText: w.Fleet.Text}
+	s := &snapshot{
+		Generation: w.Fleet.Generation, ConfigText: w.Fleet.Text,
+		Processes: make([]table.Process, 0, w.Processes.Len()),
+		Endpoints: make([]table.Endpoint, 0, w.Endpoints.Len()),
+	}
 	w.Processes.Each(func(_ table.ProcessID, p *table.Process) { s.Processes = append(s.Processes, *p) })
 	w.Endpoints.Each(func(_ table.EndpointID, e *table.Endpoint) { s.Endpoints = append(s.Endpoints, *e) })
 	return s
