--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -340,7 +340,11 @@
 type PlatformState struct{ Reachable bool }
 
 // Registered says that this process's object is written to the platform.
-type Registered struct{}
+type Registered struct {
+	Start uint64
+	// First is true if no earlier incarnation of this process was registered.
+	First bool
+}
 
 // SliceRequest asks for part of a budget.
 type SliceRequest struct {
@@ -352,6 +356,9 @@
 	Need table.Tokens
 	// Forwarded is true when the home asks a holder for another router.
 	Forwarded bool
+	// Recall is true when a grantor asks for its slices on behalf of From; such
+	// a request is not passed on again.
+	Recall bool
 }
 
 // SliceGrant answers a SliceRequest. Amount may be 0.
--- a/internal/system/membership/membership.go
+++ b/internal/system/membership/membership.go
@@ -31,6 +31,8 @@
 type System struct {
 	nextBeat table.Instant
 	dials    table.Table[table.ProcessID, dial]
+	// nextDial is when the next dial is due, or Never.
+	nextDial table.Instant
 	// leaving is what the last heartbeat said, so that a change is sent at once.
 	leaving bool
 }
@@ -41,7 +43,7 @@
 }
 
 // New returns the system.
-func New() *System { return &System{} }
+func New() *System { return &System{nextDial: table.Never} }
 
 // Run implements world.System.
 func (s *System) Run(w *world.World) {
@@ -49,17 +51,24 @@
 	readSessions(w)
 	readHeartbeats(w)
 	readPlatform(w)
+	readRegistered(w)
 	changed := s.readDrains(w)
 	if now := w.Now; now >= s.nextBeat || changed || s.leaving != w.Draining {
 		s.updateStates(w)
 		s.dialPeers(w)
 		s.sendHeartbeat(w)
 		s.nextBeat = now.Add(interval(w))
-	} else if len(w.In.SessionUps)+len(w.In.SessionDowns)+len(w.In.ProcessLists)+len(w.In.MemberLists)+len(w.In.Heartbeats) > 0 {
+	} else if len(w.In.SessionUps)+len(w.In.SessionDowns)+len(w.In.ProcessLists)+len(w.In.MemberLists) > 0 {
 		s.updateStates(w)
 		s.dialPeers(w)
+	} else {
+		updateHeard(w)
+		if now >= s.nextDial {
+			s.dialPeers(w)
+		}
 	}
 	w.WakeAt(s.nextBeat)
+	w.WakeAt(s.nextDial)
 }
 
 func interval(w *world.World) time.Duration {
@@ -111,7 +120,11 @@
 		w.Processes.Put(p.ID(), p)
 		return
 	}
-	if old.Connected || old.Incarnation == p.Incarnation {
+	if old.Incarnation == p.Incarnation {
+		old.Left = p.Left
+		return
+	}
+	if old.Connected {
 		return
 	}
 	p.Unlisted, p.ListedLeaving, p.LastHeard = old.Unlisted, old.ListedLeaving, w.Now
@@ -128,6 +141,17 @@
 	old.Region, old.Domain, old.ChecksFencing = e.Region, e.Domain, e.ChecksFencing
 }
 
+// readRegistered notes this process's own start number.
+func readRegistered(w *world.World) {
+	for _, e := range w.In.Registered {
+		w.AwaitRegistration = false
+		w.Params.Self.Start = e.Start
+		if self := w.Processes.Get(w.Self().Process); self != nil {
+			self.Start = e.Start
+		}
+	}
+}
+
 func readSessions(w *world.World) {
 	for _, up := range w.In.SessionUps {
 		p := up.Process
@@ -250,15 +274,31 @@
 		if id == w.Self().Process {
 			return
 		}
-		state, reason := stateOf(w, p, silent)
-		reportState(w, p, state, reason)
-		p.State = state
+		updateState(w, p, silent)
 	})
 }
 
+func updateState(w *world.World, p *table.Process, silent time.Duration) {
+	state, reason := stateOf(w, p, silent)
+	reportState(w, p, state, reason)
+	p.State = state
+}
+
+// updateHeard looks only at the processes that sent a heartbeat. A look at all
+// of them per heartbeat would grow with the square of the fleet.
+func updateHeard(w *world.World) {
+	for _, h := range w.In.Heartbeats {
+		if p := w.Processes.Get(h.Peer.Process); p != nil && p.Holder == h.Peer {
+			updateState(w, p, w.Params.HeartbeatInterval*suspectAfter)
+		}
+	}
+}
+
 func stateOf(w *world.World, p *table.Process, silent time.Duration) (table.ProcessState, string) {
 	quiet := w.Now.Sub(p.LastHeard)
 	switch {
+	case !p.Connected && p.Left:
+		return table.ProcessGone, "ended gracefully"
 	case !p.Connected && p.Unlisted && quiet > goneAfter:
 		return table.ProcessGone, "off the platform's list and silent"
 	case p.NoticeLeaving:
@@ -287,6 +327,7 @@
 // dialPeers opens missing sessions. A router dials agents, and routers with a
 // higher id, so that two processes never dial each other.
 func (s *System) dialPeers(w *world.World) {
+	s.nextDial = table.Never
 	if w.Params.Self.Role != table.RoleRouter || w.Draining {
 		return
 	}
@@ -315,7 +356,7 @@
 		d.next = w.Now.Add(d.delay + jitter)
 		d.delay = min(2*d.delay, lastRedial)
 	}
-	w.WakeAt(d.next)
+	s.nextDial = min(s.nextDial, d.next)
 }
 
 func (s *System) sendHeartbeat(w *world.World) {
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -30,10 +30,10 @@
 	Shards         uint32
 	GrantLifetime  time.Duration
 	SettleInterval time.Duration
-	// SlicesFirst lets routers with little demand for a budget ask its home
-	// router for a slice before they take a ledger grant. It saves platform
-	// writes when there are many budgets.
-	SlicesFirst       bool
+	// ManyBudgets saves platform writes and memory in a large fleet: routers
+	// with little demand for a budget ask its home router for a slice before
+	// they take a ledger grant, and shard contents are read again for each write.
+	ManyBudgets       bool
 	AnswerRetention   time.Duration
 	DetachGrace       time.Duration
 	DrainTimeout      time.Duration
@@ -99,6 +99,9 @@
 	// PlatformUp says whether the platform answered last, since PlatformSince.
 	PlatformUp    bool
 	PlatformSince table.Instant
+	// AwaitRegistration is true until this process is registered. A router takes
+	// no grant before, so that its start number is older than its grants.
+	AwaitRegistration bool
 	// Draining is true after the start of a graceful shutdown.
 	Draining bool
 	// Decisions are the decisions of this tick, for explain.
