Send the agent's start number as the fencing number

Cause: requests carried the router's random incarnation, so an engine that checks fencing numbers refused all routers below the highest one it had seen. The agent is the only one that gives its engine orders, and its start number grows with each start.

--- a/internal/system/gate/runs.go
+++ b/internal/system/gate/runs.go
@@ -19,7 +19,7 @@
 	w.Out.Runs = append(w.Out.Runs, command.Run{
 		Session: d.Session, Request: d.Request, Attempt: d.Attempt, Endpoint: d.Endpoint,
 		Kind: d.Kind, Operation: d.Operation, Limit: d.Limit, MaxOutput: d.MaxOutput,
-		Priority: d.Priority, Position: d.Position, Fence: uint64(d.Holder.Incarnation),
+		Priority: d.Priority, Position: d.Position, Fence: w.Params.Self.Start,
 	})
 	ep := w.Endpoints.Get(d.Endpoint)
 	ep.InFlight++
