--- a/internal/system/ledger/ledger.go
+++ b/internal/system/ledger/ledger.go
@@ -156,6 +156,14 @@
 
 // needsContent reports whether an unknown shard has to be read now.
 func needsContent(w *world.World, s *table.Shard) bool {
+	return callDue(w, s, func(b *table.Budget) bool {
+		return !b.AtHome && (b.Short || b.Low && s.ReadAt.Add(lowReadInterval) <= w.Now)
+	})
+}
+
+// callDue reports whether a shard needs a call now: for an operator or recovery,
+// because its settlement is due, or because a dirty budget needs it at once.
+func callDue(w *world.World, s *table.Shard, atOnce func(*table.Budget) bool) bool {
 	if len(s.TopUps) > 0 || len(s.Reclaims) > 0 {
 		return true
 	}
@@ -168,11 +176,7 @@
 	}
 	Touch(w, s.ID, due)
 	for _, id := range s.Dirty.Keys() {
-		b := w.Budgets.Get(id)
-		if b == nil || b.AtHome {
-			continue
-		}
-		if b.Short || b.Low && s.ReadAt.Add(lowReadInterval) <= w.Now {
+		if b := w.Budgets.Get(id); b != nil && atOnce(b) {
 			return true
 		}
 	}
@@ -190,24 +194,7 @@
 
 // writeDue reports whether a write of the shard is worth sending now.
 func writeDue(w *world.World, s *table.Shard) bool {
-	if len(s.TopUps) > 0 || len(s.Reclaims) > 0 {
-		return true
-	}
-	if s.Dirty.Len() == 0 {
-		return false
-	}
-	due := settlementDue(w, s)
-	if due <= w.Now || w.Draining || s.Force {
-		return true
-	}
-	Touch(w, s.ID, due)
-	for _, id := range s.Dirty.Keys() {
-		b := w.Budgets.Get(id)
-		if b != nil && urgent(w, s, b) {
-			return true
-		}
-	}
-	return false
+	return callDue(w, s, func(b *table.Budget) bool { return urgent(w, s, b) })
 }
 
 // urgent reports whether a write now serves a waiting request, or refills a
