Refuse a budget list that is not whole

Before, a list during an outage of the platform was partial and ended with exit code 0; now it is an error that says how many budgets are known.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -274,7 +274,8 @@
 	MaxOutput table.Tokens
 	Priority  int
 	Position  table.Tokens
-	// Fence is the fencing number for engines that check it.
+	// Fence is the fencing number for engines that check it: the agent's start
+	// number, so that orders of an earlier incarnation of the agent are refused.
 	Fence uint64
 }
 
@@ -326,6 +327,8 @@
 type BudgetReply struct {
 	Reply   uint64
 	Budgets []BudgetInfo
+	// Incomplete is true if not all ledger shards could be read.
+	Incomplete bool
 }
 
 // StatusReply answers a StatusQuery.
--- a/internal/system/ledger/query.go
+++ b/internal/system/ledger/query.go
@@ -36,8 +36,8 @@
 func (l *system) continueQueries(w *world.World) {
 	var open []query
 	for _, q := range l.queries {
-		if q.advance(w) || w.Now >= q.since.Add(queryTimeout) {
-			q.answer(w)
+		if whole := q.advance(w); whole || w.Now >= q.since.Add(queryTimeout) {
+			q.answer(w, whole)
 			continue
 		}
 		w.WakeAt(q.since.Add(queryTimeout))
@@ -81,11 +81,11 @@
 	}
 }
 
-func (q *query) answer(w *world.World) {
+func (q *query) answer(w *world.World, whole bool) {
 	for _, id := range q.open.Keys() {
 		q.collect(w, Shard(w, id))
 	}
-	w.Out.BudgetReplies = append(w.Out.BudgetReplies, command.BudgetReply{Reply: q.Reply, Budgets: q.found})
+	w.Out.BudgetReplies = append(w.Out.BudgetReplies, command.BudgetReply{Reply: q.Reply, Budgets: q.found, Incomplete: !whole})
 }
 
 func info(w *world.World, row table.LedgerBudget) command.BudgetInfo {
--- a/internal/traffic/operatorapi/server.go
+++ b/internal/traffic/operatorapi/server.go
@@ -151,6 +151,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if answer.Incomplete {
+		return nil, connect.NewError(connect.CodeUnavailable,
+			errors.Errorf("not all of the ledger could be read; %d budgets are known here", len(answer.Budgets)))
+	}
 	out := &pb.ListBudgetsResponse{}
 	for _, b := range answer.Budgets {
 		out.Budgets = append(out.Budgets, budgetMessage(b))
