End exceptions in running processes

Before, an exception with an end date stayed in force until the next configuration; now processes evaluate the configuration again at midnight UTC when an exception ended.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -252,6 +252,7 @@
 	d.start(d.registerAndWatch)
 	d.start(func(ctx context.Context) { d.store.WatchConfig(ctx, d.storedConfig) })
 	d.start(d.store.WatchMembers)
+	d.start(d.renewExceptions)
 	if d.opts.Role == table.RoleRouter {
 		d.start(d.store.WatchProcesses)
 		d.start(d.store.WatchQuarantine)
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -334,6 +334,9 @@
 	Fleet table.Fleet
 	// From is the peer, or empty for the platform.
 	From table.ProcessID
+	// Renewed is true when the configuration in force is evaluated again because
+	// the end date of an exception passed.
+	Renewed bool
 }
 
 // PlatformState says whether the last call reached the platform.
--- a/internal/system/config/config.go
+++ b/internal/system/config/config.go
@@ -13,6 +13,11 @@
 // Run applies the highest generation seen in this tick, and asks peers that
 // enforce a higher one for it. Invariant: the generation in force never falls.
 func Run(w *world.World) {
+	for i := range w.In.Configs {
+		if c := &w.In.Configs[i]; c.Renewed && c.Fleet.Generation == w.Fleet.Generation {
+			apply(w, c)
+		}
+	}
 	if best := highest(w.In.Configs); best != nil && best.Fleet.Generation > w.Fleet.Generation {
 		apply(w, best)
 	}
@@ -45,7 +50,10 @@
 	replaceServices(w)
 	replaceLimits(w)
 	from := "platform"
-	if seen.From != "" {
+	switch {
+	case seen.Renewed:
+		from = "an exception ended"
+	case seen.From != "":
 		from = "peer " + string(seen.From)
 	}
 	w.Count("config_applied")
