--- a/internal/daemon/flush.go
+++ b/internal/daemon/flush.go
@@ -121,7 +121,7 @@
 		}
 	}
 	for _, c := range out.ConfigAsks {
-		d.peers.send(c.To, wire.TypeConfigRequest, &wire.ConfigRequest{})
+		d.peers.send(c.To, wire.TypeConfigRequest, &wire.ConfigRequest{Generation: d.metrics.current.Load().Generation})
 	}
 }
 
--- a/internal/daemon/receive.go
+++ b/internal/daemon/receive.go
@@ -14,7 +14,7 @@
 	case wire.TypeHeartbeat:
 		return post(d, f, func(h *event.Heartbeat) { h.Peer = s.Holder() })
 	case wire.TypeConfigRequest:
-		return d.sendConfig(s)
+		return d.sendConfig(s, f)
 	case wire.TypeConfigBody:
 		return d.receiveConfig(s, f)
 	}
@@ -101,11 +101,17 @@
 	return nil
 }
 
-func (d *Daemon) sendConfig(s *wire.Session) error {
+func (d *Daemon) sendConfig(s *wire.Session, f wire.Frame) error {
+	request, err := wire.Decode[wire.ConfigRequest](f)
+	if err != nil {
+		return err
+	}
 	now := d.metrics.current.Load()
-	return s.Send(wire.TypeConfigBody, &wire.ConfigBody{
-		Generation: now.Generation, Text: now.ConfigText, Processes: now.Processes, Endpoints: now.Endpoints,
-	})
+	body := wire.ConfigBody{Generation: now.Generation, Processes: now.Processes, Endpoints: now.Endpoints}
+	if now.Generation > request.Generation {
+		body.Text = now.ConfigText
+	}
+	return s.Send(wire.TypeConfigBody, &body)
 }
 
 func (d *Daemon) receiveConfig(s *wire.Session, f wire.Frame) error {
--- a/internal/system/membership/membership.go
+++ b/internal/system/membership/membership.go
@@ -23,6 +23,9 @@
 	// to keep control traffic within 20 KB/s.
 	manySessions = 100
 	slowFactor   = 3
+	// learnInterval is how often a router that cannot reach the platform asks
+	// another router for the processes it knows.
+	learnInterval = 5 * time.Second
 	// firstRedial and lastRedial bound the delay between attempts to connect.
 	firstRedial = 200 * time.Millisecond
 	lastRedial  = 5 * time.Second
@@ -33,7 +36,8 @@
 	nextBeat table.Instant
 	dials    table.Table[table.ProcessID, dial]
 	// nextDial is when the next dial is due, or Never.
-	nextDial table.Instant
+	nextDial  table.Instant
+	nextLearn table.Instant
 	// leaving is what the last heartbeat said, so that a change is sent at once.
 	leaving bool
 }
@@ -57,6 +61,7 @@
 	if now := w.Now; now >= s.nextBeat || changed || s.leaving != w.Draining {
 		s.updateStates(w)
 		s.dialPeers(w)
+		s.learnFromPeers(w)
 		s.sendHeartbeat(w)
 		s.nextBeat = now.Add(interval(w))
 	} else if len(w.In.SessionUps)+len(w.In.SessionDowns)+len(w.In.ProcessLists)+len(w.In.MemberLists) > 0 {
@@ -72,6 +77,28 @@
 	w.WakeAt(s.nextDial)
 }
 
+// learnFromPeers asks a random live router for its configuration and processes
+// while the platform is away. One answer is not enough: the peer may not have
+// known all processes when it gave it.
+func (s *System) learnFromPeers(w *world.World) {
+	if w.PlatformUp || w.Params.Self.Role != table.RoleRouter || w.Now < s.nextLearn {
+		return
+	}
+	var routers []table.ProcessID
+	w.Processes.Each(func(id table.ProcessID, p *table.Process) {
+		if p.Connected && p.Role == table.RoleRouter {
+			routers = append(routers, id)
+		}
+	})
+	if len(routers) == 0 {
+		return
+	}
+	s.nextLearn = w.Now.Add(learnInterval)
+	to := routers[w.Rand.IntN(len(routers))]
+	w.Out.ConfigAsks = append(w.Out.ConfigAsks, command.AskConfig{To: to})
+	w.Count("processes_asked")
+}
+
 func interval(w *world.World) time.Duration {
 	connected := 0
 	w.Processes.Each(func(_ table.ProcessID, p *table.Process) {
--- a/internal/system/membership/membership_test.go
+++ b/internal/system/membership/membership_test.go
@@ -136,3 +136,22 @@
 	w.Tick(2, systems)
 	require.Equal(t, table.EndpointLive, w.Endpoints.Get("e1").State)
 }
+
+// Guards against a router that starts without the platform and never learns of
+// processes that its first peer did not know yet.
+func TestRouterWithoutPlatformKeepsAskingPeers(t *testing.T) {
+	w, systems := newRouter()
+	peer := table.Process{Holder: table.Holder{Process: "router-c", Incarnation: 1}, Role: table.RoleRouter}
+	w.In.SessionUps = []event.SessionUp{{Session: 1, Process: peer}}
+	asks := 0
+	for now := table.Instant(0); now <= table.Instant(20*time.Second); now = now.Add(time.Second) {
+		w.In.Heartbeats = []event.Heartbeat{{Peer: peer.Holder}}
+		if now == table.Instant(15*time.Second) {
+			w.In.PlatformStates = []event.PlatformState{{Reachable: true}}
+		}
+		w.Tick(now, systems)
+		asks += len(w.Out.ConfigAsks)
+		w.Clear()
+	}
+	require.Equal(t, 3, asks, "every 5 s until the platform answers")
+}
--- a/internal/traffic/wire/message.go
+++ b/internal/traffic/wire/message.go
@@ -105,11 +105,13 @@
 	Attempt uint32
 }
 
-// ConfigRequest asks for the configuration in force.
-type ConfigRequest struct{}
+// ConfigRequest asks for the configuration in force if it is newer than the
+// sender's, and for the processes that the receiver knows.
+type ConfigRequest struct{ Generation table.Generation }
 
 // ConfigBody carries the configuration in force, and the processes that the
-// sender knows, for a process that starts while the platform is away.
+// sender knows, for a process that cannot reach the platform. Text is empty if
+// the receiver has the generation.
 type ConfigBody struct {
 	Generation table.Generation
 	Text       string
