--- a/internal/system/gate/check.go
+++ b/internal/system/gate/check.go
@@ -89,7 +89,14 @@
 		return true
 	}
 	switch row.State {
-	case table.RunRunning, table.RunDone:
+	case table.RunDone:
+		if row.AnswerUntil == 0 {
+			reject(w, d, refusal{table.CodeKeyLost, "the call was run, but its answer is no longer kept", table.DidRun})
+			return true
+		}
+		replay(w, d, row)
+		return true
+	case table.RunRunning:
 		replay(w, d, row)
 		return true
 	case table.RunFailed:
--- a/internal/system/gate/gate.go
+++ b/internal/system/gate/gate.go
@@ -111,22 +111,35 @@
 func expire(w *world.World) {
 	for id, due := w.RunExpiry.Pop(w.Now); due; id, due = w.RunExpiry.Pop(w.Now) {
 		row := w.Runs.Get(id)
-		switch {
-		case row == nil || row.State == table.RunRunning:
-		case row.Keep > w.Now:
+		if row == nil || row.State == table.RunRunning {
+			continue
+		}
+		freeAnswer(w, row)
+		if row.Keep > w.Now {
 			w.RunExpiry.Set(id, row.Keep)
-		default:
-			if row.Ran() {
-				w.Out.Forgets = append(w.Out.Forgets, command.Forget{Request: id})
-			}
-			w.Runs.Delete(id)
+			continue
 		}
+		w.Runs.Delete(id)
 	}
 	expireCharges(w)
 	w.WakeAt(w.RunExpiry.Next())
 	w.WakeAt(w.ChargeExpiry.Next())
 }
 
+// freeAnswer frees the text of an answer at the end of its retention. The row
+// stays until no dispatch of the key can arrive any more, which takes longer.
+func freeAnswer(w *world.World, row *table.Run) {
+	if row.AnswerUntil == 0 {
+		return
+	}
+	if row.AnswerUntil > w.Now {
+		row.Keep = max(row.Keep, row.AnswerUntil)
+		return
+	}
+	row.AnswerUntil = 0
+	w.Out.Forgets = append(w.Out.Forgets, command.Forget{Request: row.ID})
+}
+
 func expireCharges(w *world.World) {
 	for h, due := w.ChargeExpiry.Pop(w.Now); due; h, due = w.ChargeExpiry.Pop(w.Now) {
 		work := w.HolderWork.Get(h)
--- a/internal/system/gate/runs.go
+++ b/internal/system/gate/runs.go
@@ -48,7 +48,7 @@
 	row.Budget, row.Endpoint, row.Service, row.Kind = d.Budget, d.Endpoint, d.Service, d.Kind
 	row.Fingerprint, row.Idempotent = d.Fingerprint, d.Idempotent || d.Kind == table.ServiceModel
 	row.Limit, row.Position, row.Alone, row.Class = d.Limit, d.Position, d.Alone, d.Class
-	row.Prompt, row.Output, row.PaceSeen = 0, 0, false
+	row.Prompt, row.Output, row.PaceSeen, row.AnswerUntil = 0, 0, false, 0
 	row.Expires, row.Started = d.Expires, w.Now
 	row.Keep = max(row.Keep, d.KeyUntil)
 	if key, ok := table.ParseIssuedKey(d.Request.Key()); ok {
@@ -108,7 +108,9 @@
 		row.Prompt, row.Output = 0, 0
 		addRejected(row, table.RejectedAttempt{Holder: row.Holder, Nonce: row.Nonce, Attempt: row.Attempt})
 	}
-	keep(w, row, max(w.Now.Add(w.Params.AnswerRetention), row.Expires))
+	row.AnswerUntil = w.Now.Add(w.Params.AnswerRetention)
+	keep(w, row, max(row.AnswerUntil, row.Expires))
+	w.RunExpiry.Set(row.ID, row.AnswerUntil)
 	freeEndpoint(w, row)
 	settle(w, row)
 	w.Count("gate.end")
--- a/internal/table/run.go
+++ b/internal/table/run.go
@@ -41,6 +41,8 @@
 	Expires  Instant
 	Started  Instant
 	Alone    bool
+	// AnswerUntil is when the kept text is freed; 0 if there is none.
+	AnswerUntil Instant
 	// PaceSeen is true once the first-token time of the run was learned.
 	PaceSeen bool
 	Class    Class
