Let heartbeats follow the slower side

Cause: a router with more than 100 sessions sent every 3 s, but its agents sent every second and would have called it suspect after 3 s. Heartbeats now tell their interval and the one wanted from peers.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -207,7 +207,11 @@
 	Clock      table.Instant
 	Generation table.Generation
 	Leaving    bool
-	Endpoints  []EndpointLoad
+	// Interval is when the next heartbeat follows at the latest. Wanted is the
+	// interval that the sender wants from its peers.
+	Interval  time.Duration
+	Wanted    time.Duration
+	Endpoints []EndpointLoad
 }
 
 // Crash reports the fingerprints that were running when an endpoint died, one
--- a/internal/system/membership/membership.go
+++ b/internal/system/membership/membership.go
@@ -99,7 +99,8 @@
 	w.Count("processes_asked")
 }
 
-func interval(w *world.World) time.Duration {
+// wanted returns the interval that suits this process's number of sessions.
+func wanted(w *world.World) time.Duration {
 	connected := 0
 	w.Processes.Each(func(_ table.ProcessID, p *table.Process) {
 		if p.Connected {
@@ -112,6 +113,24 @@
 	return w.Params.HeartbeatInterval
 }
 
+// interval returns the time between heartbeats: what this process and each of
+// its peers want, so that a process with many sessions gets few heartbeats.
+func interval(w *world.World) time.Duration {
+	longest := wanted(w)
+	w.Processes.Each(func(_ table.ProcessID, p *table.Process) {
+		if p.Connected {
+			longest = max(longest, min(p.Wanted, w.Params.HeartbeatInterval*slowFactor))
+		}
+	})
+	return longest
+}
+
+// silence returns how long a process may be silent before it is suspect.
+func silence(w *world.World, p *table.Process) time.Duration {
+	told := min(p.Interval, w.Params.HeartbeatInterval*slowFactor)
+	return max(told, w.Params.HeartbeatInterval) * suspectAfter
+}
+
 func readLists(w *world.World) {
 	for _, l := range w.In.ProcessLists {
 		for _, p := range l.Processes {
@@ -209,6 +228,7 @@
 			continue
 		}
 		p.LastHeard, p.Generation, p.NoticeLeaving = w.Now, h.Generation, h.Leaving
+		p.Interval, p.Wanted = h.Interval, h.Wanted
 		p.PeerClock, p.PeerClockAt = h.Clock, w.Now
 		for _, l := range h.Endpoints {
 			readLoad(w, p, l)
@@ -298,17 +318,15 @@
 }
 
 func (s *System) updateStates(w *world.World) {
-	silent := interval(w) * suspectAfter
 	w.Processes.Each(func(id table.ProcessID, p *table.Process) {
-		if id == w.Self().Process {
-			return
+		if id != w.Self().Process {
+			updateState(w, p)
 		}
-		updateState(w, p, silent)
 	})
 }
 
-func updateState(w *world.World, p *table.Process, silent time.Duration) {
-	state, reason := stateOf(w, p, silent)
+func updateState(w *world.World, p *table.Process) {
+	state, reason := stateOf(w, p)
 	reportState(w, p, state, reason)
 	p.State = state
 }
@@ -318,12 +336,12 @@
 func updateHeard(w *world.World) {
 	for _, h := range w.In.Heartbeats {
 		if p := w.Processes.Get(h.Peer.Process); p != nil && p.Holder == h.Peer {
-			updateState(w, p, w.Params.HeartbeatInterval*suspectAfter)
+			updateState(w, p)
 		}
 	}
 }
 
-func stateOf(w *world.World, p *table.Process, silent time.Duration) (table.ProcessState, string) {
+func stateOf(w *world.World, p *table.Process) (table.ProcessState, string) {
 	quiet := w.Now.Sub(p.LastHeard)
 	switch {
 	case !p.Connected && p.Left:
@@ -334,7 +352,7 @@
 		return table.ProcessLeaving, "leaving notice"
 	case p.ListedLeaving:
 		return table.ProcessLeaving, "platform's list"
-	case quiet > silent:
+	case quiet > silence(w, p):
 		return table.ProcessSuspect, "no heartbeat"
 	case p.Connected:
 		return table.ProcessLive, "heartbeat"
@@ -398,6 +416,8 @@
 		Clock:      w.Now,
 		Generation: w.Fleet.Generation,
 		Leaving:    w.Draining,
+		Interval:   interval(w),
+		Wanted:     wanted(w),
 		Endpoints:  ownLoads(w),
 	}})
 }
--- a/internal/system/membership/membership_test.go
+++ b/internal/system/membership/membership_test.go
@@ -155,3 +155,26 @@
 	}
 	require.Equal(t, 3, asks, "every 5 s until the platform answers")
 }
+
+// Guards against heartbeats that flood a router with many sessions, and against
+// a router that looks silent because it sends less often than its peers.
+func TestHeartbeatsFollowTheSlowerSide(t *testing.T) {
+	self := agent("agent-1", 1)
+	w := world.New(world.Params{Self: self, HeartbeatInterval: time.Second}, 1)
+	systems := []world.System{New()}
+	router := table.Process{Holder: table.Holder{Process: "router-1", Incarnation: 1}, Role: table.RoleRouter}
+	w.In.SessionUps = []event.SessionUp{{Session: 1, Process: router}}
+	sent := 0
+	for now := table.Instant(0); now <= table.Instant(30*time.Second); now = now.Add(500 * time.Millisecond) {
+		if now%table.Instant(3*time.Second) == 0 {
+			w.In.Heartbeats = []event.Heartbeat{{Peer: router.Holder, Interval: 3 * time.Second, Wanted: 3 * time.Second}}
+		}
+		w.Tick(now, systems)
+		sent += len(w.Out.Heartbeats)
+		w.Clear()
+		require.Equal(t, table.ProcessLive, w.Processes.Get("router-1").State)
+	}
+	require.LessOrEqual(t, sent, 12, "one per 3 s after the first ones")
+	w.Tick(table.Instant(40*time.Second), systems)
+	require.Equal(t, table.ProcessSuspect, w.Processes.Get("router-1").State)
+}
--- a/internal/table/process.go
+++ b/internal/table/process.go
@@ -57,6 +57,9 @@
 	// Session is the session last opened; the end of an older one is ignored.
 	Session   uint64
 	LastHeard Instant
+	// Interval and Wanted repeat the process's last heartbeat.
+	Interval time.Duration
+	Wanted   time.Duration
 	// Generation is the configuration the process last said it enforces.
 	Generation Generation
 	// Unlisted and ListedLeaving repeat the platform's membership list. A process
