Share one Dispatch between the router's command and the agent's event

Cause: the two structs had the same twenty fields and were copied field by field; fields added for grants and claims were lost on the way, which the end- to-end tests found as calls that never ran. Now a dispatch travels as it is.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -83,34 +83,11 @@
 	Position table.Tokens
 }
 
-// Dispatch sends an attempt to an agent. Traffic adds the prompt and, behind
-// it, the text already delivered.
+// Dispatch sends an attempt to an agent. Traffic adds the position, the prompt
+// and, behind it, the text already delivered.
 type Dispatch struct {
-	To          table.Holder
-	Request     table.RequestID
-	Attempt     uint32
-	Endpoint    table.EndpointID
-	Service     table.ServiceName
-	Kind        table.ServiceKind
-	Operation   string
-	Budget      table.BudgetID
-	Fingerprint table.Fingerprint
-	Idempotent  bool
-	Class       table.Class
-	Alone       bool
-	ReplayOnly  bool
-	// Grant is the holder of the ledger grant that pays: the agent counts the
-	// charge under it and refuses the work if it is fenced.
-	Grant    table.Holder
-	Limit    table.Tokens
-	Priority int
-	// MaxOutput is what this attempt may produce, behind its position.
-	MaxOutput table.Tokens
-	// Expires is the grant's deadline in the agent's clock.
-	Expires table.Instant
-	// Nonce and KeyUntil are those of the request.
-	Nonce    uint64
-	KeyUntil table.Instant
+	To table.Holder
+	event.Dispatch
 }
 
 // CancelRun ends an attempt at an agent.
--- a/internal/loadtest/router.go
+++ b/internal/loadtest/router.go
@@ -124,7 +124,7 @@
 	n.open = append(n.open, w)
 	n.turn++
 	endpoint := n.run.agents[n.turn%len(n.run.agents)].id
-	return command.Dispatch{Request: w.id, Attempt: w.attempt, Endpoint: endpoint}
+	return command.Dispatch{Dispatch: event.Dispatch{Request: w.id, Attempt: w.attempt, Endpoint: endpoint}}
 }
 
 func (n *naive) nextWake() table.Instant {
--- a/internal/system/budget/fleet_test.go
+++ b/internal/system/budget/fleet_test.go
@@ -383,10 +383,10 @@
 		}
 		a := up[f.rand.IntN(len(up))]
 		reading := r.clocks[a.holder]
-		d := command.Dispatch{
-			To: a.holder, Request: id, Budget: q.Budget, Grant: q.Grant, Limit: q.Reserved,
+		d := command.Dispatch{To: a.holder, Dispatch: event.Dispatch{
+			Request: id, Budget: q.Budget, Grant: q.Grant, Limit: q.Reserved,
 			Expires: reading[0] + (q.GrantExpires - reading[1]),
-		}
+		}}
 		w.Requests.Move(q, table.RequestRunning)
 		holder := r.holder
 		f.at(f.delay(), func() { f.arrive(a, holder, d) })
--- a/internal/system/dedup/standin_test.go
+++ b/internal/system/dedup/standin_test.go
@@ -54,12 +54,12 @@
 		r.Attempts++
 		r.Agent, r.Endpoint = agent, endpointOf(agent.Process)
 		w.Requests.Move(r, table.RequestRunning)
-		w.Out.Dispatches = append(w.Out.Dispatches, command.Dispatch{
-			To: agent, Request: id, Attempt: r.Attempt, Endpoint: r.Endpoint, Service: r.Service, Kind: r.Kind,
+		w.Out.Dispatches = append(w.Out.Dispatches, command.Dispatch{To: agent, Dispatch: event.Dispatch{
+			Request: id, Attempt: r.Attempt, Endpoint: r.Endpoint, Service: r.Service, Kind: r.Kind,
 			Fingerprint: r.Fingerprint, Idempotent: r.Idempotent, Alone: r.Alone, ReplayOnly: r.ReplayOnly, Limit: r.Reserved,
 			Expires: p.PeerClock.Add(w.Now.Sub(p.PeerClockAt) + grantLife),
 			Nonce:   r.Nonce, KeyUntil: r.KeyUntil,
-		})
+		}})
 	}
 }
 
--- a/internal/system/routing/dispatch.go
+++ b/internal/system/routing/dispatch.go
@@ -4,6 +4,7 @@
 	"strconv"
 
 	"laburnumroad.dev/laburnumroad/internal/command"
+	"laburnumroad.dev/laburnumroad/internal/event"
 	"laburnumroad.dev/laburnumroad/internal/table"
 	"laburnumroad.dev/laburnumroad/internal/world"
 )
@@ -32,14 +33,14 @@
 	r.Session = agent.Session
 	r.Dispatched = w.Now
 	w.Requests.Move(r, table.RequestRunning)
-	w.Out.Dispatches = append(w.Out.Dispatches, command.Dispatch{
-		To: agent.Holder, Request: r.ID, Attempt: r.Attempt, Endpoint: endpoint,
+	w.Out.Dispatches = append(w.Out.Dispatches, command.Dispatch{To: agent.Holder, Dispatch: event.Dispatch{
+		Agent: agent.Holder, Request: r.ID, Attempt: r.Attempt, Endpoint: endpoint,
 		Service: r.Service, Kind: r.Kind, Operation: r.Operation, Budget: r.Budget,
 		Fingerprint: r.Fingerprint, Idempotent: r.Idempotent, Class: r.Class,
 		Alone: r.Alone, ReplayOnly: r.ReplayOnly,
 		Limit: r.Reserved, Priority: r.Priority, MaxOutput: r.MaxOutput - r.Delivered,
 		Expires: expires(r, agent), Grant: r.Grant, Nonce: r.Nonce, KeyUntil: r.KeyUntil,
-	})
+	}})
 	w.Count("routing.dispatched." + r.Class.String())
 }
 
--- a/internal/traffic/relay/relay_test.go
+++ b/internal/traffic/relay/relay_test.go
@@ -64,7 +64,7 @@
 }
 
 func (b *bench) dispatch(attempt uint32) *wire.Dispatch {
-	require.True(b.t, b.relay.Directory.Dispatch(command.Dispatch{Request: id, Attempt: attempt}))
+	require.True(b.t, b.relay.Directory.Dispatch(command.Dispatch{Dispatch: event.Dispatch{Request: id, Attempt: attempt}}))
 	return <-b.sent
 }
 
--- a/internal/traffic/relay/request.go
+++ b/internal/traffic/relay/request.go
@@ -226,20 +226,11 @@
 }
 
 func (rq *request) message(c *command.Dispatch) *wire.Dispatch {
-	m := &wire.Dispatch{
-		Dispatch: event.Dispatch{
-			Agent: c.To, Request: c.Request, Attempt: c.Attempt, Endpoint: c.Endpoint, Service: c.Service,
-			Kind: c.Kind, Operation: c.Operation, Budget: c.Budget, Fingerprint: c.Fingerprint,
-			Idempotent: c.Idempotent, Class: c.Class, Alone: c.Alone, ReplayOnly: c.ReplayOnly,
-			Limit: c.Limit, Position: rq.delivered, Priority: c.Priority, MaxOutput: c.MaxOutput, Expires: c.Expires,
-			Grant: c.Grant, Nonce: c.Nonce, KeyUntil: c.KeyUntil,
-		},
-		Prompt: rq.payload.Prompt,
-		Prefix: rq.text.String(),
-		Body:   rq.payload.Body,
-	}
-	if c.ReplayOnly {
-		m.Prompt, m.Body = "", nil
+	m := &wire.Dispatch{Dispatch: c.Dispatch}
+	m.Position = rq.delivered
+	m.Prefix = rq.text.String()
+	if !c.ReplayOnly {
+		m.Prompt, m.Body = rq.payload.Prompt, rq.payload.Body
 	}
 	return m
 }
