--- a/internal/system/routing/dispatch.go
+++ b/internal/system/routing/dispatch.go
@@ -75,7 +75,7 @@
 
 func explainDispatch(w *world.World, r *table.Request, considered []scored) {
 	inputs := []table.Input{
-		{Name: "attempt", Value: strconv.FormatUint(uint64(r.Attempt), 10)},
+		{Name: "attempt", Value: strconv.Itoa(r.Attempts)},
 		{Name: "class", Value: r.Class.String()},
 		{Name: "queued", Value: w.Now.Sub(r.Arrived).String()},
 	}
