Want at least 512 tokens of a budget in use, not 4,096

Cause: the floor of 4,096 strands more of nearly spent budgets. Conclusion: 512, which still lets a budget that began with a small call go on through an outage.

--- a/internal/system/budget/demand.go
+++ b/internal/system/budget/demand.go
@@ -14,9 +14,10 @@
 	// minReservations is the least number of reservations that a grant covers.
 	minReservations = 4
 	// minTarget is the least that a router wants to hold of a budget in use, in
-	// tokens: several typical requests, so that a budget whose first request was
-	// small can be spent through an outage of the platform.
-	minTarget = 4096
+	// tokens: a typical request, so that a budget whose first request was small
+	// can be spent through an outage of the platform. More strands more of a
+	// nearly spent budget; see docs/decisions/0001-budget-grants.md.
+	minTarget = 512
 	// reservationDecay is how fast a large reservation is forgotten, per request.
 	reservationDecay = 0.98
 	// lowShare is the part of the target below which more is asked for early.
