Share the decision whether a failed HTTP request was sent

The clients of the platform and of engines had the same tracker twice; whether a claim or a booking may have run depends on it. Behaviour is unchanged.

--- a/internal/traffic/engine/engine.go
+++ b/internal/traffic/engine/engine.go
@@ -21,6 +21,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"laburnumroad.dev/laburnumroad/internal/traffic/sendtrack"
 )
 
 const (
@@ -185,7 +187,7 @@
 	if len(body) > MaxRequestBytes {
 		return nil, failure(ErrNotRun, errors.Errorf("the request has %d bytes, the limit is %d", len(body), MaxRequestBytes))
 	}
-	ctx, sent := trackSend(ctx)
+	ctx, sent := sendtrack.Track(ctx)
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, failure(ErrNotRun, err)
@@ -197,7 +199,7 @@
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return nil, sent.failure(ctx, err)
+		return nil, unanswered(ctx, sent, err)
 	}
 	return resp, nil
 }
--- a/internal/traffic/engine/errors.go
+++ b/internal/traffic/engine/errors.go
@@ -4,12 +4,11 @@
 	"context"
 	stderrors "errors"
 	"fmt"
-	"net"
 	"net/http"
-	"net/http/httptrace"
-	"sync/atomic"
 
 	"github.com/pkg/errors"
+
+	"laburnumroad.dev/laburnumroad/internal/traffic/sendtrack"
 )
 
 // Errors of a call, for errors.Is. An error can match two of them: a refused
@@ -83,27 +82,10 @@
 	return failure(ErrDown, err)
 }
 
-// sendTracker records whether a request may have reached the network.
-type sendTracker struct {
-	connected atomic.Bool
-}
-
-func trackSend(ctx context.Context) (context.Context, *sendTracker) {
-	t := &sendTracker{}
-	trace := &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { t.connected.Store(true) },
-	}
-	return httptrace.WithClientTrace(ctx, trace), t
-}
-
-// failure classifies a request that got no answer. Without a connection
-// nothing was sent. A failed dial says the same even after an earlier
-// connection: the transport dials again for a POST only if it had sent no byte
-// of it. A caller that gave up says nothing about the engine.
-func (t *sendTracker) failure(ctx context.Context, cause error) error {
-	var op *net.OpError
-	dialFailed := errors.As(cause, &op) && op.Op == "dial"
-	notSent := dialFailed || !t.connected.Load()
+// unanswered classifies a request that got no answer. A caller that gave up says
+// nothing about the engine.
+func unanswered(ctx context.Context, sent *sendtrack.Tracker, cause error) error {
+	notSent := sent.NotSent(cause)
 	gaveUp := ctx.Err() != nil
 	switch {
 	case notSent && gaveUp:
--- a/internal/traffic/platform/errors.go
+++ b/internal/traffic/platform/errors.go
@@ -1,16 +1,14 @@
 package platform
 
 import (
-	"context"
 	"encoding/json"
 	stderrors "errors"
 	"fmt"
-	"net"
 	"net/http"
-	"net/http/httptrace"
-	"sync/atomic"
 
 	"github.com/pkg/errors"
+
+	"laburnumroad.dev/laburnumroad/internal/traffic/sendtrack"
 )
 
 // Each error of a call matches exactly one of these with errors.Is.
@@ -51,26 +49,9 @@
 	return failure(ErrUnknown, cause)
 }
 
-// sendTracker records whether a request may have reached the network.
-type sendTracker struct {
-	connected atomic.Bool
-}
-
-func trackSend(ctx context.Context) (context.Context, *sendTracker) {
-	t := &sendTracker{}
-	trace := &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { t.connected.Store(true) },
-	}
-	return httptrace.WithClientTrace(ctx, trace), t
-}
-
-// failure classifies a call that got no answer. Without a connection nothing
-// was sent. A failed dial says the same even after an earlier connection: the
-// transport dials again for a write only if it had sent no byte of it.
-func (t *sendTracker) failure(cause error) error {
-	var op *net.OpError
-	dialFailed := errors.As(cause, &op) && op.Op == "dial"
-	if dialFailed || !t.connected.Load() {
+// unanswered classifies a call that got no answer.
+func unanswered(sent *sendtrack.Tracker, cause error) error {
+	if sent.NotSent(cause) {
 		return failure(ErrNotApplied, cause)
 	}
 	return failure(ErrUnknown, cause)
--- a/internal/traffic/platform/platform.go
+++ b/internal/traffic/platform/platform.go
@@ -27,6 +27,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"laburnumroad.dev/laburnumroad/internal/traffic/sendtrack"
 )
 
 const (
@@ -250,7 +252,7 @@
 func (c *Client) call(ctx context.Context, method, path string, body []byte, wait time.Duration, answer any) error {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout+wait)
 	defer cancel()
-	ctx, sent := trackSend(ctx)
+	ctx, sent := sendtrack.Track(ctx)
 	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
 	if err != nil {
 		return failure(ErrNotApplied, err)
@@ -260,7 +262,7 @@
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return sent.failure(err)
+		return unanswered(sent, err)
 	}
 	defer resp.Body.Close()
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
