--- a/internal/system/gate/gate_test.go
+++ b/internal/system/gate/gate_test.go
@@ -279,3 +279,11 @@
 	a.tick(event.RunEnd{Request: "c/k2", Attempt: 1, Status: event.RunNotRun})
 	require.Equal(t, [3]int{}, [3]int{ep.InFlight, ep.InFlightQuick, int(ep.InFlightTokens)})
 }
+
+// Guards against fencing numbers that do not grow with the starts of the agent:
+// an engine that checks them would refuse the running agent.
+func TestRunCarriesTheAgentsStartNumber(t *testing.T) {
+	a := readyAgent(t)
+	a.w.Params.Self.Start = 9
+	require.EqualValues(t, 9, a.tick(a.dispatch("c/k")).Runs[0].Fence)
+}
