--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -23,7 +23,6 @@
 
 	// Sessions with other processes.
 	Dials      []Dial
-	Hangups    []Hangup
 	Heartbeats []SendHeartbeat
 	Crashes    []SendCrash
 	ConfigAsks []AskConfig
@@ -125,9 +124,6 @@
 	Address string
 }
 
-// Hangup closes the session with a process.
-type Hangup struct{ Process table.ProcessID }
-
 // SendHeartbeat sends a heartbeat to all sessions, or to one process.
 type SendHeartbeat struct {
 	To        table.ProcessID
--- a/internal/daemon/flush.go
+++ b/internal/daemon/flush.go
@@ -107,11 +107,6 @@
 	for _, c := range out.Dials {
 		d.dial(c)
 	}
-	for _, c := range out.Hangups {
-		if s := d.peers.get(c.Process); s != nil {
-			s.Close()
-		}
-	}
 	for i := range out.Heartbeats {
 		d.sendHeartbeat(&out.Heartbeats[i])
 	}
--- a/internal/system/admission/check.go
+++ b/internal/system/admission/check.go
@@ -1,7 +1,6 @@
 package admission
 
 import (
-	"crypto/subtle"
 	"fmt"
 	"slices"
 	"time"
@@ -16,7 +15,7 @@
 	if w.Fleet.Generation == 0 {
 		return refusal{table.CodeNotReady, "the router has no configuration yet", notReadyRetry}
 	}
-	c.customer = customerOf(w, a.KeyHash)
+	c.customer = w.CustomerOfKey(a.KeyHash)
 	if c.customer == nil {
 		return refusal{code: table.CodeUnauthenticated, reason: "the key is not known"}
 	}
@@ -35,20 +34,6 @@
 	return refusal{}
 }
 
-// customerOf compares with every known hash, and each in constant time, so that
-// the time taken tells nothing about the hashes.
-func customerOf(w *world.World, hash table.KeyHash) *table.Customer {
-	var found *table.Customer
-	w.Customers.Each(func(_ table.CustomerID, c *table.Customer) {
-		for i := range c.KeyHashes {
-			if subtle.ConstantTimeCompare(c.KeyHashes[i][:], hash[:]) == 1 {
-				found = c
-			}
-		}
-	})
-	return found
-}
-
 // checkShape refuses requests that no endpoint of the service could run.
 func (c *candidate) checkShape(*world.World) refusal {
 	a := c.arrival
--- a/internal/system/admission/leave.go
+++ b/internal/system/admission/leave.go
@@ -37,7 +37,7 @@
 
 func cancel(w *world.World, e event.Cancel) {
 	var r *table.Request
-	if c := customerOf(w, e.KeyHash); c != nil {
+	if c := w.CustomerOfKey(e.KeyHash); c != nil {
 		r = w.Requests.Get(table.MakeRequestID(c.ID, e.Key))
 	}
 	w.Out.CancelDone = append(w.Out.CancelDone, command.CancelDone{Reply: e.Reply, Found: r != nil})
--- a/internal/system/dedup/issue.go
+++ b/internal/system/dedup/issue.go
@@ -1,7 +1,6 @@
 package dedup
 
 import (
-	"crypto/subtle"
 	"slices"
 	"time"
 
@@ -42,7 +41,7 @@
 }
 
 func mayIssue(w *world.World, e event.KeyIssue) (code table.Code, reason string) {
-	customer := customerOf(w, e.KeyHash)
+	customer := w.CustomerOfKey(e.KeyHash)
 	switch {
 	case customer == nil:
 		return table.CodeUnauthenticated, "the caller's key is not known"
@@ -54,19 +53,6 @@
 	return "", ""
 }
 
-// customerOf compares all hashes, in constant time for each.
-func customerOf(w *world.World, hash table.KeyHash) *table.Customer {
-	var found *table.Customer
-	w.Customers.Each(func(_ table.CustomerID, c *table.Customer) {
-		for i := range c.KeyHashes {
-			if subtle.ConstantTimeCompare(c.KeyHashes[i][:], hash[:]) == 1 {
-				found = c
-			}
-		}
-	})
-	return found
-}
-
 // useIssuedKey pins a request to the agent that its key names. A retry asks the
 // agent first, because a kept answer needs no budget.
 func useIssuedKey(w *world.World, r *table.Request, key table.IssuedKey) {
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -5,6 +5,7 @@
 package world
 
 import (
+	"crypto/subtle"
 	"math/rand/v2"
 	"time"
 
@@ -157,6 +158,21 @@
 	w.Decisions = w.Decisions[:0]
 }
 
+// CustomerOfKey returns the customer that a key's hash belongs to, or nil. It
+// compares with every known hash, and each in constant time, so that the time
+// taken tells nothing about the hashes.
+func (w *World) CustomerOfKey(hash table.KeyHash) *table.Customer {
+	var found *table.Customer
+	w.Customers.Each(func(_ table.CustomerID, c *table.Customer) {
+		for i := range c.KeyHashes {
+			if subtle.ConstantTimeCompare(c.KeyHashes[i][:], hash[:]) == 1 {
+				found = c
+			}
+		}
+	})
+	return found
+}
+
 // Count adds one to a counter.
 func (w *World) Count(name string) { w.CountN(name, 1) }
 
