--- /dev/null
+++ b/cmd/laburnumroadd/gateway.go
@@ -0,0 +1,69 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/google/subcommands"
+	"github.com/rs/zerolog"
+
+	"laburnumroad.dev/laburnumroad/internal/gateway"
+	"laburnumroad.dev/laburnumroad/platform"
+)
+
+// gatewayCommand runs a router on the users' platform.
+type gatewayCommand struct{ file string }
+
+func (*gatewayCommand) Name() string     { return "gateway" }
+func (*gatewayCommand) Synopsis() string { return "run a router on the users' platform" }
+func (*gatewayCommand) Usage() string    { return "gateway [-settings FILE]\n" }
+
+func (c *gatewayCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.file, "settings", os.Getenv(platform.SettingsVariable), "settings file of the platform")
+}
+
+func (c *gatewayCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	s, err := platform.ReadSettings(c.file)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitUsageError
+	}
+	log, flush := gateway.NewLog(os.Stdout)
+	status := subcommands.ExitSuccess
+	if err := c.run(s, log); err != nil {
+		log.Error().Err(err).Msg("stopped")
+		status = subcommands.ExitFailure
+	}
+	if err := flush(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+	}
+	return status
+}
+
+func (c *gatewayCommand) run(s *platform.Settings, log zerolog.Logger) error {
+	g, err := gateway.New(s, log)
+	if err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
+	go func() {
+		for s := range signals {
+			if s != syscall.SIGHUP {
+				g.Shutdown()
+				continue
+			}
+			changed, err := platform.ReadSettings(c.file)
+			if err != nil {
+				log.Error().Err(err).Msg("changed settings are refused")
+				continue
+			}
+			g.Reload(changed)
+		}
+	}()
+	return g.Run()
+}
--- a/cmd/laburnumroadd/main.go
+++ b/cmd/laburnumroadd/main.go
@@ -14,6 +14,7 @@
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(&runCommand{}, "")
 	subcommands.Register(&checkCommand{}, "")
+	subcommands.Register(&gatewayCommand{}, "")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -64,6 +64,12 @@
 	DrainReplies   []DrainReply
 	Drains         []SendDrain
 
+	// The HTTP front and its direct endpoints.
+	EndpointCalls []CallEndpoint
+	StopAttempts  []StopAttempt
+	Finishes      []FinishExchange
+	LimitWrites   []WriteLimits
+
 	// Process.
 	Changes []Change
 	Exits   []Exit
--- /dev/null
+++ b/internal/command/exchange.go
@@ -0,0 +1,43 @@
+package command
+
+import (
+	"time"
+
+	"laburnumroad.dev/laburnumroad/internal/table"
+)
+
+// CallEndpoint orders an attempt at a direct endpoint.
+type CallEndpoint struct {
+	Exchange table.ExchangeID
+	Attempt  int
+	Endpoint table.EndpointID
+	Address  string
+	Service  table.ServiceName
+	Customer table.CustomerID
+	// TimeLeft is how long the endpoint may work on it.
+	TimeLeft time.Duration
+	Stream   bool
+	// Priority is the rank among the endpoint's requests, 0 first.
+	Priority int
+}
+
+// StopAttempt ends an attempt that nobody waits for any more.
+type StopAttempt struct {
+	Exchange table.ExchangeID
+	Attempt  int
+}
+
+// FinishExchange ends an exchange towards its client. If Deliver is set, the
+// answer of the last attempt is passed on as it is; otherwise Outcome says what
+// to answer, or why an answer that has begun breaks off.
+type FinishExchange struct {
+	Exchange table.ExchangeID
+	Deliver  bool
+	Outcome  table.Outcome
+}
+
+// WriteLimits writes the limit ledger on condition of a revision; 0 creates it.
+type WriteLimits struct {
+	Revision uint64
+	Content  table.LimitLedger
+}
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -104,11 +104,11 @@
 	start := l.clock()
 	l.world.Tick(start, l.systems)
 	l.sink.Flush(&l.world.Out)
-	l.world.Clear()
 	l.account(l.clock().Sub(start))
 	if l.Publish != nil {
 		l.Publish(l.world, l.spent)
 	}
+	l.world.Clear()
 }
 
 func (l *Loop) account(took time.Duration) {
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -74,6 +74,15 @@
 	Explains      []ExplainQuery
 	Drains        []DrainOrder
 	Shutdowns     []Shutdown
+
+	// The HTTP front and its direct endpoints.
+	HTTPArrivals    []HTTPArrival
+	ClientsGone     []ClientGone
+	AttemptsStarted []AttemptStarted
+	DirectEnds      []DirectEnd
+	Manifests       []ManifestSeen
+	EndpointLists   []EndpointsSeen
+	LimitAnswers    []LimitLedgerAnswer
 }
 
 // Reset empties all lists.
--- /dev/null
+++ b/internal/event/exchange.go
@@ -0,0 +1,135 @@
+package event
+
+import (
+	"time"
+
+	"laburnumroad.dev/laburnumroad/internal/table"
+)
+
+// HTTPArrival is a whole HTTP request of a client.
+type HTTPArrival struct {
+	Exchange table.ExchangeID
+	// Request is the client's id of the request.
+	Request string
+	Host    string
+	Path    string
+	HasKey  bool
+	KeyHash table.KeyHash
+	// Budget is how long the client waits, from the arrival on; 0 if not told.
+	Budget      time.Duration
+	Prompt      table.Tokens
+	MaxOutput   table.Tokens
+	Parts       []table.PromptPart
+	LastEvent   int64
+	Fingerprint table.Fingerprint
+}
+
+// ClientGone says that the client of an exchange closed its connection.
+type ClientGone struct{ Exchange table.ExchangeID }
+
+// EndpointReport is an endpoint's own account of its load.
+type EndpointReport struct {
+	Known   bool
+	Running int
+	Waiting int
+	// Slowdown is how long work takes at the moment, 1 as usual.
+	Slowdown float64
+}
+
+// AttemptStarted says that an attempt's answer has begun.
+type AttemptStarted struct {
+	Exchange table.ExchangeID
+	Attempt  int
+	Report   EndpointReport
+}
+
+// DirectStatus is how an attempt at a direct endpoint ended.
+type DirectStatus uint8
+
+// Values of DirectStatus.
+const (
+	// DirectAnswered gave a whole answer of the endpoint, with status Code.
+	DirectAnswered DirectStatus = iota + 1
+	// DirectUnreached wrote nothing of the request to the endpoint.
+	DirectUnreached
+	// DirectDeclined was answered with the endpoint's word that it did not run.
+	DirectDeclined
+	// DirectBroken ended in any other way; the request may have run.
+	DirectBroken
+)
+
+// String returns the lower-case name of the status.
+func (s DirectStatus) String() string {
+	return [...]string{"unknown", "answered", "unreached", "declined", "broken"}[s]
+}
+
+// DirectEnd is the end of an attempt at a direct endpoint.
+type DirectEnd struct {
+	Exchange table.ExchangeID
+	Attempt  int
+	Status   DirectStatus
+	// Code is the HTTP status of the answer, 0 if there was none.
+	Code int
+	// Misdirected says that another endpoint has the address.
+	Misdirected bool
+	// Leaving says that the endpoint closes its connections.
+	Leaving bool
+	// Events counts the events passed to the client, over all attempts.
+	Events int64
+	// Begun says that the client got the head of an answer.
+	Begun  bool
+	Reason string
+	Report EndpointReport
+}
+
+// ManifestSeen carries a configuration of the HTTP front.
+type ManifestSeen struct{ Manifest table.Manifest }
+
+// DirectEntry is an endpoint's entry in the platform's list.
+type DirectEntry struct {
+	ID      table.EndpointID
+	Service table.ServiceName
+	Address string
+	Domain  string
+	Slots   int
+	Leaving bool
+	Born    int64
+}
+
+// EndpointsSeen tells changes of the platform's list of endpoints, or, if Full,
+// all of it.
+type EndpointsSeen struct {
+	Full    bool
+	Present []DirectEntry
+	Removed []table.EndpointID
+}
+
+// LimitLedgerAnswer is how a call to the limit ledger ended.
+type LimitLedgerAnswer struct {
+	Status   CallStatus
+	Revision uint64
+	// Content is the ledger after the call, for CallOK and CallConflict.
+	Content table.LimitLedger
+	Reason  string
+}
+
+// AddTo implements Event.
+func (e HTTPArrival) AddTo(in *Inbox) { in.HTTPArrivals = append(in.HTTPArrivals, e) }
+
+// AddTo implements Event.
+func (e ClientGone) AddTo(in *Inbox) { in.ClientsGone = append(in.ClientsGone, e) }
+
+// AddTo implements Event.
+func (e AttemptStarted) AddTo(in *Inbox) { in.AttemptsStarted = append(in.AttemptsStarted, e) }
+
+// AddTo implements Event.
+func (e DirectEnd) AddTo(in *Inbox) { in.DirectEnds = append(in.DirectEnds, e) }
+
+// AddTo implements Event.
+func (e ManifestSeen) AddTo(in *Inbox) { in.Manifests = append(in.Manifests, e) }
+
+// AddTo implements Event.
+func (e EndpointsSeen) AddTo(in *Inbox) { in.EndpointLists = append(in.EndpointLists, e) }
+
+// AddTo implements Event.
+func (e LimitLedgerAnswer) AddTo(in *Inbox) { in.LimitAnswers = append(in.LimitAnswers, e) }
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,197 @@
+// Package gateway puts a router together that serves clients over HTTP and calls
+// endpoints itself, on the users' platform.
+package gateway
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"laburnumroad.dev/laburnumroad/internal/control"
+	"laburnumroad.dev/laburnumroad/internal/event"
+	"laburnumroad.dev/laburnumroad/internal/table"
+	"laburnumroad.dev/laburnumroad/internal/traffic/front"
+	"laburnumroad.dev/laburnumroad/internal/traffic/upstream"
+	"laburnumroad.dev/laburnumroad/internal/world"
+	"laburnumroad.dev/laburnumroad/platform"
+)
+
+const (
+	// graceMargin is kept off the grace for the last steps of the process.
+	graceMargin = 300 * time.Millisecond
+	// leastDrain is how long a router that shuts down goes on serving: the
+	// balancer stops sending connections after two failed checks, a second apart.
+	leastDrain = 2500 * time.Millisecond
+	// closeTimeout bounds the end of the servers after the last request.
+	closeTimeout = 100 * time.Millisecond
+	// headerTimeout and idleTimeout bound what clients may hold open. They exceed
+	// the limits that the operator states, so that no proper client meets them.
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 60 * time.Second
+	// headerBytes bounds the headers of a request.
+	headerBytes = 64 << 10
+	// retryReserve is the part of the retry budget that this router uses: the
+	// bounds count over windows that do not begin where a bucket is full.
+	retryReserve = 0.8
+	// memoryShare is the part of the host's memory at which the garbage
+	// collector works harder.
+	memoryShare  = 0.7
+	explainLimit = 512
+)
+
+// Gateway is one router process on the platform.
+type Gateway struct {
+	settings *platform.Settings
+	log      zerolog.Logger
+	self     table.Process
+	clock    control.Clock
+	loop     *control.Loop
+	store    *platform.Store
+	front    *front.Server
+	pool     *upstream.Pool
+
+	servers  []*http.Server
+	ready    atomic.Bool
+	ctx      context.Context
+	cancel   context.CancelFunc
+	wg       sync.WaitGroup
+	finished chan struct{}
+	once     sync.Once
+}
+
+// New opens the gateway's listeners. Run serves them.
+func New(s *platform.Settings, log zerolog.Logger) (*Gateway, error) {
+	g := &Gateway{
+		settings: s, log: log, clock: control.MonotonicClock(), pool: upstream.NewPool(),
+		store: platform.NewStore(s.StoreAddress), finished: make(chan struct{}),
+	}
+	g.ctx, g.cancel = context.WithCancel(context.Background())
+	var b [8]byte
+	if _, err := rand.Read(b[:]); err != nil {
+		return nil, errors.Wrap(err, "draw an incarnation")
+	}
+	g.self = table.Process{
+		Holder: table.Holder{Process: table.ProcessID(s.Name), Incarnation: table.Incarnation(binary.BigEndian.Uint64(b[:]))},
+		Role:   table.RoleRouter, Region: s.Region, Domain: s.Domain, State: table.ProcessLive,
+	}
+	w := world.New(g.params(), uint64(g.self.Incarnation))
+	g.loop = control.NewLoop(w, Systems(), g, g.clock)
+	g.loop.Publish = g.publish
+	g.front = &front.Server{Post: g.loop.Post, Codec: platform.Headers{}, Pool: g.pool, Log: log}
+	if err := g.serve(s.ClientAddress, g.front); err != nil {
+		return nil, errors.Wrap(err, "listen for clients")
+	}
+	if err := g.serve(s.ReadyAddress, http.HandlerFunc(g.serveReady)); err != nil {
+		return nil, errors.Wrap(err, "listen for the balancer")
+	}
+	return g, nil
+}
+
+func (g *Gateway) params() world.Params {
+	return world.Params{
+		Self: g.self, ExplainLimit: explainLimit, LeastDrain: leastDrain, DrainTimeout: g.settings.Grace - graceMargin,
+		Front: world.FrontParams{
+			RetryShare: g.settings.RetryShare * retryReserve, RetryBurst: g.settings.RetryBurst * retryReserve,
+			RouterCount: 1, Grace: g.settings.Grace,
+		},
+	}
+}
+
+// serve serves an HTTP handler on an address until the gateway ends.
+func (g *Gateway) serve(address string, h http.Handler) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	srv := &http.Server{
+		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
+		ErrorLog: newHTTPLog(g.log),
+	}
+	g.servers = append(g.servers, srv)
+	go func() {
+		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			g.log.Error().Err(err).Str("address", address).Msg("server ended")
+		}
+	}()
+	return nil
+}
+
+func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !g.ready.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// publish runs on the control thread after each tick.
+func (g *Gateway) publish(w *world.World, _ control.Spent) {
+	g.ready.Store(w.Manifest.Version > 0 && w.DirectEndpoints.Len() > 0 && !w.Draining)
+	g.front.Draining.Store(w.Draining)
+	g.front.BodyLimit.Store(w.Manifest.Limits.BodyBytes)
+	g.logDecisions(w.Decisions)
+}
+
+// Run serves until the gateway was drained after Shutdown.
+func (g *Gateway) Run() error {
+	g.log.Info().Str("process", string(g.self.Process)).Uint64("incarnation", uint64(g.self.Incarnation)).
+		Str("domain", g.self.Domain).Str("clients", g.settings.ClientAddress).Msg("started")
+	g.start(g.watchConfig)
+	g.start(g.watchServers)
+	stop := make(chan struct{})
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		g.loop.Run(stop)
+	}()
+	<-g.finished
+	g.stop()
+	close(stop)
+	<-done
+	g.log.Info().Msg("stopped")
+	return nil
+}
+
+// start runs fn on a goroutine that Run waits for.
+func (g *Gateway) start(fn func(ctx context.Context)) {
+	g.wg.Add(1)
+	go func() {
+		defer g.wg.Done()
+		fn(g.ctx)
+	}()
+}
+
+// Shutdown starts the graceful end: work in progress finishes.
+func (g *Gateway) Shutdown() {
+	g.log.Info().Msg("shutdown requested")
+	g.loop.Post(event.Shutdown{})
+}
+
+// Reload reads the settings file again. The settings in force stay, because
+// addresses and bounds of a running process do not change; what differs is said.
+func (g *Gateway) Reload(s *platform.Settings) {
+	g.log.Info().Bool("changed", *s != *g.settings).Msg("settings read again")
+}
+
+func (g *Gateway) finish() { g.once.Do(func() { close(g.finished) }) }
+
+func (g *Gateway) stop() {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	for _, s := range g.servers {
+		if s.Shutdown(ctx) != nil {
+			// Requests beyond the grace are cut off; the process ends anyway.
+			_ = s.Close()
+		}
+	}
+	g.cancel()
+	g.wg.Wait()
+}
--- /dev/null
+++ b/internal/gateway/systems.go
@@ -0,0 +1,28 @@
+package gateway
+
+import (
+	"laburnumroad.dev/laburnumroad/internal/system/allowance"
+	"laburnumroad.dev/laburnumroad/internal/system/attempt"
+	"laburnumroad.dev/laburnumroad/internal/system/catalog"
+	"laburnumroad.dev/laburnumroad/internal/system/drain"
+	"laburnumroad.dev/laburnumroad/internal/system/explain"
+	"laburnumroad.dev/laburnumroad/internal/system/health"
+	"laburnumroad.dev/laburnumroad/internal/system/intake"
+	"laburnumroad.dev/laburnumroad/internal/system/placement"
+	"laburnumroad.dev/laburnumroad/internal/world"
+)
+
+// Systems returns the systems of a gateway in the order of a tick.
+func Systems() []world.System {
+	return []world.System{
+		world.SystemFunc(catalog.Run),
+		world.SystemFunc(health.Run),
+		world.SystemFunc(attempt.Run),
+		world.SystemFunc(intake.Run),
+		world.SystemFunc(allowance.Run),
+		world.SystemFunc(placement.Run),
+		drain.New(),
+		world.SystemFunc(allowance.Settle),
+		world.SystemFunc(explain.Run),
+	}
+}
--- /dev/null
+++ b/internal/gateway/watch.go
@@ -0,0 +1,154 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"laburnumroad.dev/laburnumroad/internal/event"
+	"laburnumroad.dev/laburnumroad/internal/table"
+	"laburnumroad.dev/laburnumroad/platform"
+)
+
+const (
+	// watchWait is how long a watch waits for changes. Open connections may fall
+	// silent without a reset, so it bounds how late a change can be seen then.
+	watchWait = 2500 * time.Millisecond
+	// firstPause and longestPause bound the pause after a failed call.
+	firstPause   = 30 * time.Millisecond
+	longestPause = 400 * time.Millisecond
+)
+
+// follower keeps up with the objects of a kind: it lists them, then watches.
+type follower struct {
+	g    *Gateway
+	kind string
+	// listed takes the whole list, changed what came after it.
+	listed  func([]platform.Object)
+	changed func([]platform.Change)
+}
+
+func (f *follower) run(ctx context.Context) {
+	pause := firstPause
+	for ctx.Err() == nil {
+		objects, at, err := f.g.store.List(ctx, f.kind)
+		if err == nil {
+			f.g.reached(true)
+			f.listed(objects)
+			pause = firstPause
+			err = f.watch(ctx, at)
+		}
+		if errors.Is(err, platform.ErrCompacted) || ctx.Err() != nil {
+			f.g.log.Info().Str("kind", f.kind).Msg("history is gone; listing again")
+			continue
+		}
+		f.g.reached(false)
+		f.g.log.Info().Str("kind", f.kind).Err(err).Msg("list failed")
+		wait(ctx, pause/2+rand.N(pause/2))
+		pause = min(2*pause, longestPause)
+	}
+}
+
+// watch follows the changes until the history is gone or the list must be read
+// again. A call that failed is repeated from the same revision.
+func (f *follower) watch(ctx context.Context, at uint64) error {
+	pause := firstPause
+	for ctx.Err() == nil {
+		changes, next, err := f.g.store.Watch(ctx, f.kind, at, watchWait)
+		if errors.Is(err, platform.ErrCompacted) {
+			return err
+		}
+		if err != nil {
+			f.g.reached(false)
+			wait(ctx, pause/2+rand.N(pause/2))
+			pause = min(2*pause, longestPause)
+			continue
+		}
+		f.g.reached(true)
+		pause = firstPause
+		at = next
+		if len(changes) > 0 {
+			f.changed(changes)
+		}
+	}
+	return ctx.Err()
+}
+
+// reached tells the control thread whether the store answered.
+func (g *Gateway) reached(ok bool) { g.loop.Post(event.PlatformState{Reachable: ok}) }
+
+func wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+func (g *Gateway) watchConfig(ctx context.Context) {
+	f := &follower{
+		g: g, kind: platform.KindConfig,
+		listed: func(objects []platform.Object) {
+			for i := range objects {
+				g.seenConfig(&objects[i])
+			}
+		},
+		changed: func(changes []platform.Change) {
+			for i := range changes {
+				if !changes[i].Deleted {
+					g.seenConfig(&changes[i].Object)
+				}
+			}
+		},
+	}
+	f.run(ctx)
+}
+
+func (g *Gateway) seenConfig(o *platform.Object) {
+	if o.Name != platform.NameConfig {
+		return
+	}
+	m, err := platform.DecodeManifest(o.Spec)
+	if err != nil {
+		g.log.Error().Err(err).Msg("configuration not understood; the one in force stays")
+		return
+	}
+	g.loop.Post(event.ManifestSeen{Manifest: m})
+}
+
+func (g *Gateway) watchServers(ctx context.Context) {
+	f := &follower{
+		g: g, kind: platform.KindServer,
+		listed: func(objects []platform.Object) {
+			seen := event.EndpointsSeen{Full: true}
+			for i := range objects {
+				g.addServer(&seen, &objects[i])
+			}
+			g.loop.Post(seen)
+		},
+		changed: func(changes []platform.Change) {
+			for i := range changes {
+				seen := event.EndpointsSeen{}
+				if changes[i].Deleted {
+					seen.Removed = []table.EndpointID{table.EndpointID(changes[i].Object.Name)}
+				} else {
+					g.addServer(&seen, &changes[i].Object)
+				}
+				g.loop.Post(seen)
+			}
+		},
+	}
+	f.run(ctx)
+}
+
+func (g *Gateway) addServer(seen *event.EndpointsSeen, o *platform.Object) {
+	e, err := platform.DecodeServer(o.Name, o.Spec)
+	if err != nil {
+		g.log.Warn().Err(err).Msg("endpoint entry left out")
+		return
+	}
+	seen.Present = append(seen.Present, e)
+}
--- /dev/null
+++ b/internal/system/allowance/ledger.go
@@ -0,0 +1,258 @@
+package allowance
+
+import (
+	"slices"
+	"strconv"
+	"time"
+
+	"laburnumroad.dev/laburnumroad/internal/command"
+	"laburnumroad.dev/laburnumroad/internal/event"
+	"laburnumroad.dev/laburnumroad/internal/table"
+	"laburnumroad.dev/laburnumroad/internal/world"
+)
+
+const (
+	// horizon is the time of demand that a limit covers beyond what is spent. It
+	// exceeds the partitions from the store of eight seconds that are usual.
+	horizon = 9 * time.Second
+	// floorShare is the part of a total that a router without demand holds, so
+	// that first requests need not wait for the ledger.
+	floorShare = 100
+	// lowShare is the part of the wanted margin below which more is asked for
+	// although no request waits.
+	lowShare = 2
+	// lowInterval and spentInterval bound the writes for low margins, and those
+	// that only tell the other routers what was spent.
+	lowInterval   = 300 * time.Millisecond
+	spentInterval = 2 * time.Second
+	// staleAfter is the age from which the known ledger may have changed enough
+	// to try a write for a waiting request although it showed nothing left.
+	staleAfter = 500 * time.Millisecond
+	// firstBackoff and longestBackoff bound the delay after a failed call.
+	firstBackoff   = 30 * time.Millisecond
+	longestBackoff = 500 * time.Millisecond
+)
+
+// onAnswer takes over what a call says of the ledger. After an answer that was
+// lost, the limits stay at the lower of the old and the proposed ones until a
+// later call shows which of them is recorded.
+func onAnswer(w *world.World, e *event.LimitLedgerAnswer) {
+	s := &w.LimitShare
+	s.Calling = false
+	switch e.Status {
+	case event.CallOK, event.CallConflict:
+		if e.Status == event.CallOK {
+			s.WrittenAt = s.CalledAt
+		}
+		if !s.Known {
+			w.Change("ledger", "limits", "unknown", "known", "revision "+strconv.FormatUint(e.Revision, 10))
+		}
+		s.Known, s.Revision, s.Content, s.Confirmed, s.Backoff = true, e.Revision, e.Content, s.CalledAt, 0
+		takeOver(w)
+	case event.CallNotApplied:
+		w.Count("allowance.calls_refused")
+		takeOver(w)
+		delay(w)
+	default:
+		w.Count("allowance.calls_unanswered")
+		delay(w)
+	}
+	if w.Draining && e.Status == event.CallOK && s.Content.Find(w.Self()) == nil {
+		s.Closed = true
+	}
+}
+
+func delay(w *world.World) {
+	s := &w.LimitShare
+	s.Backoff = min(max(2*s.Backoff, firstBackoff), longestBackoff)
+	half := s.Backoff / 2
+	s.NextTry = w.Now.Add(half + time.Duration(w.Rand.Int64N(int64(half)+1)))
+	w.WakeAt(s.NextTry)
+}
+
+// takeOver sets the limits to what the ledger records.
+func takeOver(w *world.World) {
+	own := w.LimitShare.Content.Find(w.Self())
+	w.Params.Front.RouterCount = routers(&w.LimitShare.Content)
+	if own == nil {
+		// The entry was closed by a later process of this name: its limits count as
+		// spent in the ledger, and this router may still spend them.
+		w.Accounts.Each(func(_ table.CustomerID, a *table.Account) {
+			a.Base, a.Recorded = a.Base+a.Recorded, 0
+			a.Limit = a.Base
+		})
+		return
+	}
+	for c, entry := range own.Entries {
+		account(w, c).Recorded = entry.Limit
+	}
+	w.Accounts.Each(func(_ table.CustomerID, a *table.Account) { a.Limit = a.Base + a.Recorded })
+}
+
+// routers counts the names of processes in the ledger.
+func routers(l *table.LimitLedger) int {
+	names := make(map[table.ProcessID]bool, len(l.Holders))
+	for i := range l.Holders {
+		names[l.Holders[i].Process] = true
+	}
+	return len(names)
+}
+
+// planWrite sends the next write of the ledger if one is due.
+func planWrite(w *world.World) {
+	s := &w.LimitShare
+	if s.Calling || s.Closed || w.Manifest.Version == 0 {
+		return
+	}
+	if s.NextTry > w.Now {
+		w.WakeAt(s.NextTry)
+		return
+	}
+	if !due(w) {
+		return
+	}
+	content := propose(w)
+	lower(w, &content)
+	s.Calling, s.CalledAt = true, w.Now
+	w.Out.LimitWrites = append(w.Out.LimitWrites, command.WriteLimits{Revision: s.Revision, Content: content})
+	w.Count("allowance.writes")
+}
+
+// due reports whether a write is worth its call now.
+func due(w *world.World) bool {
+	s := &w.LimitShare
+	if !s.Known {
+		return true
+	}
+	if w.Draining {
+		return w.Exchanges.Len() == 0
+	}
+	own := s.Content.Find(w.Self())
+	if own == nil {
+		return true
+	}
+	now, low, spent := false, false, false
+	w.Prepaids.Each(func(c table.CustomerID, p *table.Prepaid) {
+		if !p.Limited {
+			return
+		}
+		a := account(w, c)
+		left := p.Total - s.Content.Allocated(c)
+		if left < 0 && a.Recorded > 0 {
+			low = true
+		}
+		if a.Missing > 0 && (left >= a.Missing || s.Confirmed.Add(staleAfter) <= w.Now) {
+			now = true
+		}
+		if a.Free() < wanted(w, a, p)/lowShare && left > 0 {
+			low = true
+		}
+		spent = spent || a.Spent != own.Entries[c].Spent
+	})
+	switch {
+	case now:
+		return true
+	case low:
+		return dueAt(w, s.WrittenAt.Add(lowInterval))
+	case spent:
+		return dueAt(w, s.WrittenAt.Add(spentInterval))
+	}
+	return false
+}
+
+func dueAt(w *world.World, at table.Instant) bool {
+	if at <= w.Now {
+		return true
+	}
+	w.WakeAt(at)
+	return false
+}
+
+// wanted returns what this router wants to be free to spend of a total.
+func wanted(w *world.World, a *table.Account, p *table.Prepaid) table.Tokens {
+	decayDemand(w, a)
+	return max(p.Total/floorShare, table.Tokens(a.Demand*horizon.Seconds()+a.Mean))
+}
+
+// propose returns the ledger with the limits that this router wants.
+func propose(w *world.World) table.LimitLedger {
+	content := w.LimitShare.Content.Clone()
+	closeEarlier(w, &content)
+	entries := make(map[table.CustomerID]table.LimitEntry)
+	count := table.Tokens(max(1, routers(&content)))
+	w.Prepaids.Each(func(c table.CustomerID, p *table.Prepaid) {
+		if p.Limited {
+			a := account(w, c)
+			entries[c] = table.LimitEntry{Limit: limit(w, a, p, &content, count), Spent: max(0, a.Spent-a.Base)}
+		}
+	})
+	w.Accounts.Each(func(c table.CustomerID, a *table.Account) {
+		if _, ok := entries[c]; !ok && a.Recorded != 0 {
+			// The customer is not in the configuration any more, or not limited.
+			entries[c] = table.LimitEntry{Limit: max(0, a.Used()-a.Base), Spent: max(0, a.Spent-a.Base)}
+		}
+	})
+	content.Holders = slices.DeleteFunc(content.Holders, func(h table.LimitHolder) bool { return h.Holder == w.Self() })
+	if w.Draining {
+		for c, e := range entries {
+			content.Closed[c] += e.Limit
+		}
+		return content
+	}
+	content.Holders = append(content.Holders, table.LimitHolder{Holder: w.Self(), Address: w.Params.Front.PeerAddress, Entries: entries})
+	return content
+}
+
+// closeEarlier closes the entries of earlier processes of this name: they ended
+// without doing so, and may have spent all of their limits.
+func closeEarlier(w *world.World, content *table.LimitLedger) {
+	self := w.Self()
+	content.Holders = slices.DeleteFunc(content.Holders, func(h table.LimitHolder) bool {
+		if h.Process != self.Process || h.Incarnation == self.Incarnation {
+			return false
+		}
+		for c, e := range h.Entries {
+			content.Closed[c] += e.Limit
+		}
+		return true
+	})
+}
+
+// limit returns the limit that this router proposes for itself. What no request
+// waits for is taken in parts of what is left, so that the last of a total is
+// not held by a router that does not need it.
+func limit(w *world.World, a *table.Account, p *table.Prepaid, content *table.LimitLedger, count table.Tokens) table.Tokens {
+	used := max(0, a.Used()-a.Base)
+	if w.Draining {
+		return used
+	}
+	room := p.Total - (content.Allocated(a.Customer) - a.Recorded)
+	left := room - a.Recorded
+	want := used + a.Waiting + wanted(w, a, p)
+	if left < 0 {
+		// The total was lowered below what the routers may spend.
+		return max(used, min(a.Recorded, room))
+	}
+	if want > a.Recorded {
+		return a.Recorded + min(want-a.Recorded, left, max(a.Waiting, left/(2*count)))
+	}
+	if left < p.Total/floorShare*count {
+		return max(used, want)
+	}
+	return a.Recorded
+}
+
+// lower takes the limits down at once that the proposed content lowers: once the
+// write is under way, it may take effect at any time.
+func lower(w *world.World, content *table.LimitLedger) {
+	own := content.Find(w.Self())
+	w.Accounts.Each(func(c table.CustomerID, a *table.Account) {
+		var proposed table.Tokens
+		if own != nil {
+			proposed = own.Entries[c].Limit
+		} else {
+			proposed = max(0, a.Used()-a.Base)
+		}
+		a.Limit = min(a.Limit, a.Base+proposed)
+	})
+}
--- /dev/null
+++ b/internal/system/allowance/settle.go
@@ -0,0 +1,53 @@
+package allowance
+
+import (
+	"strconv"
+
+	"laburnumroad.dev/laburnumroad/internal/table"
+	"laburnumroad.dev/laburnumroad/internal/world"
+)
+
+// Settle charges the exchanges that ended, removes their rows, and writes the
+// ledger if a limit has to change.
+func Settle(w *world.World) {
+	for _, id := range w.ExchangesEnded.Keys() {
+		if x := w.Exchanges.Get(id); x != nil {
+			charge(w, x)
+		}
+		w.ExchangesEnded.Remove(id)
+		w.Exchanges.Delete(id)
+	}
+	planWrite(w)
+}
+
+// charge settles the true cost of an exchange. A prompt is charged once however
+// often it was sent, and not at all if it certainly did not run.
+func charge(w *world.World, x *table.Exchange) {
+	if x.Reserved == 0 {
+		return
+	}
+	a := account(w, x.Customer)
+	a.Reserved -= x.Reserved
+	cost := Cost(x)
+	a.Spent += cost
+	w.CountN("allowance.charged", int64(cost))
+	w.Explain(x.Request, System, "charged", tokens("cost", cost), tokens("reserved", x.Reserved),
+		tokens("free", a.Free()), table.Input{Name: "events", Value: strconv.FormatInt(x.Events, 10)})
+}
+
+// Cost returns what an ended exchange costs. Each event counts with the most
+// tokens that it may hold, so that the cost is never less than what was used.
+func Cost(x *table.Exchange) table.Tokens {
+	if !x.MayHaveRun {
+		return 0
+	}
+	output := table.Tokens(x.Events) * x.EventTokens
+	if x.EventTokens == 0 {
+		output = x.MaxOutput
+	}
+	return x.Prompt + min(output, x.MaxOutput)
+}
+
+func tokens(name string, n table.Tokens) table.Input {
+	return table.Input{Name: name, Value: strconv.FormatInt(int64(n), 10)}
+}
--- a/internal/system/drain/drain.go
+++ b/internal/system/drain/drain.go
@@ -35,7 +35,7 @@
 		return
 	}
 	if !s.draining {
-		s.draining, s.started = true, w.Now
+		s.draining, s.started, w.DrainSince = true, w.Now, w.Now
 		w.Change("process", string(w.Self().Process), "serving", "draining", reason(w))
 		// The other systems see the drain before it can end.
 		w.WakeAt(w.Now)
@@ -60,6 +60,10 @@
 		return
 	}
 	w.WakeAt(deadline)
+	if least := s.started.Add(w.Params.LeastDrain); w.Now < least {
+		w.WakeAt(least)
+		return
+	}
 	if busy(w) {
 		s.idle = 0
 		return
@@ -79,7 +83,7 @@
 }
 
 func busy(w *world.World) bool {
-	if w.Requests.Len() > 0 {
+	if w.Requests.Len() > 0 || w.Exchanges.Len() > 0 {
 		return true
 	}
 	inFlight := 0
@@ -95,7 +99,7 @@
 	if fenced(w) {
 		return false
 	}
-	held := false
+	held := w.Accounts.Len() > 0 && !w.LimitShare.Closed
 	w.Budgets.Each(func(_ table.BudgetID, b *table.Budget) {
 		held = held || b.Granted > 0 || b.Spent > 0
 	})
--- /dev/null
+++ b/internal/table/account.go
@@ -0,0 +1,131 @@
+package table
+
+import (
+	"slices"
+	"time"
+)
+
+// Account is what this router holds of one customer's prepaid total.
+// Invariant: Spent and Reserved never exceed Limit.
+type Account struct {
+	Customer CustomerID
+	// Limit is the most that this router may spend in all, as far as the ledger
+	// is known to record it. While a write that lowers it is unanswered, it is
+	// already lowered.
+	Limit Tokens
+	// Recorded is the limit in this router's entry of the ledger.
+	Recorded Tokens
+	// Base is the part of Limit that the ledger counts as closed: a later process
+	// of the same name closed this router's entry while it was still running.
+	Base Tokens
+	// Spent is charged for ended requests, Reserved held for open ones.
+	Spent    Tokens
+	Reserved Tokens
+	// TransferredIn and TransferredOut moved between routers without the ledger.
+	TransferredIn  Tokens
+	TransferredOut Tokens
+	// Demand is a moving average of the spend in tokens per second, as of DemandAt.
+	Demand   float64
+	DemandAt Instant
+	// Mean is a moving average of the size of reservations.
+	Mean float64
+	// Missing is the smallest addition that serves a waiting request, and
+	// Waiting the sum of all that wait.
+	Missing Tokens
+	Waiting Tokens
+	// AskedAt is when peers were last asked for a transfer.
+	AskedAt Instant
+}
+
+// Free returns what may still be reserved.
+func (a *Account) Free() Tokens {
+	return a.Limit + a.TransferredIn - a.TransferredOut - a.Spent - a.Reserved
+}
+
+// Used returns the least limit that covers what was spent, reserved or passed on.
+func (a *Account) Used() Tokens {
+	return a.Spent + a.Reserved + a.TransferredOut - a.TransferredIn
+}
+
+// LimitEntry is what the ledger records of one router and one customer.
+type LimitEntry struct {
+	// Limit is the most that the router may spend of the customer's total.
+	Limit Tokens
+	// Spent is what the router had spent when it wrote the entry.
+	Spent Tokens
+}
+
+// LimitHolder is a router's part of the ledger.
+type LimitHolder struct {
+	Holder
+	// Address is where other routers reach it.
+	Address string
+	Entries map[CustomerID]LimitEntry
+}
+
+// LimitLedger is the ledger of all customers' prepaid totals. Invariant of each
+// version: for each customer, Closed plus all limits do not exceed the total.
+// A content is never changed once it was read or sent; writers copy it.
+type LimitLedger struct {
+	// Closed is what routers that ended have spent, or may have spent.
+	Closed  map[CustomerID]Tokens
+	Holders []LimitHolder
+}
+
+// Clone returns a copy whose lists may be changed. The entries of holders are
+// shared.
+func (l *LimitLedger) Clone() LimitLedger {
+	c := LimitLedger{Closed: make(map[CustomerID]Tokens, len(l.Closed)), Holders: slices.Clone(l.Holders)}
+	for id, n := range l.Closed {
+		c.Closed[id] = n
+	}
+	return c
+}
+
+// Find returns the entry of a holder, or nil.
+func (l *LimitLedger) Find(h Holder) *LimitHolder {
+	for i := range l.Holders {
+		if l.Holders[i].Holder == h {
+			return &l.Holders[i]
+		}
+	}
+	return nil
+}
+
+// Allocated returns what is closed or may be spent of a customer's total.
+func (l *LimitLedger) Allocated(c CustomerID) Tokens {
+	sum := l.Closed[c]
+	for i := range l.Holders {
+		sum += l.Holders[i].Entries[c].Limit
+	}
+	return sum
+}
+
+// KnownSpent returns what has certainly been spent, or counts as such.
+func (l *LimitLedger) KnownSpent(c CustomerID) Tokens {
+	sum := l.Closed[c]
+	for i := range l.Holders {
+		sum += l.Holders[i].Entries[c].Spent
+	}
+	return sum
+}
+
+// LimitShare is this router's view of the ledger object and of its open call.
+type LimitShare struct {
+	Known    bool
+	Revision uint64
+	Content  LimitLedger
+	// Calling is true while a call is open, since CalledAt.
+	Calling  bool
+	CalledAt Instant
+	// Confirmed is when the last call that gave Content was sent.
+	Confirmed Instant
+	// Proposed is the content of the open write.
+	Proposed *LimitLedger
+	// WrittenAt is when the last write that took effect was sent.
+	WrittenAt Instant
+	NextTry   Instant
+	Backoff   time.Duration
+	// Closed is true once the entry of this router was closed for its end.
+	Closed bool
+}
--- a/internal/table/request.go
+++ b/internal/table/request.go
@@ -82,6 +82,8 @@
 	CodeKeyLost           Code = "KEY_LOST"
 	CodePromptTooLong     Code = "PROMPT_TOO_LONG"
 	CodeCancelled         Code = "CANCELLED"
+	CodeUnknownRoute      Code = "UNKNOWN_ROUTE"
+	CodeTimeout           Code = "TIMEOUT"
 )
 
 // Outcome is how a request ended.
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -34,13 +34,30 @@
 	// ManyBudgets saves platform writes and memory in a large fleet: routers
 	// with little demand for a budget ask its home router for a slice before
 	// they take a ledger grant, and shard contents are read again for each write.
-	ManyBudgets       bool
-	AnswerRetention   time.Duration
-	DetachGrace       time.Duration
-	DrainTimeout      time.Duration
+	ManyBudgets     bool
+	AnswerRetention time.Duration
+	DetachGrace     time.Duration
+	DrainTimeout    time.Duration
+	// LeastDrain is how long a drain goes on although no work is left.
+	LeastDrain        time.Duration
 	HeartbeatInterval time.Duration
 	// ExplainLimit bounds the decisions kept for explain.
 	ExplainLimit int
+	Front        FrontParams
+}
+
+// FrontParams are the settings of the HTTP front that systems need.
+type FrontParams struct {
+	// RetryShare is how much of a repeated attempt each request earns its
+	// service, and RetryBurst what all routers together may repeat beyond that.
+	RetryShare float64
+	RetryBurst float64
+	// RouterCount is how many routers share RetryBurst, as far as is known.
+	RouterCount int
+	// Grace is the time between the order to stop and the end of the process.
+	Grace time.Duration
+	// PeerAddress is where other routers reach this one.
+	PeerAddress string
 }
 
 // Tables are the entities of the process.
@@ -82,6 +99,7 @@
 	table.AgentTables
 	table.KeyTables
 	table.QuarantineTables
+	table.FrontTables
 	History table.History
 }
 
@@ -105,6 +123,8 @@
 	AwaitRegistration bool
 	// Draining is true after the start of a graceful shutdown.
 	Draining bool
+	// DrainSince is when the shutdown began.
+	DrainSince table.Instant
 	// Decisions are the decisions of this tick, for explain.
 	Decisions []table.Decision
 
@@ -192,6 +212,20 @@
 	})
 }
 
+// FinishExchange answers the client of an exchange. An attempt that is still
+// open is stopped; the row is settled and removed once it has ended.
+func (w *World) FinishExchange(x *table.Exchange, deliver bool, o table.Outcome) {
+	w.Out.Finishes = append(w.Out.Finishes, command.FinishExchange{Exchange: x.ID, Deliver: deliver, Outcome: o})
+	w.ExchangesWaiting.Remove(x.ID)
+	if x.State != table.ExchangeRunning {
+		x.State = table.ExchangeEnded
+		w.ExchangesEnded.Add(x.ID)
+		return
+	}
+	x.State = table.ExchangeStopping
+	w.Out.StopAttempts = append(w.Out.StopAttempts, command.StopAttempt{Exchange: x.ID, Attempt: x.Attempt})
+}
+
 // Change records a change of state for the log.
 func (w *World) Change(subject, id, from, to, reason string) {
 	w.Out.Changes = append(w.Out.Changes, command.Change{
