Move allowances between routers; shrink limits while draining

Cause: a request was refused for budget (429) although most of the total was left: other routers held it as their margin for cuts from the store, and a router that ended at its drain timeout left its whole limit behind. Routers now tell each other twice a second what they may still spend, and one that runs short gets a part of it over the peer protocol, which also works while the store is out of reach. A draining router gives its unused limit back.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -70,6 +70,11 @@
 	Finishes      []FinishExchange
 	LimitWrites   []WriteLimits
 
+	// Allowances between routers.
+	Allowances       []SendAllowance
+	TransferRequests []SendTransferRequest
+	Transfers        []SendTransfer
+
 	// Process.
 	Changes []Change
 	Exits   []Exit
--- a/internal/command/exchange.go
+++ b/internal/command/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"laburnumroad.dev/laburnumroad/internal/event"
 	"laburnumroad.dev/laburnumroad/internal/table"
 )
 
@@ -41,3 +42,18 @@
 	Revision uint64
 	Content  table.LimitLedger
 }
+
+// SendAllowance tells all connected routers what this one may still spend.
+type SendAllowance struct{ Allowance event.Allowance }
+
+// SendTransferRequest sends a TransferRequest.
+type SendTransferRequest struct {
+	To      table.Holder
+	Request event.TransferRequest
+}
+
+// SendTransfer sends a Transfer.
+type SendTransfer struct {
+	To       table.Holder
+	Transfer event.Transfer
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -21,6 +21,7 @@
 	"laburnumroad.dev/laburnumroad/internal/traffic/callerapi"
 	"laburnumroad.dev/laburnumroad/internal/traffic/engine"
 	"laburnumroad.dev/laburnumroad/internal/traffic/operatorapi"
+	"laburnumroad.dev/laburnumroad/internal/traffic/peering"
 	"laburnumroad.dev/laburnumroad/internal/traffic/platform"
 	"laburnumroad.dev/laburnumroad/internal/traffic/relay"
 	"laburnumroad.dev/laburnumroad/internal/traffic/runner"
@@ -41,7 +42,7 @@
 	clock  control.Clock
 	loop   *control.Loop
 	store  *store.Store
-	peers  *peers
+	peers  *peering.Peers
 	node   *wire.Node
 	tracer trace.Tracer
 
@@ -120,8 +121,8 @@
 func (d *Daemon) post(e event.Event) { d.loop.Post(e) }
 
 func (d *Daemon) newNode() error {
-	d.peers = newPeers(d.post)
-	d.peers.receive = d.receive
+	d.peers = peering.New(d.post)
+	d.peers.Receive = d.receive
 	d.node = &wire.Node{Hello: d.hello, Handler: d.peers, Traffic: d.metrics.traffic}
 	if d.opts.TLS == nil {
 		return nil
@@ -177,14 +178,14 @@
 		engines[e.ID] = engine.New(e.URL, engine.Options{})
 	}
 	d.runner = runner.New(d.post, d.tracer, engines)
-	d.peers.closed = func(s *wire.Session) { d.runner.SessionClosed(s.ID) }
+	d.peers.Ended = func(s *wire.Session) { d.runner.SessionClosed(s.ID) }
 }
 
 func (d *Daemon) newAPIs() error {
 	d.relay = &relay.Relay{
 		Directory: relay.NewDirectory(), Post: d.post, Tracer: d.tracer,
 		Send: func(to table.Holder, m *wire.Dispatch) error {
-			return d.peers.sendHolder(to, wire.TypeDispatch, m)
+			return d.peers.SendHolder(to, wire.TypeDispatch, m)
 		},
 	}
 	d.caller = &callerapi.Server{
--- a/internal/daemon/flush.go
+++ b/internal/daemon/flush.go
@@ -40,7 +40,7 @@
 	}
 	for _, c := range out.CancelRuns {
 		// A closed session ends the attempt anyway.
-		_ = d.peers.sendHolder(c.To, wire.TypeCancel, &wire.Cancel{Request: c.Request, Attempt: c.Attempt})
+		_ = d.peers.SendHolder(c.To, wire.TypeCancel, &wire.Cancel{Request: c.Request, Attempt: c.Attempt})
 	}
 	for _, c := range out.Replies {
 		d.relay.Directory.Reply(c)
@@ -81,7 +81,7 @@
 		d.operator.Drains.Answer(c.Reply, c)
 	}
 	for _, c := range out.Drains {
-		d.peers.send(c.To, wire.TypeDrain, &wire.Drain{Target: c.Order.Target, Undo: c.Order.Undo, Reason: c.Order.Reason})
+		d.peers.Send(c.To, wire.TypeDrain, &wire.Drain{Target: c.Order.Target, Undo: c.Order.Undo, Reason: c.Order.Reason})
 	}
 }
 
@@ -111,12 +111,12 @@
 		d.sendHeartbeat(&out.Heartbeats[i])
 	}
 	for i := range out.Crashes {
-		for _, s := range d.peers.all() {
+		for _, s := range d.peers.All() {
 			_ = s.Send(wire.TypeCrash, &out.Crashes[i].Crash)
 		}
 	}
 	for _, c := range out.ConfigAsks {
-		d.peers.send(c.To, wire.TypeConfigRequest, &wire.ConfigRequest{Generation: d.metrics.current.Load().Generation})
+		d.peers.Send(c.To, wire.TypeConfigRequest, &wire.ConfigRequest{Generation: d.metrics.current.Load().Generation})
 	}
 }
 
@@ -125,24 +125,24 @@
 func (d *Daemon) sendHeartbeat(c *command.SendHeartbeat) {
 	c.Heartbeat.Peer = table.Holder{}
 	if c.To != "" {
-		d.peers.send(c.To, wire.TypeHeartbeat, &c.Heartbeat)
+		d.peers.Send(c.To, wire.TypeHeartbeat, &c.Heartbeat)
 		return
 	}
 	frame, err := wire.AppendFrame(nil, wire.TypeHeartbeat, &c.Heartbeat)
 	if err != nil {
 		return
 	}
-	for _, s := range d.peers.all() {
+	for _, s := range d.peers.All() {
 		_ = s.SendFrame(frame)
 	}
 }
 
 func (d *Daemon) dial(c command.Dial) {
-	if !d.peers.beginDial(c.Process) {
+	if !d.peers.BeginDial(c.Process) {
 		return
 	}
 	go func() {
-		defer d.peers.endDial(c.Process)
+		defer d.peers.EndDial(c.Process)
 		// Membership tries again; the state change of the process is the log line.
 		_ = d.node.Dial(d.ctx, c.Address)
 	}()
@@ -150,34 +150,34 @@
 
 func (d *Daemon) flushMessages(out *command.Outbox) {
 	for i := range out.SliceRequests {
-		d.peers.send(out.SliceRequests[i].To, wire.TypeSliceRequest, &out.SliceRequests[i].Request)
+		d.peers.Send(out.SliceRequests[i].To, wire.TypeSliceRequest, &out.SliceRequests[i].Request)
 	}
 	for i := range out.SliceGrants {
-		_ = d.peers.sendHolder(out.SliceGrants[i].To, wire.TypeSliceGrant, &out.SliceGrants[i].Grant)
+		_ = d.peers.SendHolder(out.SliceGrants[i].To, wire.TypeSliceGrant, &out.SliceGrants[i].Grant)
 	}
 	for i := range out.SliceReports {
-		_ = d.peers.sendHolder(out.SliceReports[i].To, wire.TypeSliceReport, &out.SliceReports[i].Report)
+		_ = d.peers.SendHolder(out.SliceReports[i].To, wire.TypeSliceReport, &out.SliceReports[i].Report)
 	}
 	for i := range out.KeyRecords {
-		d.peers.send(out.KeyRecords[i].To, wire.TypeKeyRecord, &out.KeyRecords[i].Record)
+		d.peers.Send(out.KeyRecords[i].To, wire.TypeKeyRecord, &out.KeyRecords[i].Record)
 	}
 	for i := range out.KeyQueries {
-		d.peers.send(out.KeyQueries[i].To, wire.TypeKeyQuery, &out.KeyQueries[i].Query)
+		d.peers.Send(out.KeyQueries[i].To, wire.TypeKeyQuery, &out.KeyQueries[i].Query)
 	}
 	for i := range out.KeyResults {
-		_ = d.peers.sendHolder(out.KeyResults[i].To, wire.TypeKeyResult, &out.KeyResults[i].Result)
+		_ = d.peers.SendHolder(out.KeyResults[i].To, wire.TypeKeyResult, &out.KeyResults[i].Result)
 	}
 	for i := range out.Lookups {
-		d.peers.send(out.Lookups[i].To, wire.TypeLookup, &out.Lookups[i].Lookup)
+		d.peers.Send(out.Lookups[i].To, wire.TypeLookup, &out.Lookups[i].Lookup)
 	}
 	for i := range out.LookupResults {
-		_ = d.peers.sendHolder(out.LookupResults[i].To, wire.TypeLookupResult, &out.LookupResults[i].Result)
+		_ = d.peers.SendHolder(out.LookupResults[i].To, wire.TypeLookupResult, &out.LookupResults[i].Result)
 	}
 	for i := range out.Fences {
-		d.peers.send(out.Fences[i].To, wire.TypeFence, &out.Fences[i].Fence)
+		d.peers.Send(out.Fences[i].To, wire.TypeFence, &out.Fences[i].Fence)
 	}
 	for i := range out.FenceResults {
-		_ = d.peers.sendHolder(out.FenceResults[i].To, wire.TypeFenceResult, &out.FenceResults[i].Result)
+		_ = d.peers.SendHolder(out.FenceResults[i].To, wire.TypeFenceResult, &out.FenceResults[i].Result)
 	}
 }
 
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -83,6 +83,11 @@
 	Manifests       []ManifestSeen
 	EndpointLists   []EndpointsSeen
 	LimitAnswers    []LimitLedgerAnswer
+
+	// Allowances between routers.
+	Allowances       []Allowance
+	TransferRequests []TransferRequest
+	Transfers        []Transfer
 }
 
 // Reset empties all lists.
--- a/internal/event/exchange.go
+++ b/internal/event/exchange.go
@@ -113,6 +113,38 @@
 	Reason  string
 }
 
+// Allowance tells what another router may still spend, by customer.
+type Allowance struct {
+	From table.Holder
+	Free map[table.CustomerID]table.Tokens
+}
+
+// TransferRequest asks another router for a part of what it may still spend. It
+// is of use only if Need is given; Want is welcome.
+type TransferRequest struct {
+	From     table.Holder
+	Customer table.CustomerID
+	Need     table.Tokens
+	Want     table.Tokens
+}
+
+// Transfer gives another router a part of what the sender may still spend. The
+// sender counts it as spent from the moment it is sent.
+type Transfer struct {
+	From     table.Holder
+	Customer table.CustomerID
+	Amount   table.Tokens
+}
+
+// AddTo implements Event.
+func (e Allowance) AddTo(in *Inbox) { in.Allowances = append(in.Allowances, e) }
+
+// AddTo implements Event.
+func (e TransferRequest) AddTo(in *Inbox) { in.TransferRequests = append(in.TransferRequests, e) }
+
+// AddTo implements Event.
+func (e Transfer) AddTo(in *Inbox) { in.Transfers = append(in.Transfers, e) }
+
 // AddTo implements Event.
 func (e HTTPArrival) AddTo(in *Inbox) { in.HTTPArrivals = append(in.HTTPArrivals, e) }
 
--- a/internal/gateway/flush.go
+++ b/internal/gateway/flush.go
@@ -1,11 +1,13 @@
 package gateway
 
 import (
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"laburnumroad.dev/laburnumroad/internal/command"
 	"laburnumroad.dev/laburnumroad/internal/event"
 	"laburnumroad.dev/laburnumroad/internal/table"
+	"laburnumroad.dev/laburnumroad/internal/traffic/wire"
 )
 
 // Flush implements control.Sink. It runs on the control thread and hands the
@@ -23,6 +25,7 @@
 	for _, c := range out.LimitWrites {
 		go g.writeLimits(c)
 	}
+	g.flushPeers(out)
 	for _, c := range out.Changes {
 		g.log.Info().Str("subject", c.Subject).Str("id", c.ID).Str("from", c.From).Str("to", c.To).
 			Str("reason", c.Reason).Msg("changed")
@@ -33,6 +36,75 @@
 	}
 }
 
+func (g *Gateway) flushPeers(out *command.Outbox) {
+	for _, c := range out.Dials {
+		g.dial(c)
+	}
+	for i := range out.Allowances {
+		for _, s := range g.peers.All() {
+			g.sent(s.Send(wire.TypeAllowance, &out.Allowances[i].Allowance))
+		}
+	}
+	for i := range out.Crashes {
+		for _, s := range g.peers.All() {
+			g.sent(s.Send(wire.TypeCrash, &out.Crashes[i].Crash))
+		}
+	}
+	for i := range out.TransferRequests {
+		g.sent(g.peers.SendHolder(out.TransferRequests[i].To, wire.TypeTransferRequest, &out.TransferRequests[i].Request))
+	}
+	for i := range out.Transfers {
+		g.sent(g.peers.SendHolder(out.Transfers[i].To, wire.TypeTransfer, &out.Transfers[i].Transfer))
+	}
+}
+
+// sent notes a message that could not be queued: its session has ended, which
+// the control thread learns by itself.
+func (g *Gateway) sent(err error) {
+	if err != nil {
+		g.log.Debug().Err(err).Msg("message to another router dropped")
+	}
+}
+
+func (g *Gateway) dial(c command.Dial) {
+	if !g.peers.BeginDial(c.Process) {
+		return
+	}
+	go func() {
+		defer g.peers.EndDial(c.Process)
+		if err := g.node.Dial(g.ctx, c.Address); err != nil {
+			g.log.Debug().Str("router", string(c.Process)).Err(err).Msg("router not reached")
+		}
+	}()
+}
+
+// receive turns a frame of another router into an event. The sender's identity
+// comes from the session, never from the message.
+func (g *Gateway) receive(s *wire.Session, f wire.Frame) error {
+	switch f.Type {
+	case wire.TypeAllowance:
+		return post(g, f, func(e *event.Allowance) { e.From = s.Holder() })
+	case wire.TypeTransferRequest:
+		return post(g, f, func(e *event.TransferRequest) { e.From = s.Holder() })
+	case wire.TypeTransfer:
+		return post(g, f, func(e *event.Transfer) { e.From = s.Holder() })
+	case wire.TypeCrash:
+		return post(g, f, func(*event.Crash) {})
+	}
+	return errors.Errorf("unexpected message %s", f.Type)
+}
+
+// post decodes the body of a frame as an event, completes it and posts it.
+func post[E event.Event](g *Gateway, f wire.Frame, complete func(*E)) error {
+	e, err := wire.Decode[E](f)
+	if err != nil {
+		return err
+	}
+	complete(&e)
+	g.loop.Post(e)
+	return nil
+}
+
 func (g *Gateway) writeLimits(c command.WriteLimits) {
 	answer := g.store.WriteLimits(g.ctx, c.Revision, &c.Content)
 	if answer.Status != event.CallOK {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -8,6 +8,7 @@
 	"encoding/binary"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,7 +20,9 @@
 	"laburnumroad.dev/laburnumroad/internal/event"
 	"laburnumroad.dev/laburnumroad/internal/table"
 	"laburnumroad.dev/laburnumroad/internal/traffic/front"
+	"laburnumroad.dev/laburnumroad/internal/traffic/peering"
 	"laburnumroad.dev/laburnumroad/internal/traffic/upstream"
+	"laburnumroad.dev/laburnumroad/internal/traffic/wire"
 	"laburnumroad.dev/laburnumroad/internal/world"
 	"laburnumroad.dev/laburnumroad/platform"
 )
@@ -45,6 +48,10 @@
 	// collector works harder.
 	memoryShare  = 0.7
 	explainLimit = 512
+	// peerHandshake and peerIdle end sessions with routers that are gone; reports
+	// come twice a second.
+	peerHandshake = time.Second
+	peerIdle      = 2500 * time.Millisecond
 )
 
 // Gateway is one router process on the platform.
@@ -57,6 +64,8 @@
 	store    *platform.Store
 	front    *front.Server
 	pool     *upstream.Pool
+	peers    *peering.Peers
+	node     *wire.Node
 
 	servers  []*http.Server
 	ready    atomic.Bool
@@ -82,9 +91,14 @@
 		Holder: table.Holder{Process: table.ProcessID(s.Name), Incarnation: table.Incarnation(binary.BigEndian.Uint64(b[:]))},
 		Role:   table.RoleRouter, Region: s.Region, Domain: s.Domain, State: table.ProcessLive,
 	}
-	w := world.New(g.params(), uint64(g.self.Incarnation))
+	peerListener, err := listenPeers(s)
+	if err != nil {
+		return nil, err
+	}
+	w := world.New(g.params(peerListener.Addr().String()), uint64(g.self.Incarnation))
 	g.loop = control.NewLoop(w, Systems(), g, g.clock)
 	g.loop.Publish = g.publish
+	g.servePeers(peerListener)
 	g.front = &front.Server{Post: g.loop.Post, Codec: platform.Headers{}, Pool: g.pool, Log: log}
 	if err := g.serve(s.ClientAddress, g.front); err != nil {
 		return nil, errors.Wrap(err, "listen for clients")
@@ -95,16 +109,50 @@
 	return g, nil
 }
 
-func (g *Gateway) params() world.Params {
+func (g *Gateway) params(peerAddress string) world.Params {
 	return world.Params{
 		Self: g.self, ExplainLimit: explainLimit, LeastDrain: leastDrain, DrainTimeout: g.settings.Grace - graceMargin,
 		Front: world.FrontParams{
 			RetryShare: g.settings.RetryShare * retryReserve, RetryBurst: g.settings.RetryBurst * retryReserve,
-			RouterCount: 1, Grace: g.settings.Grace,
+			RouterCount: 1, Grace: g.settings.Grace, PeerAddress: peerAddress,
 		},
 	}
 }
 
+// listenPeers listens on the first free port of those for talk between routers.
+func listenPeers(s *platform.Settings) (net.Listener, error) {
+	var l net.Listener
+	var err error
+	for port := s.FirstPort; port <= s.LastPort; port++ {
+		if l, err = net.Listen("tcp", net.JoinHostPort(s.Host, strconv.Itoa(port))); err == nil {
+			return l, nil
+		}
+	}
+	return nil, errors.Wrap(err, "listen for routers")
+}
+
+// servePeers accepts sessions of other routers until the gateway ends.
+func (g *Gateway) servePeers(l net.Listener) {
+	g.peers = peering.New(g.loop.Post)
+	g.peers.Receive = g.receive
+	g.node = &wire.Node{Hello: g.hello, Handler: g.peers, Handshake: peerHandshake, Idle: peerIdle}
+	go func() {
+		if err := g.node.Serve(l); !errors.Is(err, net.ErrClosed) {
+			g.log.Error().Err(err).Msg("listener for routers ended")
+		}
+	}()
+	g.start(func(ctx context.Context) {
+		<-ctx.Done()
+		if err := l.Close(); err != nil {
+			g.log.Debug().Err(err).Msg("listener for routers not closed")
+		}
+	})
+}
+
+func (g *Gateway) hello() wire.Hello {
+	return wire.Hello{Version: wire.Version, Process: g.self, Clock: g.clock()}
+}
+
 // serve serves an HTTP handler on an address until the gateway ends.
 func (g *Gateway) serve(address string, h http.Handler) error {
 	l, err := net.Listen("tcp", address)
@@ -192,6 +240,7 @@
 			_ = s.Close()
 		}
 	}
+	g.node.Close(ctx)
 	g.cancel()
 	g.wg.Wait()
 }
--- a/internal/gateway/systems.go
+++ b/internal/gateway/systems.go
@@ -19,6 +19,7 @@
 		world.SystemFunc(health.Run),
 		world.SystemFunc(attempt.Run),
 		world.SystemFunc(intake.Run),
+		world.SystemFunc(allowance.Peers),
 		world.SystemFunc(allowance.Run),
 		world.SystemFunc(placement.Run),
 		drain.New(),
--- a/internal/system/allowance/allowance.go
+++ b/internal/system/allowance/allowance.go
@@ -44,6 +44,11 @@
 			reserve(w, x)
 		}
 	}
+	w.Accounts.Each(func(c table.CustomerID, a *table.Account) {
+		if a.Missing > 0 && !ledgerServes(w, a) {
+			ask(w, a)
+		}
+	})
 }
 
 // account returns the row of a customer, which it adds if absent.
--- a/internal/system/allowance/ledger.go
+++ b/internal/system/allowance/ledger.go
@@ -124,10 +124,10 @@
 	if !s.Known {
 		return true
 	}
+	own := s.Content.Find(w.Self())
 	if w.Draining {
-		return w.Exchanges.Len() == 0
+		return w.Exchanges.Len() == 0 || own != nil && surplus(w) && dueAt(w, s.WrittenAt.Add(lowInterval))
 	}
-	own := s.Content.Find(w.Self())
 	if own == nil {
 		return true
 	}
@@ -160,6 +160,24 @@
 	return false
 }
 
+// ledgerServes reports whether the ledger is expected to give what requests of a
+// customer wait for.
+func ledgerServes(w *world.World, a *table.Account) bool {
+	p := w.Prepaids.Get(a.Customer)
+	return w.PlatformUp && w.LimitShare.Backoff == 0 && p != nil &&
+		p.Total-w.LimitShare.Content.Allocated(a.Customer) >= a.Missing
+}
+
+// surplus reports whether limits are recorded that a router which shuts down
+// does not need.
+func surplus(w *world.World) bool {
+	more := false
+	w.Accounts.Each(func(_ table.CustomerID, a *table.Account) {
+		more = more || a.Recorded > a.Used()-a.Base
+	})
+	return more
+}
+
 func dueAt(w *world.World, at table.Instant) bool {
 	if at <= w.Now {
 		return true
@@ -189,11 +207,11 @@
 	w.Accounts.Each(func(c table.CustomerID, a *table.Account) {
 		if _, ok := entries[c]; !ok && a.Recorded != 0 {
 			// The customer is not in the configuration any more, or not limited.
-			entries[c] = table.LimitEntry{Limit: max(0, a.Used()-a.Base), Spent: max(0, a.Spent-a.Base)}
+			entries[c] = table.LimitEntry{Limit: a.Used() - a.Base, Spent: max(0, a.Spent-a.Base)}
 		}
 	})
 	content.Holders = slices.DeleteFunc(content.Holders, func(h table.LimitHolder) bool { return h.Holder == w.Self() })
-	if w.Draining {
+	if w.Draining && w.Exchanges.Len() == 0 {
 		for c, e := range entries {
 			content.Closed[c] += e.Limit
 		}
@@ -222,7 +240,9 @@
 // waits for is taken in parts of what is left, so that the last of a total is
 // not held by a router that does not need it.
 func limit(w *world.World, a *table.Account, p *table.Prepaid, content *table.LimitLedger, count table.Tokens) table.Tokens {
-	used := max(0, a.Used()-a.Base)
+	// What was received from other routers is in their limits; an entry may be
+	// negative by what is left of it.
+	used := a.Used() - a.Base
 	if w.Draining {
 		return used
 	}
@@ -251,7 +271,7 @@
 		if own != nil {
 			proposed = own.Entries[c].Limit
 		} else {
-			proposed = max(0, a.Used()-a.Base)
+			proposed = a.Used() - a.Base
 		}
 		a.Limit = min(a.Limit, a.Base+proposed)
 	})
--- a/internal/table/account.go
+++ b/internal/table/account.go
@@ -33,8 +33,9 @@
 	// Waiting the sum of all that wait.
 	Missing Tokens
 	Waiting Tokens
-	// AskedAt is when peers were last asked for a transfer.
-	AskedAt Instant
+	// AskedAt is when peers were last asked for a transfer, for AskedNeed.
+	AskedAt   Instant
+	AskedNeed Tokens
 }
 
 // Free returns what may still be reserved.
@@ -129,3 +130,16 @@
 	// Closed is true once the entry of this router was closed for its end.
 	Closed bool
 }
+
+// AllowancePeer is another router that this one exchanges allowances with.
+type AllowancePeer struct {
+	Holder
+	Connected bool
+	Session   uint64
+	// Free is what it said it may still spend, less what was asked for since.
+	Free    map[CustomerID]Tokens
+	HeardAt Instant
+	// DialAt is when a session may be tried next, DialPause the pause after that.
+	DialAt    Instant
+	DialPause time.Duration
+}
--- a/internal/table/exchange.go
+++ b/internal/table/exchange.go
@@ -99,4 +99,8 @@
 
 	Accounts   Table[CustomerID, Account]
 	LimitShare LimitShare
+	// AllowancePeers are the other routers in the ledger; ToldAt is when they were
+	// last told what this router may spend.
+	AllowancePeers Table[ProcessID, AllowancePeer]
+	ToldAt         Instant
 }
--- a/internal/traffic/wire/message.go
+++ b/internal/traffic/wire/message.go
@@ -35,12 +35,16 @@
 	TypeConfigBody
 	TypeCrash
 	TypeDrain
+	TypeAllowance
+	TypeTransferRequest
+	TypeTransfer
 )
 
 var typeNames = [...]string{
 	"", "Hello", "Heartbeat", "Dispatch", "Chunk", "End", "Cancel", "Lookup", "LookupResult",
 	"SliceRequest", "SliceGrant", "SliceReport", "KeyRecord", "KeyQuery", "KeyResult",
 	"Fence", "FenceResult", "ConfigRequest", "ConfigBody", "Crash", "Drain",
+	"Allowance", "TransferRequest", "Transfer",
 }
 
 // String returns the name of the message type.
--- a/internal/traffic/wire/session.go
+++ b/internal/traffic/wire/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"crypto/tls"
 	"net"
@@ -171,6 +172,10 @@
 	ClientTLS func() *tls.Config
 	// Traffic, if set, is told the bytes read and written.
 	Traffic func(in, out int)
+	// Handshake and Idle replace the usual limits on the opening of a session and
+	// on the time without a message, for fleets that must see a lost peer sooner.
+	Handshake time.Duration
+	Idle      time.Duration
 
 	mu     sync.Mutex
 	nextID uint64
@@ -198,7 +203,7 @@
 // Dial opens a session and returns after it ended, or with the error of the
 // handshake.
 func (n *Node) Dial(ctx context.Context, address string) error {
-	d := net.Dialer{Timeout: handshakeTimeout}
+	d := net.Dialer{Timeout: n.handshakeLimit()}
 	conn, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return err
@@ -254,7 +259,7 @@
 }
 
 func (n *Node) handshake(conn net.Conn, r *bufio.Reader) (Hello, error) {
-	conn.SetDeadline(time.Now().Add(handshakeTimeout))
+	conn.SetDeadline(time.Now().Add(n.handshakeLimit()))
 	frame, err := AppendFrame(nil, TypeHello, n.Hello())
 	if err != nil {
 		return Hello{}, err
@@ -282,7 +287,7 @@
 
 func (n *Node) readLoop(s *Session, r *bufio.Reader) {
 	for {
-		s.conn.SetReadDeadline(time.Now().Add(idleTimeout))
+		s.conn.SetReadDeadline(time.Now().Add(n.idleLimit()))
 		f, err := ReadFrame(r)
 		if err != nil {
 			return
@@ -291,6 +296,10 @@
 	}
 }
 
+func (n *Node) handshakeLimit() time.Duration { return cmp.Or(n.Handshake, handshakeTimeout) }
+
+func (n *Node) idleLimit() time.Duration { return cmp.Or(n.Idle, idleTimeout) }
+
 func (n *Node) register(s *Session) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
