allowance: bound margins by a third of what is left; write the ledger less

A margin is now at most a third of what is left of a total, divided by the routers; limits shrink with it. Writes for low margins need a real gain.

--- a/internal/event/exchange.go
+++ b/internal/event/exchange.go
@@ -80,6 +80,8 @@
 	Begun  bool
 	Reason string
 	Report EndpointReport
+	// LongestGap is the longest pause between two events of the attempt.
+	LongestGap time.Duration
 }
 
 // ManifestSeen carries a configuration of the HTTP front.
--- a/internal/system/allowance/ledger.go
+++ b/internal/system/allowance/ledger.go
@@ -18,16 +18,21 @@
 	// floorShare is the part of a total that a router without demand holds, so
 	// that first requests need not wait for the ledger.
 	floorShare = 100
+	// marginShare is the part of what is left of a total that all routers together
+	// hold as their margin at most. A margin is lost if its router dies, so the
+	// last of a total must not lie in margins.
+	marginShare = 3
 	// lowShare is the part of the wanted margin below which more is asked for
-	// although no request waits.
-	lowShare = 2
+	// although no request waits, if the ledger can add gainShare of it.
+	lowShare  = 2
+	gainShare = 4
 	// lowInterval and spentInterval bound the writes for low margins, and those
 	// that only tell the other routers what was spent.
 	lowInterval   = 300 * time.Millisecond
 	spentInterval = 2 * time.Second
 	// staleAfter is the age from which the known ledger may have changed enough
 	// to try a write for a waiting request although it showed nothing left.
-	staleAfter = 500 * time.Millisecond
+	staleAfter = time.Second
 	// firstBackoff and longestBackoff bound the delay after a failed call.
 	firstBackoff   = 30 * time.Millisecond
 	longestBackoff = 500 * time.Millisecond
@@ -84,11 +89,17 @@
 		return
 	}
 	for c, entry := range own.Entries {
-		account(w, c).Recorded = entry.Limit
+		a := account(w, c)
+		if a.Recorded != entry.Limit {
+			w.Change("limit", string(c), amount(a.Recorded), amount(entry.Limit), "spent "+amount(a.Spent)+", reserved "+amount(a.Reserved))
+		}
+		a.Recorded = entry.Limit
 	}
 	w.Accounts.Each(func(_ table.CustomerID, a *table.Account) { a.Limit = a.Base + a.Recorded })
 }
 
+func amount(n table.Tokens) string { return strconv.FormatInt(int64(n), 10) }
+
 // routers counts the names of processes in the ledger.
 func routers(l *table.LimitLedger) int {
 	names := make(map[table.ProcessID]bool, len(l.Holders))
@@ -144,8 +155,9 @@
 		if a.Missing > 0 && (left >= a.Missing || s.Confirmed.Add(staleAfter) <= w.Now) {
 			now = true
 		}
-		if a.Free() < wanted(w, a, p)/lowShare && left > 0 {
-			low = true
+		if want := wanted(w, a, p); a.Free() < want/lowShare {
+			gain := limit(w, a, p, &s.Content, table.Tokens(max(1, w.Params.Front.RouterCount))) - a.Recorded
+			low = low || gain > want/gainShare
 		}
 		spent = spent || a.Spent != own.Entries[c].Spent
 	})
@@ -189,7 +201,9 @@
 // wanted returns what this router wants to be free to spend of a total.
 func wanted(w *world.World, a *table.Account, p *table.Prepaid) table.Tokens {
 	decayDemand(w, a)
-	return max(p.Total/floorShare, table.Tokens(a.Demand*horizon.Seconds()+a.Mean))
+	margin := max(p.Total/floorShare, table.Tokens(a.Demand*horizon.Seconds()+a.Mean))
+	share := max(0, remaining(w, a)) / table.Tokens(marginShare*max(1, w.Params.Front.RouterCount))
+	return min(margin, share)
 }
 
 // propose returns the ledger with the limits that this router wants.
@@ -256,10 +270,7 @@
 	if want > a.Recorded {
 		return a.Recorded + min(want-a.Recorded, left, max(a.Waiting, left/(2*count)))
 	}
-	if left < p.Total/floorShare*count {
-		return max(used, want)
-	}
-	return a.Recorded
+	return max(used, want)
 }
 
 // lower takes the limits down at once that the proposed content lowers: once the
--- a/internal/system/attempt/attempt.go
+++ b/internal/system/attempt/attempt.go
@@ -7,7 +7,6 @@
 package attempt
 
 import (
-	"fmt"
 	"strconv"
 	"time"
 
@@ -177,8 +176,13 @@
 	if e != nil {
 		inputs = append(inputs,
 			table.Input{Name: "status", Value: strconv.Itoa(e.Code)},
-			table.Input{Name: "events", Value: fmt.Sprint(e.Events)},
+			table.Input{Name: "events", Value: strconv.FormatInt(e.Events, 10)},
 			table.Input{Name: "reason", Value: e.Reason})
 	}
+	if e != nil && x.FirstEventAt != 0 {
+		inputs = append(inputs,
+			table.Input{Name: "first_event", Value: x.FirstEventAt.Sub(x.Arrived).Round(time.Millisecond).String()},
+			table.Input{Name: "longest_gap", Value: e.LongestGap.Round(time.Millisecond).String()})
+	}
 	w.Explain(x.Request, System, decision, inputs...)
 }
--- a/internal/system/health/health.go
+++ b/internal/system/health/health.go
@@ -64,6 +64,9 @@
 		return
 	}
 	x.Started = true
+	if x.FirstEventAt == 0 {
+		x.FirstEventAt = w.Now
+	}
 	if row == nil {
 		return
 	}
--- a/internal/table/exchange.go
+++ b/internal/table/exchange.go
@@ -61,7 +61,9 @@
 	// Prefill is what the current attempt added to its endpoint's PrefillTokens.
 	Prefill Tokens
 	Started bool
-	Tried   []EndpointID
+	// FirstEventAt is when the first event of any attempt came, or 0.
+	FirstEventAt Instant
+	Tried        []EndpointID
 	// MayHaveRun is true once an attempt ended without proof that it did not run.
 	MayHaveRun bool
 	// Events counts the events that were passed to the client, over all attempts.
--- a/internal/traffic/front/stream.go
+++ b/internal/traffic/front/stream.go
@@ -29,6 +29,7 @@
 func (x *exchange) relay(end *event.DirectEnd, c *command.CallEndpoint, a *upstream.Answer) {
 	r := bufio.NewReaderSize(a.Body, streamBuffer)
 	started := false
+	last := time.Time{}
 	for {
 		piece, err := readEvent(r)
 		if err != nil {
@@ -39,6 +40,11 @@
 			started = true
 			x.server.Post(event.AttemptStarted{Exchange: x.id, Attempt: c.Attempt, Report: end.Report})
 		}
+		now := time.Now()
+		if !last.IsZero() {
+			end.LongestGap = max(end.LongestGap, now.Sub(last))
+		}
+		last = now
 		if err := x.passEvent(a, piece); err != nil {
 			end.Status, end.Reason = event.DirectBroken, err.Error()
 			return
