--- a/internal/system/allowance/allowance.go
+++ b/internal/system/allowance/allowance.go
@@ -27,9 +27,10 @@
 	// for budget; patienceLeast covers a call to the ledger for short objectives.
 	patienceShare = 8
 	patienceLeast = 40 * time.Millisecond
-	// unreachableRetry is what a client is told when budget remains elsewhere;
-	// exhaustedRetry when there is none, because a top-up may come.
-	unreachableRetry = time.Second
+	// unreachableRetry is what a client is told when budget remains elsewhere: a
+	// partition from the store lasts for seconds. exhaustedRetry is for a total
+	// that is spent, because a top-up may come.
+	unreachableRetry = 3 * time.Second
 	exhaustedRetry   = 5 * time.Second
 )
 
--- a/internal/system/intake/intake.go
+++ b/internal/system/intake/intake.go
@@ -27,10 +27,6 @@
 	staleRetry = 500 * time.Millisecond
 	// drainingRetry is short: another router takes the request.
 	drainingRetry = 50 * time.Millisecond
-	// drainAccept is the part of the grace in which requests are still taken: the
-	// balancer needs two failed checks, a second apart, and what is taken must end
-	// within the rest.
-	drainAccept = 0.3
 	// defaultTimeout bounds requests whose client and route name none.
 	defaultTimeout = 60 * time.Second
 )
@@ -83,7 +79,7 @@
 	if w.Manifest.Version == 0 {
 		return nil, &refusal{table.CodeNotReady, "no configuration is known yet", notReadyRetry}
 	}
-	if w.Draining && w.Now.Sub(w.DrainSince) > time.Duration(drainAccept*float64(w.Params.Front.Grace)) {
+	if !w.TakesExchanges() {
 		return nil, &refusal{table.CodeDraining, "the router is shutting down", drainingRetry}
 	}
 	r := match(w, a.Host, a.Path)
--- a/internal/system/placement/cost.go
+++ b/internal/system/placement/cost.go
@@ -1,6 +1,8 @@
 package placement
 
 import (
+	"time"
+
 	"laburnumroad.dev/laburnumroad/internal/table"
 	"laburnumroad.dev/laburnumroad/internal/world"
 )
@@ -28,6 +30,9 @@
 	// stallCost weighs the delay that a prompt adds to each stream that runs
 	// beside it, in milliseconds per millisecond.
 	stallCost = 0.05
+	// reportAge is how long an endpoint's own report of its load is of use. What
+	// it runs changes within some hundred milliseconds.
+	reportAge = time.Second
 )
 
 // scored is a candidate endpoint with its cost in milliseconds.
@@ -72,21 +77,20 @@
 // cost estimates the time until the first event, and what the request costs
 // beyond that, in milliseconds.
 func cost(w *world.World, x *table.Exchange, e *table.DirectEndpoint, home bool) float64 {
-	slow := max(1, e.Slowdown)
-	running := float64(max(e.InFlight, e.Running))
+	slow, running := 1.0, float64(e.InFlight)
 	c := failureCost * e.FailureRate
 	if e.Domain != w.Params.Self.Domain {
 		c += otherDomain
 	}
-	c += waitingTime * float64(e.Waiting) * slow
+	if w.Now.Sub(e.ReportedAt) < reportAge {
+		slow, running = max(1, e.Slowdown), max(running, float64(e.Running))
+		c += waitingTime * float64(e.Waiting) * slow
+	}
 	if x.Prompt == 0 {
 		return c + callTime*running*slow/float64(max(1, e.Slots))
 	}
-	uncached := float64(x.Prompt)
-	if home {
-		uncached -= float64(shared(x))
-	} else {
-		uncached -= float64(cached(w, x, e))
+	uncached := float64(x.Prompt - cached(w, x, e))
+	if !home {
 		c += rereadCost * max(0, uncached-float64(x.Prompt-shared(x)))
 	}
 	c += (float64(e.PrefillTokens) + uncached) / prefillRate * slow
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -38,7 +38,8 @@
 	AnswerRetention time.Duration
 	DetachGrace     time.Duration
 	DrainTimeout    time.Duration
-	// LeastDrain is how long a drain goes on although no work is left.
+	// LeastDrain is how long a drain goes on although no work is left. The HTTP
+	// front takes new work in that time, because the balancer still sends some.
 	LeastDrain        time.Duration
 	HeartbeatInterval time.Duration
 	// ExplainLimit bounds the decisions kept for explain.
@@ -212,6 +213,11 @@
 	})
 }
 
+// TakesExchanges reports whether the HTTP front takes new requests.
+func (w *World) TakesExchanges() bool {
+	return !w.Draining || w.Now.Sub(w.DrainSince) <= w.Params.LeastDrain
+}
+
 // FinishExchange answers the client of an exchange. An attempt that is still
 // open is stopped; the row is settled and removed once it has ended.
 func (w *World) FinishExchange(x *table.Exchange, deliver bool, o table.Outcome) {
