--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -33,6 +33,11 @@
 	// leastDrain is how long a router that shuts down goes on serving: the
 	// balancer stops sending connections after two failed checks, a second apart.
 	leastDrain = 2500 * time.Millisecond
+	// closingTime is the end of the grace in which no requests are taken: limits
+	// are returned then, which takes a few calls to the store. returnWait bounds
+	// that for a router without work.
+	closingTime = 600 * time.Millisecond
+	returnWait  = 500 * time.Millisecond
 	// closeTimeout bounds the end of the servers after the last request.
 	closeTimeout = 100 * time.Millisecond
 	// headerTimeout and idleTimeout bound what clients may hold open. They exceed
@@ -112,6 +117,7 @@
 func (g *Gateway) params(peerAddress string) world.Params {
 	return world.Params{
 		Self: g.self, ExplainLimit: explainLimit, LeastDrain: leastDrain, DrainTimeout: g.settings.Grace - graceMargin,
+		ReturnWait: returnWait, ClosingTime: closingTime,
 		Front: world.FrontParams{
 			RetryShare: g.settings.RetryShare * retryReserve, RetryBurst: g.settings.RetryBurst * retryReserve,
 			RouterCount: 1, Grace: g.settings.Grace, PeerAddress: peerAddress,
--- a/internal/system/allowance/ledger.go
+++ b/internal/system/allowance/ledger.go
@@ -62,7 +62,7 @@
 		w.Count("allowance.calls_unanswered")
 		delay(w)
 	}
-	if !w.TakesExchanges() && e.Status == event.CallOK && s.Content.Find(w.Self()) == nil {
+	if w.Closing && e.Status == event.CallOK && s.Content.Find(w.Self()) == nil {
 		s.Closed = true
 	}
 }
@@ -136,7 +136,7 @@
 		return true
 	}
 	own := s.Content.Find(w.Self())
-	if !w.TakesExchanges() {
+	if w.Closing {
 		return w.Exchanges.Len() == 0 || own != nil && surplus(w) && dueAt(w, s.WrittenAt.Add(lowInterval))
 	}
 	if own == nil {
@@ -225,7 +225,7 @@
 		}
 	})
 	content.Holders = slices.DeleteFunc(content.Holders, func(h table.LimitHolder) bool { return h.Holder == w.Self() })
-	if !w.TakesExchanges() && w.Exchanges.Len() == 0 {
+	if w.Closing && w.Exchanges.Len() == 0 {
 		for c, e := range entries {
 			content.Closed[c] += e.Limit
 		}
@@ -257,7 +257,7 @@
 	// What was received from other routers is in their limits; an entry may be
 	// negative by what is left of it.
 	used := a.Used() - a.Base
-	if !w.TakesExchanges() {
+	if w.Closing {
 		return used
 	}
 	room := p.Total - (content.Allocated(a.Customer) - a.Recorded)
@@ -270,6 +270,10 @@
 	if want > a.Recorded {
 		return a.Recorded + min(want-a.Recorded, left, max(a.Waiting, left/(2*count)))
 	}
+	if a.Recorded-want < wanted(w, a, p)/gainShare {
+		// Small surpluses stay, so that limits do not change with each write.
+		return a.Recorded
+	}
 	return max(used, want)
 }
 
--- a/internal/system/drain/drain.go
+++ b/internal/system/drain/drain.go
@@ -3,6 +3,7 @@
 package drain
 
 import (
+	"cmp"
 	"time"
 
 	"laburnumroad.dev/laburnumroad/internal/command"
@@ -64,6 +65,11 @@
 		w.WakeAt(least)
 		return
 	}
+	if closing := deadline.Add(-w.Params.ClosingTime); w.Now < closing && busy(w) {
+		w.WakeAt(closing)
+		return
+	}
+	w.Closing = true
 	if busy(w) {
 		s.idle = 0
 		return
@@ -75,7 +81,7 @@
 		s.exit(w, "all work finished")
 		return
 	}
-	if giveUp := s.idle.Add(returnWait); w.Now < giveUp {
+	if giveUp := s.idle.Add(cmp.Or(w.Params.ReturnWait, returnWait)); w.Now < giveUp {
 		w.WakeAt(giveUp)
 		return
 	}
--- a/internal/system/intake/intake.go
+++ b/internal/system/intake/intake.go
@@ -25,8 +25,16 @@
 	// staleRetry is the same while an unknown key or route may be one that this
 	// router has not heard of, because the store is out of reach.
 	staleRetry = 500 * time.Millisecond
-	// drainingRetry is short: another router takes the request.
-	drainingRetry = 50 * time.Millisecond
+	// drainingRetry is when a router that shut down is likely to be back, if no
+	// other takes the request.
+	drainingRetry = time.Second
+	// callTime, and streamTime with promptTokenTime and outputTokenTime, are what a
+	// request takes at most at an endpoint that is busy but not overloaded. The
+	// usual times of the engines are half of that to two thirds.
+	callTime        = 500 * time.Millisecond
+	streamTime      = 500 * time.Millisecond
+	promptTokenTime = 25 * time.Microsecond
+	outputTokenTime = 8 * time.Millisecond
 	// defaultTimeout bounds requests whose client and route name none.
 	defaultTimeout = 60 * time.Second
 )
@@ -79,9 +87,6 @@
 	if w.Manifest.Version == 0 {
 		return nil, &refusal{table.CodeNotReady, "no configuration is known yet", notReadyRetry}
 	}
-	if !w.TakesExchanges() {
-		return nil, &refusal{table.CodeDraining, "the router is shutting down", drainingRetry}
-	}
 	r := match(w, a.Host, a.Path)
 	if r == nil {
 		return nil, unknown(w, table.CodeUnknownRoute, "no route for this host and path")
@@ -97,7 +102,33 @@
 	if s := w.Suspects.Get(a.Fingerprint); s != nil && s.Quarantined && w.Now < s.Until {
 		return nil, &refusal{table.CodeQuarantined, "endpoints died while they ran this request", s.Until.Sub(w.Now)}
 	}
-	return newExchange(w, a, r, customer), nil
+	x := newExchange(w, a, r, customer)
+	if !takes(w, x) {
+		return nil, &refusal{table.CodeDraining, "the router shuts down before the request can end", drainingRetry}
+	}
+	return x, nil
+}
+
+// takes reports whether a router that may be shutting down takes a request. At
+// first it takes all, because the balancer still sends some; later only those
+// that end in time.
+func takes(w *world.World, x *table.Exchange) bool {
+	if !w.Draining {
+		return true
+	}
+	if w.Closing {
+		return false
+	}
+	return w.Now < w.DrainSince.Add(w.Params.LeastDrain) || w.Now.Add(expected(x)) <= w.DrainEnd()
+}
+
+// expected returns how long a request may take at most, as far as is known when
+// it arrives.
+func expected(x *table.Exchange) time.Duration {
+	if x.Kind != table.RouteStream {
+		return callTime
+	}
+	return streamTime + time.Duration(x.Prompt)*promptTokenTime + time.Duration(x.MaxOutput)*outputTokenTime
 }
 
 // unknown refuses what the configuration in force does not have. While the store
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -38,9 +38,13 @@
 	AnswerRetention time.Duration
 	DetachGrace     time.Duration
 	DrainTimeout    time.Duration
-	// LeastDrain is how long a drain goes on although no work is left. The HTTP
-	// front takes new work in that time, because the balancer still sends some.
-	LeastDrain        time.Duration
+	// LeastDrain is how long a drain goes on although no work is left, because the
+	// balancer still sends some. ReturnWait bounds how long an idle process waits
+	// for its unused grants or limits to be returned.
+	LeastDrain time.Duration
+	ReturnWait time.Duration
+	// ClosingTime is the last part of DrainTimeout, in which no work is taken.
+	ClosingTime       time.Duration
 	HeartbeatInterval time.Duration
 	// ExplainLimit bounds the decisions kept for explain.
 	ExplainLimit int
@@ -126,6 +130,9 @@
 	Draining bool
 	// DrainSince is when the shutdown began.
 	DrainSince table.Instant
+	// Closing is true in the last part of a drain, in which the HTTP front takes
+	// no work at all.
+	Closing bool
 	// Decisions are the decisions of this tick, for explain.
 	Decisions []table.Decision
 
@@ -213,10 +220,8 @@
 	})
 }
 
-// TakesExchanges reports whether the HTTP front takes new requests.
-func (w *World) TakesExchanges() bool {
-	return !w.Draining || w.Now.Sub(w.DrainSince) <= w.Params.LeastDrain
-}
+// DrainEnd returns when a draining process ends at the latest.
+func (w *World) DrainEnd() table.Instant { return w.DrainSince.Add(w.Params.DrainTimeout) }
 
 // FinishExchange answers the client of an exchange. An attempt that is still
 // open is stopped; the row is settled and removed once it has ended.
