--- a/internal/system/allowance/ledger.go
+++ b/internal/system/allowance/ledger.go
@@ -26,10 +26,16 @@
 	// although no request waits, if the ledger can add gainShare of it.
 	lowShare  = 2
 	gainShare = 4
-	// lowInterval and spentInterval bound the writes for low margins, and those
-	// that only tell the other routers what was spent.
+	// lowInterval and spentInterval bound the writes of one router for low margins,
+	// and those that only tell the other routers what was spent, in a fleet of
+	// fleetUnit routers. In a larger one they grow with it, so that the calls to
+	// the store do not.
 	lowInterval   = 300 * time.Millisecond
 	spentInterval = 2 * time.Second
+	fleetUnit     = 4
+	// conflictStep spreads the writers that lost against another one, by the
+	// number of routers: a write takes some milliseconds.
+	conflictStep = 4 * time.Millisecond
 	// staleAfter is the age from which the known ledger may have changed enough
 	// to try a write for a waiting request although it showed nothing left.
 	staleAfter = time.Second
@@ -54,6 +60,10 @@
 		}
 		s.Known, s.Revision, s.Content, s.Confirmed, s.Backoff = true, e.Revision, e.Content, s.CalledAt, 0
 		takeOver(w)
+		if e.Status == event.CallConflict {
+			w.Count("allowance.conflicts")
+			s.NextTry = w.Now.Add(time.Duration(w.Rand.Int64N(int64(conflictStep) * int64(max(1, w.Params.Front.RouterCount)))))
+		}
 	case event.CallNotApplied:
 		w.Count("allowance.calls_refused")
 		takeOver(w)
@@ -137,7 +147,7 @@
 	}
 	own := s.Content.Find(w.Self())
 	if w.Closing {
-		return w.Exchanges.Len() == 0 || own != nil && surplus(w) && dueAt(w, s.WrittenAt.Add(lowInterval))
+		return w.Exchanges.Len() == 0 || own != nil && surplus(w) && dueAt(w, s.WrittenAt.Add(scaled(w, lowInterval)))
 	}
 	if own == nil {
 		return true
@@ -165,9 +175,9 @@
 	case now:
 		return true
 	case low:
-		return dueAt(w, s.WrittenAt.Add(lowInterval))
+		return dueAt(w, s.WrittenAt.Add(scaled(w, lowInterval)))
 	case spent:
-		return dueAt(w, s.WrittenAt.Add(spentInterval))
+		return dueAt(w, s.WrittenAt.Add(scaled(w, spentInterval)))
 	}
 	return false
 }
@@ -190,6 +200,11 @@
 	return more
 }
 
+// scaled returns an interval for the size of the fleet.
+func scaled(w *world.World, d time.Duration) time.Duration {
+	return max(d, d*time.Duration(w.Params.Front.RouterCount)/fleetUnit)
+}
+
 func dueAt(w *world.World, at table.Instant) bool {
 	if at <= w.Now {
 		return true
