allowance: ask other routers before the ledger

A waiting request is served by a transfer from another router where one said to have enough; the ledger is written only if that fails.

--- a/internal/system/allowance/allowance.go
+++ b/internal/system/allowance/allowance.go
@@ -46,7 +46,7 @@
 		}
 	}
 	w.Accounts.Each(func(c table.CustomerID, a *table.Account) {
-		if a.Missing > 0 && !ledgerServes(w, a) {
+		if a.Missing > 0 {
 			ask(w, a)
 		}
 	})
--- a/internal/system/allowance/ledger.go
+++ b/internal/system/allowance/ledger.go
@@ -162,7 +162,7 @@
 		if left < 0 && a.Recorded > 0 {
 			low = true
 		}
-		if a.Missing > 0 && (left >= a.Missing || s.Confirmed.Add(staleAfter) <= w.Now) {
+		if a.Missing > 0 && !asking(w, a) && (left >= a.Missing || s.Confirmed.Add(staleAfter) <= w.Now) {
 			now = true
 		}
 		if want := wanted(w, a, p); a.Free() < want/lowShare {
@@ -182,14 +182,6 @@
 	return false
 }
 
-// ledgerServes reports whether the ledger is expected to give what requests of a
-// customer wait for.
-func ledgerServes(w *world.World, a *table.Account) bool {
-	p := w.Prepaids.Get(a.Customer)
-	return w.PlatformUp && w.LimitShare.Backoff == 0 && p != nil &&
-		p.Total-w.LimitShare.Content.Allocated(a.Customer) >= a.Missing
-}
-
 // surplus reports whether limits are recorded that a router which shuts down
 // does not need.
 func surplus(w *world.World) bool {
--- a/internal/system/allowance/peers.go
+++ b/internal/system/allowance/peers.go
@@ -17,6 +17,8 @@
 	tellInterval = 500 * time.Millisecond
 	// askTimeout is how long an answer of the other routers is awaited.
 	askTimeout = 20 * time.Millisecond
+	// askAgain is the pause before the same need is asked for again.
+	askAgain = 60 * time.Millisecond
 	// askedPeers bounds the routers that are asked at once.
 	askedPeers = 3
 	// firstDialPause and longestDialPause bound the pauses between attempts to
@@ -136,35 +138,46 @@
 	})
 }
 
-// ask asks the routers that said to have most for what a waiting request needs.
+// ask asks the routers that said to have most for what a waiting request needs,
+// once per need. Their answer costs no call to the store.
 func ask(w *world.World, a *table.Account) {
-	if a.AskedAt != 0 && a.AskedAt.Add(askTimeout) > w.Now {
+	if asking(w, a) {
 		w.WakeAt(a.AskedAt.Add(askTimeout))
 		return
 	}
+	if a.AskedAt != 0 && a.AskedNeed == a.Missing && a.AskedAt.Add(askAgain) > w.Now {
+		w.WakeAt(a.AskedAt.Add(askAgain))
+		return
+	}
 	p := w.Prepaids.Get(a.Customer)
 	if p == nil {
 		return
 	}
-	need, want := a.Missing, a.Missing+a.Waiting+wanted(w, a, p)/2
+	need := a.Missing
+	want := a.Waiting + wanted(w, a, p)/2
 	for _, peer := range richest(w, a.Customer) {
 		part := min(need, peer.Free[a.Customer])
 		w.Out.TransferRequests = append(w.Out.TransferRequests, command.SendTransferRequest{
-			To: peer.Holder, Request: event.TransferRequest{Customer: a.Customer, Need: part, Want: want - need + part},
+			To: peer.Holder, Request: event.TransferRequest{Customer: a.Customer, Need: part, Want: want + part},
 		})
 		peer.Free[a.Customer] -= part
 		need -= part
-		a.AskedAt = w.Now
+		a.AskedAt, a.AskedNeed = w.Now, a.Missing
 		w.Count("allowance.asked")
 		if need <= 0 {
 			break
 		}
 	}
-	if a.AskedAt == w.Now {
-		w.WakeAt(w.Now.Add(askTimeout))
+	if asking(w, a) {
+		w.WakeAt(a.AskedAt.Add(askTimeout))
 	}
 }
 
+// asking reports whether an answer of other routers is awaited.
+func asking(w *world.World, a *table.Account) bool {
+	return a.AskedAt != 0 && a.AskedAt.Add(askTimeout) > w.Now
+}
+
 // richest returns the connected routers that said to have something left of a
 // customer's total, those with most first.
 func richest(w *world.World, c table.CustomerID) []*table.AllowancePeer {
