One client of the store; the stand-in speaks the published protocol

internal/traffic/platform went. Its callers and the gateway use platform.Client, which speaks the platform's objects protocol: pages, watches, 409 with the stored object, 410, lost answers. The stand-in speaks it too, so that the loopback tests run the adapter that the hosts run.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -22,12 +22,12 @@
 	"laburnumroad.dev/laburnumroad/internal/traffic/engine"
 	"laburnumroad.dev/laburnumroad/internal/traffic/operatorapi"
 	"laburnumroad.dev/laburnumroad/internal/traffic/peering"
-	"laburnumroad.dev/laburnumroad/internal/traffic/platform"
 	"laburnumroad.dev/laburnumroad/internal/traffic/relay"
 	"laburnumroad.dev/laburnumroad/internal/traffic/runner"
 	"laburnumroad.dev/laburnumroad/internal/traffic/store"
 	"laburnumroad.dev/laburnumroad/internal/traffic/wire"
 	"laburnumroad.dev/laburnumroad/internal/world"
+	"laburnumroad.dev/laburnumroad/platform"
 )
 
 // stopTimeout bounds the last steps of a graceful end: replies that are being
--- a/internal/fake/http.go
+++ b/internal/fake/http.go
@@ -36,7 +36,7 @@
 // refuseBadRequest states that nothing ran, in the terms of all three APIs.
 func refuseBadRequest(w http.ResponseWriter) {
 	w.Header().Set("Refusal", "not_run")
-	writeJSON(w, http.StatusBadRequest, refusalBody{Code: "not_applied"})
+	writeJSON(w, http.StatusBadRequest, refusalBody{Error: "the body cannot be read"})
 }
 
 // adminPost returns a handler that decodes a setting, passes it to set and
@@ -52,7 +52,7 @@
 }
 
 type refusalBody struct {
-	Code string `json:"code"`
+	Error string `json:"error"`
 }
 
 func writeJSON(w http.ResponseWriter, status int, v any) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -53,6 +53,9 @@
 	// collector works harder.
 	memoryShare  = 0.7
 	explainLimit = 512
+	// storeTimeout bounds a call to the store. A slow store takes some hundred
+	// milliseconds.
+	storeTimeout = 1500 * time.Millisecond
 	// peerHandshake and peerIdle end sessions with routers that are gone; reports
 	// come twice a second.
 	peerHandshake = time.Second
@@ -66,7 +69,7 @@
 	self     table.Process
 	clock    control.Clock
 	loop     *control.Loop
-	store    *platform.Store
+	store    *platform.Client
 	front    *front.Server
 	pool     *upstream.Pool
 	peers    *peering.Peers
@@ -85,7 +88,7 @@
 func New(s *platform.Settings, log zerolog.Logger) (*Gateway, error) {
 	g := &Gateway{
 		settings: s, log: log, clock: control.MonotonicClock(), pool: upstream.NewPool(),
-		store: platform.NewStore(s.StoreAddress), finished: make(chan struct{}),
+		store: platform.New("http://"+s.StoreAddress, platform.Options{Timeout: storeTimeout}), finished: make(chan struct{}),
 	}
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	var b [8]byte
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -27,7 +27,7 @@
 	kind string
 	// listed takes the whole list, changed what came after it.
 	listed  func([]platform.Object)
-	changed func([]platform.Change)
+	changed func([]platform.Object)
 }
 
 func (f *follower) run(ctx context.Context) {
@@ -96,10 +96,10 @@
 				g.seenConfig(&objects[i])
 			}
 		},
-		changed: func(changes []platform.Change) {
+		changed: func(changes []platform.Object) {
 			for i := range changes {
-				if !changes[i].Deleted {
-					g.seenConfig(&changes[i].Object)
+				if !changes[i].Deleted() {
+					g.seenConfig(&changes[i])
 				}
 			}
 		},
@@ -111,7 +111,7 @@
 	if o.Name != platform.NameConfig {
 		return
 	}
-	m, err := platform.DecodeManifest(o.Spec)
+	m, err := platform.DecodeManifest(o.Value)
 	if err != nil {
 		g.log.Error().Err(err).Msg("configuration not understood; the one in force stays")
 		return
@@ -129,13 +129,13 @@
 			}
 			g.loop.Post(seen)
 		},
-		changed: func(changes []platform.Change) {
+		changed: func(changes []platform.Object) {
 			for i := range changes {
 				seen := event.EndpointsSeen{}
-				if changes[i].Deleted {
-					seen.Removed = []table.EndpointID{table.EndpointID(changes[i].Object.Name)}
+				if changes[i].Deleted() {
+					seen.Removed = []table.EndpointID{table.EndpointID(changes[i].Name)}
 				} else {
-					g.addServer(&seen, &changes[i].Object)
+					g.addServer(&seen, &changes[i])
 				}
 				g.loop.Post(seen)
 			}
@@ -145,7 +145,7 @@
 }
 
 func (g *Gateway) addServer(seen *event.EndpointsSeen, o *platform.Object) {
-	e, err := platform.DecodeServer(o.Name, o.Spec)
+	e, err := platform.DecodeServer(o.Name, o.Value)
 	if err != nil {
 		g.log.Warn().Err(err).Msg("endpoint entry left out")
 		return
--- a/internal/traffic/operatorapi/config.go
+++ b/internal/traffic/operatorapi/config.go
@@ -11,7 +11,7 @@
 	"laburnumroad.dev/laburnumroad/internal/finding"
 	"laburnumroad.dev/laburnumroad/internal/fleetconfig"
 	"laburnumroad.dev/laburnumroad/internal/table"
-	"laburnumroad.dev/laburnumroad/internal/traffic/platform"
+	"laburnumroad.dev/laburnumroad/platform"
 )
 
 // readBackTries is how often a write with an unknown outcome is read back.
--- a/internal/traffic/store/process.go
+++ b/internal/traffic/store/process.go
@@ -11,7 +11,7 @@
 	"laburnumroad.dev/laburnumroad/internal/command"
 	"laburnumroad.dev/laburnumroad/internal/event"
 	"laburnumroad.dev/laburnumroad/internal/table"
-	"laburnumroad.dev/laburnumroad/internal/traffic/platform"
+	"laburnumroad.dev/laburnumroad/platform"
 )
 
 // processObject is the value of a process object.
@@ -139,7 +139,7 @@
 }
 
 func (s *Store) readProcesses(ctx context.Context, c command.ReadProcesses) {
-	objects, err := s.client.List(ctx, KindProcess)
+	objects, _, err := s.client.List(ctx, KindProcess)
 	if s.status(err) == event.CallOK {
 		list := processList(objects)
 		list.Call = c.Call
--- a/internal/traffic/store/store.go
+++ b/internal/traffic/store/store.go
@@ -17,7 +17,7 @@
 	"laburnumroad.dev/laburnumroad/internal/command"
 	"laburnumroad.dev/laburnumroad/internal/event"
 	"laburnumroad.dev/laburnumroad/internal/table"
-	"laburnumroad.dev/laburnumroad/internal/traffic/platform"
+	"laburnumroad.dev/laburnumroad/platform"
 )
 
 // Kinds of objects.
--- a/internal/traffic/store/watch.go
+++ b/internal/traffic/store/watch.go
@@ -5,9 +5,11 @@
 	"encoding/json"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"laburnumroad.dev/laburnumroad/internal/event"
 	"laburnumroad.dev/laburnumroad/internal/table"
-	"laburnumroad.dev/laburnumroad/internal/traffic/platform"
+	"laburnumroad.dev/laburnumroad/platform"
 )
 
 const (
@@ -18,21 +20,22 @@
 	membersInterval = 2 * time.Second
 )
 
-// watch follows a kind until ctx ends and hands over each batch of changes,
-// also an empty first one.
+// watch follows a kind until ctx ends and hands over the whole list, also an
+// empty one, and then each batch of changes. When the history that it needs is
+// gone, it lists again.
 func (s *Store) watch(ctx context.Context, kind string, seen func([]platform.Object)) {
 	var since uint64
-	first := true
+	listed := false
 	delay := firstRetry
 	for ctx.Err() == nil {
-		wait := watchWait
-		if first {
-			wait = 0
-		}
-		objects, revision, err := s.client.Watch(ctx, kind, since, wait)
+		objects, revision, err := s.next(ctx, kind, since, listed)
 		if ctx.Err() != nil {
 			return
 		}
+		if errors.Is(err, platform.ErrCompacted) {
+			listed = false
+			continue
+		}
 		if s.status(err) != event.CallOK {
 			if sleep(ctx, delay) != nil {
 				return
@@ -40,12 +43,18 @@
 			delay = min(2*delay, lastRetry)
 			continue
 		}
-		delay, since = firstRetry, revision
-		if len(objects) > 0 || first {
+		if len(objects) > 0 || !listed {
 			seen(objects)
 		}
-		first = false
+		delay, since, listed = firstRetry, revision, true
+	}
+}
+
+func (s *Store) next(ctx context.Context, kind string, since uint64, listed bool) ([]platform.Object, uint64, error) {
+	if !listed {
+		return s.client.List(ctx, kind)
 	}
+	return s.client.Watch(ctx, kind, since, watchWait)
 }
 
 // configObject is the value of the configuration object.
