Quarantine of crashing requests over all routers; metrics

Routers tell each other of attempts that were cut off; a request that did so three times is refused everywhere and not sent again. Counters and latency histograms are served as text on port 9464.

--- a/internal/command/exchange.go
+++ b/internal/command/exchange.go
@@ -35,6 +35,11 @@
 	Exchange table.ExchangeID
 	Deliver  bool
 	Outcome  table.Outcome
+	// Kind, Age and FirstEvent are for the latency histograms: the time since the
+	// arrival, and the time to the first event of a stream, or 0.
+	Kind       table.RouteKind
+	Age        time.Duration
+	FirstEvent time.Duration
 }
 
 // WriteLimits writes the limit ledger on condition of a revision; 0 creates it.
--- a/internal/event/exchange.go
+++ b/internal/event/exchange.go
@@ -72,8 +72,9 @@
 	Code int
 	// Misdirected says that another endpoint has the address.
 	Misdirected bool
-	// Leaving says that the endpoint closes its connections.
-	Leaving bool
+	// CutOff says that the connection ended before the answer was whole, as it
+	// does when an endpoint crashes.
+	CutOff bool
 	// Events counts the events passed to the client, over all attempts.
 	Events int64
 	// Begun says that the client got the head of an answer.
--- a/internal/gateway/flush.go
+++ b/internal/gateway/flush.go
@@ -16,8 +16,9 @@
 	for _, c := range out.StopAttempts {
 		g.front.Stop(c)
 	}
-	for _, c := range out.Finishes {
-		g.front.Finish(c)
+	for i := range out.Finishes {
+		g.metrics.finished(&out.Finishes[i])
+		g.front.Finish(out.Finishes[i])
 	}
 	for _, c := range out.EndpointCalls {
 		g.front.Call(c)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -8,6 +8,7 @@
 	"encoding/binary"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -49,6 +50,9 @@
 	// retryReserve is the part of the retry budget that this router uses: the
 	// bounds count over windows that do not begin where a bucket is full.
 	retryReserve = 0.8
+	// crashLimit is the number of crashes after which a request is refused
+	// everywhere. Requests that only shared a crash are cleared when they end well.
+	crashLimit = 3
 	// memoryShare is the part of the host's memory at which the garbage
 	// collector works harder.
 	memoryShare  = 0.7
@@ -75,6 +79,7 @@
 	peers    *peering.Peers
 	node     *wire.Node
 
+	metrics  *metrics
 	servers  []*http.Server
 	ready    atomic.Bool
 	ctx      context.Context
@@ -89,6 +94,7 @@
 	g := &Gateway{
 		settings: s, log: log, clock: control.MonotonicClock(), pool: upstream.NewPool(),
 		store: platform.New("http://"+s.StoreAddress, platform.Options{Timeout: storeTimeout}), finished: make(chan struct{}),
+		metrics: newMetrics(),
 	}
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	var b [8]byte
@@ -104,6 +110,7 @@
 		return nil, err
 	}
 	w := world.New(g.params(peerListener.Addr().String()), uint64(g.self.Incarnation))
+	w.Fleet.Defaults.CrashLimit = crashLimit
 	g.loop = control.NewLoop(w, Systems(), g, g.clock)
 	g.loop.Publish = g.publish
 	g.servePeers(peerListener)
@@ -114,6 +121,15 @@
 	if err := g.serve(s.ReadyAddress, http.HandlerFunc(g.serveReady)); err != nil {
 		return nil, errors.Wrap(err, "listen for the balancer")
 	}
+	mux := http.NewServeMux()
+	mux.Handle("GET "+MetricsPath, g.metrics)
+	if err := g.serve(net.JoinHostPort(s.Host, strconv.Itoa(MetricsPort)), mux); err != nil {
+		// A router without metrics still serves.
+		log.Warn().Err(err).Msg("metrics are not served")
+	}
+	if s.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * memoryShare))
+	}
 	return g, nil
 }
 
@@ -190,7 +206,8 @@
 }
 
 // publish runs on the control thread after each tick.
-func (g *Gateway) publish(w *world.World, _ control.Spent) {
+func (g *Gateway) publish(w *world.World, spent control.Spent) {
+	g.metrics.publish(w, spent)
 	g.ready.Store(w.Manifest.Version > 0 && w.DirectEndpoints.Len() > 0 && !w.Draining)
 	g.front.Draining.Store(w.Draining)
 	g.front.BodyLimit.Store(w.Manifest.Limits.BodyBytes)
--- a/internal/gateway/systems.go
+++ b/internal/gateway/systems.go
@@ -9,6 +9,7 @@
 	"laburnumroad.dev/laburnumroad/internal/system/health"
 	"laburnumroad.dev/laburnumroad/internal/system/intake"
 	"laburnumroad.dev/laburnumroad/internal/system/placement"
+	"laburnumroad.dev/laburnumroad/internal/system/quarantine"
 	"laburnumroad.dev/laburnumroad/internal/world"
 )
 
@@ -17,6 +18,7 @@
 	return []world.System{
 		world.SystemFunc(catalog.Run),
 		world.SystemFunc(health.Run),
+		world.SystemFunc(quarantine.RunFront),
 		world.SystemFunc(attempt.Run),
 		world.SystemFunc(intake.Run),
 		world.SystemFunc(allowance.Peers),
--- a/internal/system/attempt/attempt.go
+++ b/internal/system/attempt/attempt.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"laburnumroad.dev/laburnumroad/internal/event"
+	"laburnumroad.dev/laburnumroad/internal/system/quarantine"
 	"laburnumroad.dev/laburnumroad/internal/table"
 	"laburnumroad.dev/laburnumroad/internal/world"
 )
@@ -104,7 +105,7 @@
 // again reports whether another attempt may be made, and takes it from the
 // retry budget of the service if endpoints would see it as a repeat.
 func again(w *world.World, x *table.Exchange, e *event.DirectEnd) bool {
-	if x.Attempt >= maxAttempts {
+	if _, refused := quarantine.Refused(w, x.Fingerprint); refused || x.Attempt >= maxAttempts {
 		return false
 	}
 	if e.Status == event.DirectUnreached && !x.MayHaveRun && x.Sent == 0 {
--- a/internal/system/intake/intake.go
+++ b/internal/system/intake/intake.go
@@ -11,6 +11,7 @@
 
 	"laburnumroad.dev/laburnumroad/internal/command"
 	"laburnumroad.dev/laburnumroad/internal/event"
+	"laburnumroad.dev/laburnumroad/internal/system/quarantine"
 	"laburnumroad.dev/laburnumroad/internal/table"
 	"laburnumroad.dev/laburnumroad/internal/world"
 )
@@ -99,8 +100,8 @@
 		}
 		customer = *owner
 	}
-	if s := w.Suspects.Get(a.Fingerprint); s != nil && s.Quarantined && w.Now < s.Until {
-		return nil, &refusal{table.CodeQuarantined, "endpoints died while they ran this request", s.Until.Sub(w.Now)}
+	if until, refused := quarantine.Refused(w, a.Fingerprint); refused {
+		return nil, &refusal{table.CodeQuarantined, "endpoints died while they ran this request", until.Sub(w.Now)}
 	}
 	x := newExchange(w, a, r, customer)
 	if !takes(w, x) {
--- a/internal/traffic/front/exchange.go
+++ b/internal/traffic/front/exchange.go
@@ -120,7 +120,7 @@
 	}
 	defer a.Close()
 	head := x.server.Codec.Head(a.StatusCode, a.Header)
-	end := event.DirectEnd{Code: a.StatusCode, Misdirected: head.Misdirected, Leaving: a.Response.Close, Report: head.Report}
+	end := event.DirectEnd{Code: a.StatusCode, Misdirected: head.Misdirected, Report: head.Report}
 	switch {
 	case head.NotRun || head.Misdirected:
 		end.Status, end.Reason = event.DirectDeclined, "declined with status "+strconv.Itoa(a.StatusCode)
@@ -154,7 +154,7 @@
 	if errors.Is(err, upstream.ErrNotSent) {
 		return event.DirectEnd{Status: event.DirectUnreached, Reason: err.Error()}
 	}
-	return event.DirectEnd{Status: event.DirectBroken, Reason: err.Error()}
+	return event.DirectEnd{Status: event.DirectBroken, CutOff: true, Reason: err.Error()}
 }
 
 // keep reads a whole answer.
@@ -162,7 +162,7 @@
 	body, err := io.ReadAll(io.LimitReader(a.Body, answerLimit+1))
 	switch {
 	case err != nil:
-		end.Status, end.Reason = event.DirectBroken, errors.Wrap(err, "answer cut off").Error()
+		end.Status, end.CutOff, end.Reason = event.DirectBroken, true, errors.Wrap(err, "answer cut off").Error()
 		return
 	case len(body) > answerLimit:
 		end.Status, end.Reason = event.DirectBroken, "the answer is too large"
--- a/internal/traffic/front/stream.go
+++ b/internal/traffic/front/stream.go
@@ -56,7 +56,7 @@
 func (x *exchange) streamEnd(end *event.DirectEnd, a *upstream.Answer, rest []byte, err error) {
 	switch {
 	case err != io.EOF:
-		end.Status, end.Reason = event.DirectBroken, errors.Wrap(err, "stream cut off").Error()
+		end.Status, end.CutOff, end.Reason = event.DirectBroken, true, errors.Wrap(err, "stream cut off").Error()
 	case len(rest) > 0:
 		end.Status, end.Reason = event.DirectBroken, "the stream ends in the middle of an event"
 	case a.Unframed():
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -226,7 +226,11 @@
 // FinishExchange answers the client of an exchange. An attempt that is still
 // open is stopped; the row is settled and removed once it has ended.
 func (w *World) FinishExchange(x *table.Exchange, deliver bool, o table.Outcome) {
-	w.Out.Finishes = append(w.Out.Finishes, command.FinishExchange{Exchange: x.ID, Deliver: deliver, Outcome: o})
+	f := command.FinishExchange{Exchange: x.ID, Deliver: deliver, Outcome: o, Kind: x.Kind, Age: w.Now.Sub(x.Arrived)}
+	if x.FirstEventAt != 0 {
+		f.FirstEvent = x.FirstEventAt.Sub(x.Arrived)
+	}
+	w.Out.Finishes = append(w.Out.Finishes, f)
 	w.ExchangesWaiting.Remove(x.ID)
 	if x.State != table.ExchangeRunning {
 		x.State = table.ExchangeEnded
