--- a/internal/system/catalog/catalog.go
+++ b/internal/system/catalog/catalog.go
@@ -45,6 +45,9 @@
 		from, to = to, from
 	}
 	w.Change("platform", "store", from, to, "last call")
+	if up && w.PlatformSince != 0 {
+		w.OutageEnd = w.Now
+	}
 	w.PlatformUp, w.PlatformSince = up, max(w.Now, 1)
 }
 
@@ -159,7 +162,7 @@
 }
 
 func outageRecent(w *world.World) bool {
-	return !w.PlatformUp || w.PlatformSince > 1 && w.Now.Sub(w.PlatformSince) < outageMemory
+	return !w.PlatformUp || w.OutageEnd != 0 && w.Now.Sub(w.OutageEnd) < outageMemory
 }
 
 // dropRemoved ends the grace of lapsed entries, and deletes rows that no attempt
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -123,6 +123,8 @@
 	// PlatformUp says whether the platform answered last, since PlatformSince.
 	PlatformUp    bool
 	PlatformSince table.Instant
+	// OutageEnd is when the platform answered again after it had not, or 0.
+	OutageEnd table.Instant
 	// AwaitRegistration is true until this process is registered. A router takes
 	// no grant before, so that its start number is older than its grants.
 	AwaitRegistration bool
