--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -16,6 +16,9 @@
 	// watchWait is how long a watch waits for changes. Open connections may fall
 	// silent without a reset, so it bounds how late a change can be seen then.
 	watchWait = 2500 * time.Millisecond
+	// changesPause is the pause after changes, so that several changes within a
+	// short time cost one call. Changes must be in force within two seconds.
+	changesPause = 150 * time.Millisecond
 	// firstPause and longestPause bound the pause after a failed call.
 	firstPause   = 30 * time.Millisecond
 	longestPause = 400 * time.Millisecond
@@ -71,6 +74,7 @@
 		at = next
 		if len(changes) > 0 {
 			f.changed(changes)
+			wait(ctx, changesPause)
 		}
 	}
 	return ctx.Err()
--- a/internal/system/catalog/catalog.go
+++ b/internal/system/catalog/catalog.go
@@ -17,9 +17,9 @@
 	// restoreTime is how long entries may be missing from the list after an
 	// outage of the store: endpoints that live are back within two seconds.
 	restoreTime = 2 * time.Second
-	// outageMemory is how long after an outage removals may be due to it: the
-	// entries of endpoints lapse after three heartbeats.
-	outageMemory = 4 * time.Second
+	// outageMemory is how long after an outage removals may be due to it. They are
+	// seen with the first list or watch after it.
+	outageMemory = restoreTime
 )
 
 // Run applies the manifests and the lists of endpoints of this tick.
@@ -152,7 +152,7 @@
 		return
 	}
 	row.RemovedAt = w.Now
-	if outageRecent(w) {
+	if outageRecent(w) && !row.Leaving {
 		w.Change("endpoint", string(id), state(row.Leaving), "unlisted", "entry lapsed around an outage of the store")
 		w.WakeAt(w.Now.Add(restoreTime))
 		return
