--- a/cmd/laburnumroadd/main.go
+++ b/cmd/laburnumroadd/main.go
@@ -1,5 +1,5 @@
-// Command laburnumroadd is the daemon of the fleet. Its settings choose the
-// role router or agent.
+// Command laburnumroadd is the daemon of the fleet: a router or an agent by its
+// settings, or a gateway on the users' platform.
 package main
 
 import (
--- a/cmd/laburnumroadd/run.go
+++ b/cmd/laburnumroadd/run.go
@@ -14,6 +14,7 @@
 
 	"laburnumroad.dev/laburnumroad/internal/daemon"
 	"laburnumroad.dev/laburnumroad/internal/settings"
+	"laburnumroad.dev/laburnumroad/platform"
 )
 
 // maxSettingsBytes bounds the settings file.
@@ -60,18 +61,25 @@
 	return d.Run()
 }
 
-type checkCommand struct{ file string }
+type checkCommand struct{ file, platform string }
 
 func (*checkCommand) Name() string     { return "check" }
 func (*checkCommand) Synopsis() string { return "check a settings file and print all findings" }
-func (*checkCommand) Usage() string    { return "check -settings FILE\n" }
+func (*checkCommand) Usage() string    { return "check -settings FILE | check -platform FILE\n" }
 
 func (c *checkCommand) SetFlags(f *flag.FlagSet) {
 	f.StringVar(&c.file, "settings", "", "YAML settings of a daemon")
+	f.StringVar(&c.platform, "platform", "", "settings file of the users' platform")
 }
 
 func (c *checkCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
-	if _, err := readSettings(c.file); err != nil {
+	var err error
+	if c.platform != "" {
+		_, err = platform.ReadSettings(c.platform)
+	} else {
+		_, err = readSettings(c.file)
+	}
+	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitFailure
 	}
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -20,7 +20,7 @@
 		direct := zerolog.New(out).With().Timestamp().Logger()
 		direct.Warn().Int("lines", missed).Msg("log lines dropped")
 	})
-	return zerolog.New(w).With().Timestamp().Logger(), w.Close
+	return zerolog.New(w).Level(zerolog.InfoLevel).With().Timestamp().Logger(), w.Close
 }
 
 // newHTTPLog passes the messages of an HTTP server on. They tell of clients that
