--- a/internal/system/allowance/fleet_test.go
+++ b/internal/system/allowance/fleet_test.go
@@ -417,6 +417,29 @@
 	require.Less(t, closed-f.spent, left/2, "margins were %d of %d", closed-f.spent, left)
 }
 
+// Guards against totals that are lost bit by bit when routers die again and again:
+// margins get smaller with each death.
+func TestRepeatedDeathsCostLessAndLess(t *testing.T) {
+	f := newFleet(6, 4, 1_000_000)
+	for range 4 {
+		for range 20 {
+			for _, r := range f.routers {
+				f.request(r, 200, 0)
+			}
+			f.run(100 * time.Millisecond)
+		}
+		for _, r := range f.routers {
+			f.kill(r)
+		}
+		for _, r := range f.routers {
+			f.start(r)
+		}
+		f.run(time.Second)
+	}
+	lost := f.content.Closed[customer] - f.spent
+	require.Less(t, lost, f.total/2, "16 deaths cost %d of %d", lost, f.total)
+}
+
 // Guards against a refusal that is final although a top-up would help, and one
 // that promises more although all is spent.
 func TestSpentTotalIsRefusedAsExhausted(t *testing.T) {
--- a/internal/system/allowance/ledger.go
+++ b/internal/system/allowance/ledger.go
@@ -20,8 +20,10 @@
 	floorShare = 100
 	// marginShare is the part of what is left of a total that all routers together
 	// hold as their margin at most. A margin is lost if its router dies, so the
-	// last of a total must not lie in margins.
+	// last of a total must not lie in margins. Each death that the ledger has seen
+	// makes another one more likely and the share smaller, down to leastShare.
 	marginShare = 3
+	leastShare  = 12
 	// lowShare is the part of the wanted margin below which more is asked for
 	// although no request waits, if the ledger can add gainShare of it.
 	lowShare  = 2
@@ -250,7 +252,8 @@
 func wanted(w *world.World, a *table.Account, p *table.Prepaid) table.Tokens {
 	decayDemand(w, a)
 	margin := max(p.Total/floorShare, table.Tokens(a.Demand*horizon.Seconds()+a.Mean))
-	share := max(0, remaining(w, a)) / table.Tokens(marginShare*max(1, w.Params.Front.RouterCount))
+	parts := min(leastShare, marginShare+w.LimitShare.Content.Deaths) * max(1, w.Params.Front.RouterCount)
+	share := max(0, remaining(w, a)) / table.Tokens(parts)
 	return min(margin, share)
 }
 
@@ -295,6 +298,7 @@
 		if h.Process != self.Process || h.Incarnation == self.Incarnation {
 			return false
 		}
+		content.Deaths++
 		for c, e := range h.Entries {
 			content.Closed[c] += e.Limit
 		}
--- a/internal/table/account.go
+++ b/internal/table/account.go
@@ -69,14 +69,18 @@
 // A content is never changed once it was read or sent; writers copy it.
 type LimitLedger struct {
 	// Closed is what routers that ended have spent, or may have spent.
-	Closed  map[CustomerID]Tokens
+	Closed map[CustomerID]Tokens
+	// Deaths counts the entries that routers left behind without closing them.
+	Deaths  int
 	Holders []LimitHolder
 }
 
 // Clone returns a copy whose lists may be changed. The entries of holders are
 // shared.
 func (l *LimitLedger) Clone() LimitLedger {
-	c := LimitLedger{Closed: make(map[CustomerID]Tokens, len(l.Closed)), Holders: slices.Clone(l.Holders)}
+	c := LimitLedger{
+		Closed: make(map[CustomerID]Tokens, len(l.Closed)), Deaths: l.Deaths, Holders: slices.Clone(l.Holders),
+	}
 	for id, n := range l.Closed {
 		c.Closed[id] = n
 	}
