allowance: a refused call does not undo a write that may still come

Cause, found by reading: a write that lowers a limit and is not answered may be carried out seconds later. When the next call was refused (503, nothing done), the router took its limit back to the recorded one, and could spend what the late write hands to others.

--- a/internal/system/allowance/fleet_test.go
+++ b/internal/system/allowance/fleet_test.go
@@ -417,6 +417,34 @@
 	require.Less(t, closed-f.spent, left/2, "margins were %d of %d", closed-f.spent, left)
 }
 
+// Guards against a limit that goes up again while a write that lowers it may still
+// be carried out: its answer was lost, and the next call only tells that this
+// second write was not done.
+func TestLateWriteStillBindsAfterRefusedCall(t *testing.T) {
+	f := newFleet(7, 1, 100_000)
+	r := f.routers[0]
+	f.request(r, 3000, 0)
+	f.run(3 * time.Second)
+	before := r.world.Accounts.Get(customer).Limit
+	// The total goes down, so that the router gives most of its limit back.
+	f.total = before - 500
+	f.loseNext = lostLate
+	f.configure(r)
+	r.world.LimitShare.WrittenAt = 0
+	f.tick(r)
+	f.run(time.Millisecond)
+	lowered := r.world.Accounts.Get(customer).Limit
+	require.Less(t, lowered, before)
+	f.storeUp = false
+	for range 300 {
+		f.run(time.Millisecond)
+		require.LessOrEqual(t, r.world.Accounts.Get(customer).Limit, lowered)
+	}
+	f.storeUp = true
+	f.run(3 * time.Second)
+	check(t, f)
+}
+
 // Guards against totals that are lost bit by bit when routers die again and again:
 // margins get smaller with each death.
 func TestRepeatedDeathsCostLessAndLess(t *testing.T) {
--- a/internal/system/allowance/ledger.go
+++ b/internal/system/allowance/ledger.go
@@ -62,16 +62,19 @@
 		if !s.Known {
 			w.Change("ledger", "limits", "unknown", "known", "revision "+strconv.FormatUint(e.Revision, 10))
 		}
-		s.Known, s.Confirmed, s.Backoff = true, s.CalledAt, 0
+		s.Known, s.Unsure, s.Confirmed, s.Backoff = true, false, s.CalledAt, 0
 		if e.Revision >= s.Revision {
 			s.Revision, s.Content = e.Revision, e.Content
 		}
 		takeOver(w)
 	case event.CallNotApplied:
 		w.Count("allowance.calls_refused")
-		takeOver(w)
+		if !s.Unsure {
+			takeOver(w)
+		}
 		delay(w)
 	default:
+		s.Unsure = true
 		w.Count("allowance.calls_unanswered")
 		delay(w)
 	}
--- a/internal/table/account.go
+++ b/internal/table/account.go
@@ -125,6 +125,9 @@
 	Calling        bool
 	CalledAt       Instant
 	CalledRevision uint64
+	// Unsure is true after a write without an answer, until a later call shows
+	// whether it took effect: it may still be carried out.
+	Unsure bool
 	// Conflicts counts the writes in a row that lost against another router's.
 	Conflicts int
 	// Confirmed is when the last call that gave Content was sent.
