--- a/internal/fake/platform.go
+++ b/internal/fake/platform.go
@@ -2,13 +2,14 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"slices"
 	"sort"
-	"strconv"
 	"time"
 
 	"golang.org/x/time/rate"
 	"laburnumroad.dev/laburnumroad/internal/table"
+	"laburnumroad.dev/laburnumroad/platform"
 )
 
 const (
@@ -447,8 +448,11 @@
 func listMembers(w *platformWorld) []object {
 	members := make([]object, 0, w.listed.Len())
 	w.listed.Each(func(host string, state *memberState) {
-		value := `{"leaving":` + strconv.FormatBool(*state == memberLeaving) + `}`
-		members = append(members, object{Kind: membersKind, Name: host, Version: w.revision + 1, Value: []byte(value)})
+		value, err := json.Marshal(platform.WireMember{Leaving: *state == memberLeaving})
+		if err != nil {
+			panic(err)
+		}
+		members = append(members, object{Kind: platform.KindMembers, Name: host, Version: w.revision + 1, Value: value})
 	})
 	sort.Slice(members, func(i, j int) bool { return members[i].Name < members[j].Name })
 	return members
--- a/internal/fake/platformhttp.go
+++ b/internal/fake/platformhttp.go
@@ -9,13 +9,15 @@
 	"time"
 
 	"golang.org/x/time/rate"
+
+	"laburnumroad.dev/laburnumroad/platform"
 )
 
 const (
 	// maxWatchWait bounds the wait of one watch.
 	maxWatchWait = 30 * time.Second
-	// membersKind is the kind of the membership list's entries.
-	membersKind = "members"
+	kindPath     = platform.ObjectsPath + "{kind}"
+	onePath      = kindPath + "/{name}"
 )
 
 // Platform is a stand-in for the platform's store and its membership list. It
@@ -30,15 +32,15 @@
 func NewPlatform(cfg PlatformConfig) *Platform {
 	w := &platformWorld{lag: cfg.MemberLag, reads: limiter(cfg.ReadsPerSecond), writes: limiter(cfg.WritesPerSecond)}
 	p := &Platform{mux: http.NewServeMux(), loop: startLoop[platformEvent](cfg.Clock, w)}
-	p.mux.HandleFunc("GET /api/objects/{kind}/{name}", func(w http.ResponseWriter, r *http.Request) {
+	p.mux.HandleFunc("GET "+onePath, func(w http.ResponseWriter, r *http.Request) {
 		p.serve(w, r, platformCall{op: opGet})
 	})
-	p.mux.HandleFunc("POST /api/objects/{kind}", p.create)
-	p.mux.HandleFunc("PUT /api/objects/{kind}/{name}", p.update)
-	p.mux.HandleFunc("DELETE /api/objects/{kind}/{name}", func(w http.ResponseWriter, r *http.Request) {
-		p.serve(w, r, platformCall{op: opDelete, name: r.PathValue("name"), version: queryNumber(r, "revision")})
+	p.mux.HandleFunc("POST "+kindPath, p.create)
+	p.mux.HandleFunc("PUT "+onePath, p.update)
+	p.mux.HandleFunc("DELETE "+onePath, func(w http.ResponseWriter, r *http.Request) {
+		p.serve(w, r, platformCall{op: opDelete, name: r.PathValue("name"), version: queryNumber(r, platform.QueryRevision)})
 	})
-	p.mux.HandleFunc("GET /api/objects/{kind}", p.listOrWatch)
+	p.mux.HandleFunc("GET "+kindPath, p.listOrWatch)
 	p.mux.HandleFunc("POST /admin/faults", adminPost(p.SetFaults))
 	p.mux.HandleFunc("POST /admin/members", adminPost(p.SetMember))
 	p.mux.HandleFunc("GET /admin/counts", func(w http.ResponseWriter, _ *http.Request) {
@@ -88,23 +90,12 @@
 	}
 }
 
-// objectBody is an object as callers send and get it.
-type objectBody struct {
-	Metadata objectMetadata  `json:"metadata"`
-	Spec     json.RawMessage `json:"spec"`
-}
-
-type objectMetadata struct {
-	Name     string `json:"name"`
-	Revision uint64 `json:"revision"`
-}
-
 func (p *Platform) create(w http.ResponseWriter, r *http.Request) { p.write(w, r, opCreate) }
 
 func (p *Platform) update(w http.ResponseWriter, r *http.Request) { p.write(w, r, opUpdate) }
 
 func (p *Platform) write(w http.ResponseWriter, r *http.Request, op platformOp) {
-	var body objectBody
+	var body platform.WireObject
 	if !readJSON(w, r, &body) {
 		return
 	}
@@ -123,15 +114,15 @@
 func (p *Platform) listOrWatch(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
 	switch {
-	case query.Has("watch"):
+	case query.Has(platform.QueryWatch):
 		// Bound the number before the conversion, which could overflow.
-		millis := min(queryNumber(r, "wait_ms"), uint64(maxWatchWait.Milliseconds()))
+		millis := min(queryNumber(r, platform.QueryWait), uint64(maxWatchWait.Milliseconds()))
 		wait := time.Duration(millis) * time.Millisecond
-		p.serve(w, r, platformCall{op: opWatch, version: queryNumber(r, "watch"), wait: wait})
-	case r.PathValue("kind") == membersKind:
+		p.serve(w, r, platformCall{op: opWatch, version: queryNumber(r, platform.QueryWatch), wait: wait})
+	case r.PathValue("kind") == platform.KindMembers:
 		p.serve(w, r, platformCall{op: opMembers})
 	default:
-		p.serve(w, r, platformCall{op: opList, after: query.Get("after")})
+		p.serve(w, r, platformCall{op: opList, after: query.Get(platform.QueryAfter)})
 	}
 }
 
@@ -173,37 +164,35 @@
 	}
 }
 
-func body(o *object) objectBody {
-	return objectBody{Metadata: objectMetadata{Name: o.Name, Revision: o.Version}, Spec: o.Value}
+func body(o *object) platform.WireObject {
+	return platform.WireObject{Metadata: platform.WireMetadata{Name: o.Name, Revision: o.Version}, Spec: o.Value}
 }
 
-type watchEvent struct {
-	Deleted bool       `json:"deleted"`
-	Object  objectBody `json:"object"`
+// encoded returns the body of an object within a list.
+func encoded(o *object) json.RawMessage {
+	data, err := json.Marshal(body(o))
+	if err != nil {
+		// The values came in as JSON.
+		panic(err)
+	}
+	return data
 }
 
 // resultBody returns the JSON body of a call that succeeded.
 func resultBody(op platformOp, a platformAnswer) any {
 	switch op {
 	case opWatch:
-		events := make([]watchEvent, 0, len(a.objects))
+		answer := platform.WireEvents{Events: []platform.WireEvent{}, At: a.revision}
 		for i := range a.objects {
-			events = append(events, watchEvent{Deleted: a.objects[i].Deleted, Object: body(&a.objects[i])})
+			answer.Events = append(answer.Events, platform.WireEvent{Deleted: a.objects[i].Deleted, Object: encoded(&a.objects[i])})
 		}
-		return struct {
-			Events []watchEvent `json:"events"`
-			At     uint64       `json:"at"`
-		}{events, a.revision}
+		return answer
 	case opList, opMembers:
-		entries := make([]objectBody, 0, len(a.objects))
+		answer := platform.WireList{Entries: []json.RawMessage{}, HasMore: a.more, At: a.revision}
 		for i := range a.objects {
-			entries = append(entries, body(&a.objects[i]))
+			answer.Entries = append(answer.Entries, encoded(&a.objects[i]))
 		}
-		return struct {
-			Entries []objectBody `json:"entries"`
-			HasMore bool         `json:"has_more"`
-			At      uint64       `json:"at"`
-		}{entries, a.more, a.revision}
+		return answer
 	}
 	return body(&a.objects[0])
 }
--- a/internal/system/placement/placement.go
+++ b/internal/system/placement/placement.go
@@ -88,21 +88,8 @@
 			usable = append(usable, e)
 		}
 	})
-	usable = prefer(usable, func(e *table.DirectEndpoint) bool { return !slices.Contains(x.Tried, e.ID) })
-	return prefer(usable, func(e *table.DirectEndpoint) bool { return e.SuspectUntil <= w.Now })
-}
-
-func prefer(list []*table.DirectEndpoint, good func(*table.DirectEndpoint) bool) []*table.DirectEndpoint {
-	var kept []*table.DirectEndpoint
-	for _, e := range list {
-		if good(e) {
-			kept = append(kept, e)
-		}
-	}
-	if len(kept) == 0 {
-		return list
-	}
-	return kept
+	usable = table.Prefer(usable, func(e *table.DirectEndpoint) bool { return !slices.Contains(x.Tried, e.ID) })
+	return table.Prefer(usable, func(e *table.DirectEndpoint) bool { return e.SuspectUntil <= w.Now })
 }
 
 func send(w *world.World, x *table.Exchange, e *table.DirectEndpoint, considered []scored) {
--- a/internal/system/routing/choose.go
+++ b/internal/system/routing/choose.go
@@ -40,26 +40,12 @@
 			candidates = append(candidates, e)
 		}
 	}
-	candidates = prefer(candidates, func(e *table.Endpoint) bool { return !slices.Contains(r.Tried, e.ID) })
-	candidates = prefer(candidates, func(e *table.Endpoint) bool { return !believedFull(e) })
-	candidates = prefer(candidates, func(e *table.Endpoint) bool { return e.Region == p.w.Params.Self.Region })
+	candidates = table.Prefer(candidates, func(e *table.Endpoint) bool { return !slices.Contains(r.Tried, e.ID) })
+	candidates = table.Prefer(candidates, func(e *table.Endpoint) bool { return !believedFull(e) })
+	candidates = table.Prefer(candidates, func(e *table.Endpoint) bool { return e.Region == p.w.Params.Self.Region })
 	return p.best(candidates)
 }
 
-// prefer returns the endpoints for which good is true, or all if there are none.
-func prefer(list []*table.Endpoint, good func(*table.Endpoint) bool) []*table.Endpoint {
-	var kept []*table.Endpoint
-	for _, e := range list {
-		if good(e) {
-			kept = append(kept, e)
-		}
-	}
-	if len(kept) == 0 {
-		return list
-	}
-	return kept
-}
-
 // best compares random candidates by expected wait.
 func (p *pass) best(list []*table.Endpoint) (*table.Endpoint, []scored) {
 	if len(list) == 0 {
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -76,3 +76,17 @@
 		i++
 	}
 }
+
+// Prefer returns the rows for which good is true, or all if there are none.
+func Prefer[V any](rows []*V, good func(*V) bool) []*V {
+	var kept []*V
+	for _, r := range rows {
+		if good(r) {
+			kept = append(kept, r)
+		}
+	}
+	if len(kept) == 0 {
+		return rows
+	}
+	return kept
+}
--- a/internal/traffic/upstream/pool.go
+++ b/internal/traffic/upstream/pool.go
@@ -14,6 +14,8 @@
 
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
+
+	"laburnumroad.dev/laburnumroad/internal/traffic/tcp"
 )
 
 const (
@@ -21,13 +23,6 @@
 	// back takes some milliseconds, and a lost first packet is sent again after a
 	// second, so that a later answer is not worth waiting for.
 	dialTimeout = 500 * time.Millisecond
-	// unackedTimeout ends a connection whose peer does not acknowledge bytes.
-	unackedTimeout = 1500 * time.Millisecond
-	// probeIdle, probeInterval and probeCount find peers that are gone while
-	// their answer is awaited.
-	probeIdle     = time.Second
-	probeInterval = 500 * time.Millisecond
-	probeCount    = 2
 	// idleLimit bounds the kept connections of an address.
 	idleLimit = 32
 	// defaultIdle is how long a connection is kept whose endpoint states no time,
@@ -51,8 +46,6 @@
 type Pool struct {
 	mu   sync.Mutex
 	idle map[string][]*conn
-	// Opened counts new connections.
-	Opened func()
 }
 
 // NewPool returns an empty pool.
@@ -131,28 +124,9 @@
 }
 
 func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
-	d := net.Dialer{
-		Timeout:         dialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount},
-		Control:         limitUnacked,
-	}
-	c, err := d.DialContext(ctx, "tcp", address)
+	c, err := tcp.Dialer(dialTimeout).DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	if p.Opened != nil {
-		p.Opened()
-	}
 	return &conn{Conn: c, reader: bufio.NewReader(c)}, nil
 }
-
-func limitUnacked(_, _ string, raw syscall.RawConn) error {
-	var failed error
-	err := raw.Control(func(fd uintptr) {
-		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
-	})
-	if err != nil {
-		return err
-	}
-	return failed
-}
