allowance: count what was passed between routers once as spent

The least that is spent took the receiver's spend without the transfer and the sender's entry without it too. Entries now carry the net spend, so that transfers cancel out.

--- a/internal/system/allowance/allowance.go
+++ b/internal/system/allowance/allowance.go
@@ -133,7 +133,7 @@
 	if h := w.LimitShare.Content.Find(w.Self()); h != nil {
 		spent -= h.Entries[a.Customer].Spent
 	}
-	return p.Total - spent - max(0, a.Spent+a.TransferredOut-a.TransferredIn-a.Base)
+	return p.Total - spent - a.Net()
 }
 
 func refuse(w *world.World, x *table.Exchange, a *table.Account, o table.Outcome, left table.Tokens) {
--- a/internal/system/allowance/fleet_test.go
+++ b/internal/system/allowance/fleet_test.go
@@ -482,6 +482,26 @@
 	check(t, f)
 }
 
+// Guards against a total that is spent but counts as held by others, because what
+// one router passed to another one is missed: clients would come back in vain.
+func TestSpentTransfersCountOnce(t *testing.T) {
+	f := newFleet(8, 2, 30_000)
+	a, b := f.routers[0], f.routers[1]
+	// Router b spends all that it gets, also from a.
+	for range 60 {
+		f.request(b, 900, 0)
+		f.run(100 * time.Millisecond)
+	}
+	f.run(3 * time.Second)
+	require.Positive(t, b.world.Accounts.Get(customer).TransferredIn+a.world.Accounts.Get(customer).TransferredOut)
+	f.refused = map[table.Code]int{}
+	// What is in progress may still turn out to cost less.
+	open := a.world.Accounts.Get(customer).Reserved + b.world.Accounts.Get(customer).Reserved
+	f.request(b, f.total-(f.spent-open)+1, 0)
+	f.run(100 * time.Millisecond)
+	require.Equal(t, map[table.Code]int{table.CodeBudgetExhausted: 1}, f.refused)
+}
+
 // Guards against a limit that a router keeps although it shuts down without work.
 func TestClosingRouterReturnsItsLimit(t *testing.T) {
 	f := newFleet(4, 2, 100_000)
--- a/internal/system/allowance/ledger.go
+++ b/internal/system/allowance/ledger.go
@@ -215,7 +215,7 @@
 			gain := limit(w, a, p, &s.Content, table.Tokens(max(1, w.Params.Front.RouterCount))) - a.Recorded
 			low = low || gain > want/gainShare
 		}
-		spent = spent || a.Spent != own.Entries[c].Spent
+		spent = spent || a.Net() != own.Entries[c].Spent
 	})
 	switch {
 	case now:
@@ -270,13 +270,13 @@
 	w.Prepaids.Each(func(c table.CustomerID, p *table.Prepaid) {
 		if p.Limited {
 			a := account(w, c)
-			entries[c] = table.LimitEntry{Limit: limit(w, a, p, &content, count), Spent: max(0, a.Spent-a.Base)}
+			entries[c] = table.LimitEntry{Limit: limit(w, a, p, &content, count), Spent: a.Net()}
 		}
 	})
 	w.Accounts.Each(func(c table.CustomerID, a *table.Account) {
 		if _, ok := entries[c]; !ok && a.Recorded != 0 {
 			// The customer is not in the configuration any more, or not limited.
-			entries[c] = table.LimitEntry{Limit: a.Used() - a.Base, Spent: max(0, a.Spent-a.Base)}
+			entries[c] = table.LimitEntry{Limit: a.Used() - a.Base, Spent: a.Net()}
 		}
 	})
 	content.Holders = slices.DeleteFunc(content.Holders, func(h table.LimitHolder) bool { return h.Holder == w.Self() })
--- a/internal/table/account.go
+++ b/internal/table/account.go
@@ -43,6 +43,10 @@
 	return a.Limit + a.TransferredIn - a.TransferredOut - a.Spent - a.Reserved
 }
 
+// Net returns what was spent or passed on, less what was received and what the
+// ledger counts as closed. Over all routers, transfers cancel out.
+func (a *Account) Net() Tokens { return a.Spent + a.TransferredOut - a.TransferredIn - a.Base }
+
 // Used returns the least limit that covers what was spent, reserved or passed on.
 func (a *Account) Used() Tokens {
 	return a.Spent + a.Reserved + a.TransferredOut - a.TransferredIn
@@ -52,7 +56,8 @@
 type LimitEntry struct {
 	// Limit is the most that the router may spend of the customer's total.
 	Limit Tokens
-	// Spent is what the router had spent when it wrote the entry.
+	// Spent is what the router had spent when it wrote the entry, with what it had
+	// passed on and without what it had received.
 	Spent Tokens
 }
 
