--- a/cmd/laburnumroadd/gateway.go
+++ b/cmd/laburnumroadd/gateway.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/google/subcommands"
 	"github.com/rs/zerolog"
@@ -32,6 +33,8 @@
 		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitUsageError
 	}
+	// Lines of several processes are put in order by their time.
+	zerolog.TimeFieldFormat = time.RFC3339Nano
 	log, flush := gateway.NewLog(os.Stdout)
 	status := subcommands.ExitSuccess
 	if err := c.run(s, log); err != nil {
--- a/internal/ctl/commands.go
+++ b/internal/ctl/commands.go
@@ -51,6 +51,7 @@
 	{groupFleet, "status", "", "show processes and endpoints", 0, 0, nil, runStatus},
 	{groupFleet, "drain", "TARGET [-undo] -reason TEXT", "mark an endpoint or a host as leaving", 1, 1, drainFlags, runDrain},
 	{groupFleet, "explain", "REQUEST-ID", "show the decisions about a request", 1, 1, nil, runExplain},
+	{groupFleet, "log", "REQUEST-ID FILE...", "follow a request over the log files of several processes", 2, maxLogFiles, nil, runLog},
 	{groupCaller, "generate", "SERVICE PROMPT [-max N] [-budget B] [-key K] [-retry] [-position N [-received FILE]]",
 		"stream an answer of a model and check that it is whole", 2, 2, generateFlags, runGenerate},
 	{groupCaller, "call", "SERVICE OPERATION [BODY] [-budget B] [-key K] [-retry]", "run one call of a plain service", 2, 3, callFlags, runCall},
