--- a/internal/event/exchange.go
+++ b/internal/event/exchange.go
@@ -20,7 +20,6 @@
 	Prompt      table.Tokens
 	MaxOutput   table.Tokens
 	Parts       []table.PromptPart
-	LastEvent   int64
 	Fingerprint table.Fingerprint
 }
 
--- /dev/null
+++ b/internal/system/allowance/limits.go
@@ -0,0 +1,125 @@
+package allowance
+
+import (
+	"slices"
+	"time"
+
+	"laburnumroad.dev/laburnumroad/internal/table"
+	"laburnumroad.dev/laburnumroad/internal/world"
+)
+
+const (
+	// horizon is the time of demand that a limit covers beyond what is spent. It
+	// exceeds the partitions from the store of eight seconds that are usual.
+	horizon = 9 * time.Second
+	// floorShare is the part of a total that a router without demand holds, so
+	// that first requests need not wait for the ledger.
+	floorShare = 100
+	// marginShare is the part of what is left of a total that all routers together
+	// hold as their margin at most. A margin is lost if its router dies, so the
+	// last of a total must not lie in margins. Each death that the ledger has seen
+	// makes another one more likely and the share smaller, down to leastShare.
+	marginShare = 3
+	leastShare  = 12
+)
+
+// wanted returns what this router wants to be free to spend of a total.
+func wanted(w *world.World, a *table.Account, p *table.Prepaid) table.Tokens {
+	decayDemand(w, a)
+	margin := max(p.Total/floorShare, table.Tokens(a.Demand*horizon.Seconds()+a.Mean))
+	parts := min(leastShare, marginShare+w.LimitShare.Content.Deaths) * max(1, w.Params.Front.RouterCount)
+	share := max(0, remaining(w, a)) / table.Tokens(parts)
+	return min(margin, share)
+}
+
+// propose returns the ledger with the limits that this router wants.
+func propose(w *world.World) table.LimitLedger {
+	content := w.LimitShare.Content.Clone()
+	s := &w.LimitShare
+	s.OnlyOwn = !closeEarlier(w, &content) && !w.Closing
+	entries := make(map[table.CustomerID]table.LimitEntry)
+	count := table.Tokens(max(1, routers(&content)))
+	w.Prepaids.Each(func(c table.CustomerID, p *table.Prepaid) {
+		if p.Limited {
+			a := account(w, c)
+			entries[c] = table.LimitEntry{Limit: limit(w, a, p, &content, count), Spent: a.Net()}
+		}
+	})
+	w.Accounts.Each(func(c table.CustomerID, a *table.Account) {
+		if _, ok := entries[c]; !ok && a.Recorded != 0 {
+			// The customer is not in the configuration any more, or not limited.
+			entries[c] = table.LimitEntry{Limit: a.Used() - a.Base, Spent: a.Net()}
+		}
+	})
+	content.Holders = slices.DeleteFunc(content.Holders, func(h table.LimitHolder) bool { return h.Holder == w.Self() })
+	if w.Closing && w.Exchanges.Len() == 0 {
+		s.Closing = true
+		for c, e := range entries {
+			content.Closed[c] += e.Limit
+		}
+		return content
+	}
+	content.Holders = append(content.Holders, table.LimitHolder{Holder: w.Self(), Address: w.Params.Front.PeerAddress, Entries: entries})
+	return content
+}
+
+// closeEarlier closes the entries of earlier processes of this name: they ended
+// without doing so, and may have spent all of their limits. It reports whether
+// there were any.
+func closeEarlier(w *world.World, content *table.LimitLedger) bool {
+	self := w.Self()
+	before := len(content.Holders)
+	content.Holders = slices.DeleteFunc(content.Holders, func(h table.LimitHolder) bool {
+		if h.Process != self.Process || h.Incarnation == self.Incarnation {
+			return false
+		}
+		content.Deaths++
+		for c, e := range h.Entries {
+			content.Closed[c] += e.Limit
+		}
+		return true
+	})
+	return len(content.Holders) != before
+}
+
+// limit returns the limit that this router proposes for itself. What no request
+// waits for is taken in parts of what is left, so that the last of a total is
+// not held by a router that does not need it.
+func limit(w *world.World, a *table.Account, p *table.Prepaid, content *table.LimitLedger, count table.Tokens) table.Tokens {
+	// What was received from other routers is in their limits; an entry may be
+	// negative by what is left of it.
+	used := a.Used() - a.Base
+	if w.Closing {
+		return used
+	}
+	room := p.Total - (content.Allocated(a.Customer) - a.Recorded)
+	left := room - a.Recorded
+	want := used + a.Waiting + wanted(w, a, p)
+	if left < 0 {
+		// The total was lowered below what the routers may spend.
+		return max(used, min(a.Recorded, room))
+	}
+	if want > a.Recorded {
+		return a.Recorded + min(want-a.Recorded, left, max(a.Waiting, left/(2*count)))
+	}
+	if a.Recorded-want < wanted(w, a, p)/gainShare {
+		// Small surpluses stay, so that limits do not change with each write.
+		return a.Recorded
+	}
+	return max(used, want)
+}
+
+// lower takes the limits down at once that the proposed content lowers: once the
+// write is under way, it may take effect at any time.
+func lower(w *world.World, content *table.LimitLedger) {
+	own := content.Find(w.Self())
+	w.Accounts.Each(func(c table.CustomerID, a *table.Account) {
+		var proposed table.Tokens
+		if own != nil {
+			proposed = own.Entries[c].Limit
+		} else {
+			proposed = a.Used() - a.Base
+		}
+		a.Limit = min(a.Limit, a.Base+proposed)
+	})
+}
--- a/internal/system/allowance/peers.go
+++ b/internal/system/allowance/peers.go
@@ -35,7 +35,7 @@
 	for i := range w.In.SessionUps {
 		up := &w.In.SessionUps[i]
 		w.AllowancePeers.Put(up.Process.Process, table.AllowancePeer{
-			Holder: up.Process.Holder, Connected: true, Session: up.Session, HeardAt: w.Now,
+			Holder: up.Process.Holder, Connected: true, Session: up.Session,
 		})
 		w.Change("router", string(up.Process.Process), "", "connected", "session opened")
 	}
@@ -49,7 +49,7 @@
 	for i := range w.In.Allowances {
 		e := &w.In.Allowances[i]
 		if p := w.AllowancePeers.Get(e.From.Process); p != nil && p.Holder == e.From {
-			p.Free, p.HeardAt = e.Free, w.Now
+			p.Free = e.Free
 		}
 	}
 	for i := range w.In.Transfers {
--- a/internal/system/attempt/attempt.go
+++ b/internal/system/attempt/attempt.go
@@ -151,9 +151,6 @@
 	if x.State == table.ExchangeStopping || x.State == table.ExchangeEnded {
 		return
 	}
-	if x.NotBefore > w.Now {
-		w.ExchangeTimers.Set(x.ID, x.NotBefore)
-	}
 	due := min(x.Timeout, x.Deadline)
 	if due > w.Now {
 		w.ExchangeTimers.Set(x.ID, due)
--- a/internal/system/health/health.go
+++ b/internal/system/health/health.go
@@ -120,7 +120,7 @@
 		if row.Failures > 0 {
 			w.Change("endpoint", string(row.ID), "suspect", "live", "an attempt succeeded")
 		}
-		row.Failures, row.SuspectUntil, row.SuspectReason = 0, 0, ""
+		row.Failures, row.SuspectUntil = 0, 0
 	case e.Status == event.DirectAnswered:
 		// A failure of its own tells of a request that failed, not of an endpoint
 		// that is gone, but endpoints that fail often are worth avoiding.
@@ -138,6 +138,6 @@
 	if row.SuspectUntil <= w.Now {
 		w.Change("endpoint", string(row.ID), "live", "suspect", reason)
 	}
-	row.SuspectUntil, row.SuspectReason = max(row.SuspectUntil, w.Now.Add(d)), reason
+	row.SuspectUntil = max(row.SuspectUntil, w.Now.Add(d))
 	w.WakeAt(row.SuspectUntil)
 }
--- a/internal/system/placement/placement.go
+++ b/internal/system/placement/placement.go
@@ -41,10 +41,6 @@
 		if x.State != table.ExchangePlacing {
 			continue
 		}
-		if x.NotBefore > w.Now {
-			w.WakeAt(x.NotBefore)
-			continue
-		}
 		place(w, x)
 	}
 }
--- a/internal/table/account.go
+++ b/internal/table/account.go
@@ -155,8 +155,7 @@
 	Connected bool
 	Session   uint64
 	// Free is what it said it may still spend, less what was asked for since.
-	Free    map[CustomerID]Tokens
-	HeardAt Instant
+	Free map[CustomerID]Tokens
 	// DialAt is when a session may be tried next, DialPause the pause after that.
 	DialAt    Instant
 	DialPause time.Duration
--- a/internal/table/exchange.go
+++ b/internal/table/exchange.go
@@ -50,8 +50,6 @@
 
 	State    ExchangeState
 	Reserved Tokens
-	// NotBefore delays the next attempt.
-	NotBefore Instant
 
 	// Attempt numbers the attempts; Sent counts those that reached an endpoint.
 	Attempt  int
--- a/internal/table/route.go
+++ b/internal/table/route.go
@@ -54,8 +54,6 @@
 	// EventTokens is the most tokens in one event of a stream; 0 for services
 	// that are no model engines.
 	EventTokens Tokens
-	// ConnectionLimit is what one endpoint accepts from all routers together.
-	ConnectionLimit int
 	// RetryLevel is the retry budget's token bucket, counted from its burst: 0
 	// when full, and negative by what was used.
 	RetryLevel float64
@@ -120,9 +118,8 @@
 	FailureRate float64
 	// Failures counts failed attempts since the last good one. No new work is
 	// sent before SuspectUntil unless no other endpoint is left.
-	Failures      int
-	SuspectUntil  Instant
-	SuspectReason string
+	Failures     int
+	SuspectUntil Instant
 }
 
 // PromptPart is a part of a prompt that requests may share.
--- a/internal/traffic/front/exchange.go
+++ b/internal/traffic/front/exchange.go
@@ -55,14 +55,10 @@
 }
 
 func (x *exchange) arrival() event.HTTPArrival {
-	last, err := strconv.ParseInt(x.info.LastEvent, 10, 64)
-	if err != nil {
-		last = 0
-	}
 	return event.HTTPArrival{
 		Exchange: x.id, Request: x.info.ID, Host: hostOf(x.r), Path: pathOf(x.r),
 		HasKey: x.info.HasKey, KeyHash: x.info.KeyHash, Budget: x.info.Budget,
-		Prompt: x.info.Prompt, MaxOutput: x.info.MaxOutput, Parts: x.info.Parts, LastEvent: last,
+		Prompt: x.info.Prompt, MaxOutput: x.info.MaxOutput, Parts: x.info.Parts,
 		Fingerprint: fingerprint(x.r, x.info.KeyHash, x.body),
 	}
 }
--- a/internal/traffic/front/server.go
+++ b/internal/traffic/front/server.go
@@ -12,6 +12,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
@@ -26,6 +27,9 @@
 	// orderBuffer holds the orders that the control thread may give an exchange
 	// before its goroutine takes one: a call, a stop and an end per attempt.
 	orderBuffer = 16
+	// bodyTimeout bounds the reading of a body, so that slow clients hold no
+	// connection. Clients wait some seconds for a whole answer.
+	bodyTimeout = 15 * time.Second
 	// defaultBodyLimit applies until a configuration is in force.
 	defaultBodyLimit = 4 << 20
 )
@@ -85,8 +89,16 @@
 	if r.Body == nil || r.ContentLength == 0 {
 		return nil, 0
 	}
+	rc := http.NewResponseController(w)
+	if err := rc.SetReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
+		s.Log.Warn().Err(err).Msg("the time for a request body is not bounded")
+	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	if err == nil {
+		// Only the body is bounded: its connection is read on to see the client leave.
+		if err := rc.SetReadDeadline(time.Time{}); err != nil {
+			s.Log.Warn().Err(err).Msg("the read deadline of a connection is not cleared")
+		}
 		return body, 0
 	}
 	if _, tooLarge := err.(*http.MaxBytesError); tooLarge {
@@ -144,13 +156,6 @@
 	}
 }
 
-// Open returns the number of requests in progress.
-func (s *Server) Open() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return len(s.open)
-}
-
 // fingerprint hashes what makes two requests the same work: the customer's key,
 // method, target and body.
 func fingerprint(r *http.Request, key table.KeyHash, body []byte) table.Fingerprint {
--- a/internal/traffic/upstream/pool.go
+++ b/internal/traffic/upstream/pool.go
@@ -36,8 +36,6 @@
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
-	// reused is true from the second request on.
-	reused bool
 	// until is when the connection must not be used any more.
 	until time.Time
 }
@@ -59,7 +57,6 @@
 			return nil
 		}
 		if time.Now().Before(c.until) && silent(c) {
-			c.reused = true
 			return c
 		}
 		c.Close()
@@ -90,16 +87,6 @@
 	p.idle[address] = append(p.idle[address], c)
 }
 
-// Forget closes the kept connections of an address.
-func (p *Pool) Forget(address string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, c := range p.idle[address] {
-		c.Close()
-	}
-	delete(p.idle, address)
-}
-
 // silent reports whether the peer has neither closed the connection nor sent
 // anything that no request asked for.
 func silent(c *conn) bool {
