intake: a deployment without customers needs no keys

Found by reading: the protocol asks for keys only if the configuration has customers; each request was refused with 401 otherwise. Test failed before.

--- a/internal/gateway/systems_test.go
+++ b/internal/gateway/systems_test.go
@@ -207,6 +207,20 @@
 	}
 }
 
+// Guards against a deployment without customers where every request is refused for
+// want of a key.
+func TestDeploymentWithoutCustomersNeedsNoKeys(t *testing.T) {
+	d := serving(t)
+	m := testManifest(2)
+	m.Customers = nil
+	d.step(event.ManifestSeen{Manifest: m})
+	a := d.arrival("/review/1")
+	a.HasKey, a.KeyHash = false, table.KeyHash{}
+	d.step(a)
+	require.Len(t, d.callsOf(a.Exchange), 1)
+	require.Empty(t, d.callsOf(a.Exchange)[0].Customer)
+}
+
 // Guards against a final refusal by a configuration that may be old because the
 // store does not answer.
 func TestUnknownKeyWhileStoreIsDownMayComeBack(t *testing.T) {
--- a/internal/system/intake/intake.go
+++ b/internal/system/intake/intake.go
@@ -93,7 +93,8 @@
 		return nil, unknown(w, table.CodeUnknownRoute, "no route for this host and path")
 	}
 	var customer table.CustomerID
-	if !r.Public {
+	if !r.Public && w.Prepaids.Len() > 0 {
+		// Without customers in the configuration no request carries a key.
 		owner := w.KeyOwners.Get(a.KeyHash)
 		if owner == nil || !a.HasKey {
 			return nil, unknown(w, table.CodeUnauthenticated, "the key is not known")
