--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -139,7 +139,7 @@
 		ReturnWait: returnWait, ClosingTime: closingTime,
 		Front: world.FrontParams{
 			RetryShare: g.settings.RetryShare * retryReserve, RetryBurst: g.settings.RetryBurst * retryReserve,
-			RouterCount: 1, Grace: g.settings.Grace, PeerAddress: peerAddress,
+			Grace: g.settings.Grace, PeerAddress: peerAddress,
 		},
 	}
 }
--- a/internal/gateway/systems_test.go
+++ b/internal/gateway/systems_test.go
@@ -37,7 +37,7 @@
 	d := &driver{t: t, systems: Systems(), now: table.Instant(time.Second), revision: 1, ledger: true}
 	d.w = world.New(world.Params{
 		Self: self, LeastDrain: 2 * time.Second, DrainTimeout: 8 * time.Second, ClosingTime: time.Second, ExplainLimit: 10,
-		Front: world.FrontParams{RetryShare: 0.2, RetryBurst: 4, RouterCount: 1, PeerAddress: "127.0.0.1:1"},
+		Front: world.FrontParams{RetryShare: 0.2, RetryBurst: 4, PeerAddress: "127.0.0.1:1"},
 	}, 1)
 	d.w.Fleet.Defaults.CrashLimit = crashLimit
 	d.step(event.PlatformState{Reachable: true})
--- a/internal/system/allowance/fleet_test.go
+++ b/internal/system/allowance/fleet_test.go
@@ -84,7 +84,7 @@
 	f.incarnation++
 	p := world.Params{
 		Self:  table.Process{Holder: table.Holder{Process: r.name, Incarnation: f.incarnation}},
-		Front: world.FrontParams{PeerAddress: string(r.name), RouterCount: 1},
+		Front: world.FrontParams{PeerAddress: string(r.name)},
 	}
 	r.world = world.New(p, uint64(f.incarnation))
 	r.world.PlatformUp = true
--- a/internal/system/allowance/ledger.go
+++ b/internal/system/allowance/ledger.go
@@ -88,7 +88,7 @@
 	w.Count("allowance.conflicts")
 	s.Conflicts++
 	if s.Conflicts > 1 {
-		longest := int64(conflictStep) * int64(max(1, w.Params.Front.RouterCount))
+		longest := int64(conflictStep) * int64(max(1, w.LimitShare.Routers))
 		s.NextTry = w.Now.Add(time.Duration(w.Rand.Int64N(longest)))
 	}
 }
@@ -117,7 +117,7 @@
 // takeOver sets the limits to what the ledger records.
 func takeOver(w *world.World) {
 	own := w.LimitShare.Content.Find(w.Self())
-	w.Params.Front.RouterCount = routers(&w.LimitShare.Content)
+	w.LimitShare.Routers = routers(&w.LimitShare.Content)
 	if own == nil && w.LimitShare.Closing {
 		// The closing write took effect, perhaps although its answer was lost.
 		w.LimitShare.Closed = true
@@ -200,7 +200,7 @@
 			now = true
 		}
 		if want := wanted(w, a, p); a.Free() < want/lowShare {
-			gain := limit(w, a, p, &s.Content, table.Tokens(max(1, w.Params.Front.RouterCount))) - a.Recorded
+			gain := limit(w, a, p, &s.Content, table.Tokens(max(1, w.LimitShare.Routers))) - a.Recorded
 			low = low || gain > want/gainShare
 		}
 		spent = spent || a.Net() != own.Entries[c].Spent
@@ -228,7 +228,7 @@
 
 // scaled returns an interval for the size of the fleet.
 func scaled(w *world.World, d time.Duration) time.Duration {
-	return max(d, d*time.Duration(w.Params.Front.RouterCount)/fleetUnit)
+	return max(d, d*time.Duration(w.LimitShare.Routers)/fleetUnit)
 }
 
 func dueAt(w *world.World, at table.Instant) bool {
--- a/internal/system/allowance/limits.go
+++ b/internal/system/allowance/limits.go
@@ -27,7 +27,7 @@
 func wanted(w *world.World, a *table.Account, p *table.Prepaid) table.Tokens {
 	decayDemand(w, a)
 	margin := max(p.Total/floorShare, table.Tokens(a.Demand*horizon.Seconds()+a.Mean))
-	parts := min(leastShare, marginShare+w.LimitShare.Content.Deaths) * max(1, w.Params.Front.RouterCount)
+	parts := min(leastShare, marginShare+w.LimitShare.Content.Deaths) * max(1, w.LimitShare.Routers)
 	share := max(0, remaining(w, a)) / table.Tokens(parts)
 	return min(margin, share)
 }
--- a/internal/system/attempt/attempt.go
+++ b/internal/system/attempt/attempt.go
@@ -127,7 +127,7 @@
 	if s == nil {
 		return false
 	}
-	burst := w.Params.Front.RetryBurst / float64(max(1, w.Params.Front.RouterCount))
+	burst := w.Params.Front.RetryBurst / float64(max(1, w.LimitShare.Routers))
 	if burst+s.RetryLevel < 1 {
 		w.Count("attempt.retry_budget_used_up")
 		return false
--- a/internal/table/account.go
+++ b/internal/table/account.go
@@ -133,6 +133,9 @@
 	// Unsure is true after a write without an answer, until a later call shows
 	// whether it took effect: it may still be carried out.
 	Unsure bool
+	// Routers is how many routers there are by the ledger, or 0 before it is known.
+	// They share the margins of each total and the retry budget.
+	Routers int
 	// Conflicts counts the writes in a row that lost against another router's.
 	Conflicts int
 	// Confirmed is when the last call that gave Content was sent.
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -57,8 +57,6 @@
 	// service, and RetryBurst what all routers together may repeat beyond that.
 	RetryShare float64
 	RetryBurst float64
-	// RouterCount is how many routers share RetryBurst, as far as is known.
-	RouterCount int
 	// Grace is the time between the order to stop and the end of the process.
 	Grace time.Duration
 	// PeerAddress is where other routers reach this one.
