--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -128,6 +128,16 @@
 	return p
 }
 
+// startOne starts a gateway with one endpoint of a service and a customer's total.
+func startOne(t *testing.T, service string, h http.HandlerFunc, total int) *process {
+	f := newTestFleet(t)
+	f.endpoint("i-"+service, service, h)
+	f.manifest(1, total)
+	p := f.start("edge-1")
+	p.awaitReady()
+	return p
+}
+
 // awaitReady waits until the balancer would send clients here.
 func (p *process) awaitReady() {
 	require.Eventually(p.t, func() bool {
@@ -294,11 +304,7 @@
 
 // Guards against a refusal for budget whose log does not show what was left.
 func TestLogExplainsRefusalForBudget(t *testing.T) {
-	f := newTestFleet(t)
-	f.endpoint("i-model", "model", streamed(0))
-	f.manifest(1, 5000)
-	p := f.start("edge-1")
-	p.awaitReady()
+	p := startOne(t, "model", streamed(0), 5000)
 	status, _, err := p.post("/review/1", "r-large", "9000,1000")
 	require.NoError(t, err)
 	require.Equal(t, http.StatusPaymentRequired, status)
@@ -311,11 +317,7 @@
 // Guards against a stream that ended early without a line that names the endpoint
 // and what happened there.
 func TestLogExplainsStreamThatEndedEarly(t *testing.T) {
-	f := newTestFleet(t)
-	f.endpoint("i-model", "model", cutStream)
-	f.manifest(1, 100_000)
-	p := f.start("edge-1")
-	p.awaitReady()
+	p := startOne(t, "model", cutStream, 100_000)
 	_, _, err := p.post("/review/1", "r-cut", "1000,100")
 	require.Error(t, err)
 	require.Eventually(t, func() bool { return len(p.log.of("r-cut")) == 4 }, time.Minute, time.Millisecond)
@@ -328,11 +330,7 @@
 // Guards against a booking with an unknown outcome whose log does not tell that
 // it was sent, where to, and that it was not sent again.
 func TestLogExplainsBookingWithUnknownOutcome(t *testing.T) {
-	f := newTestFleet(t)
-	f.endpoint("i-desk", "desk", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
-	f.manifest(1, 100_000)
-	p := f.start("edge-1")
-	p.awaitReady()
+	p := startOne(t, "desk", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, 100_000)
 	status, _, err := p.post("/booking/1", "r-booking", "")
 	require.NoError(t, err)
 	require.Equal(t, http.StatusBadGateway, status)
@@ -346,11 +344,7 @@
 
 // Guards against a log that carries a key, or a body.
 func TestLogCarriesNoSecrets(t *testing.T) {
-	f := newTestFleet(t)
-	f.endpoint("i-desk", "desk", ok)
-	f.manifest(1, 100_000)
-	p := f.start("edge-1")
-	p.awaitReady()
+	p := startOne(t, "desk", ok, 100_000)
 	_, _, err := p.post("/booking/1", "r-1", "")
 	require.NoError(t, err)
 	p.log.mu.Lock()
