gateway: log tests read the log after the process has ended

Cause: the lines of a request are written after its answer is handed over, by design, and three tests read the log right after the answer; TestLogCarriesNoSecrets could even pass over an empty log. They now end the process first, and the last one requires that the request was logged. 100 repetitions of the log tests beside four busy processes: 9 failures before, none after.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -150,6 +150,13 @@
 	}, time.Minute, 5*time.Millisecond)
 }
 
+// end stops the process. Its log is whole only then: a request's lines are written
+// after its answer is handed over, so that the log does not delay the answer.
+func (p *process) end() {
+	p.Shutdown()
+	require.NoError(p.t, <-p.done)
+}
+
 func (p *process) post(path, id, tokens string) (int, string, error) {
 	req, err := http.NewRequest(http.MethodPost, "http://"+p.settings.ClientAddress+path, strings.NewReader("body"))
 	require.NoError(p.t, err)
@@ -308,6 +315,7 @@
 	status, _, err := p.post("/review/1", "r-large", "9000,1000")
 	require.NoError(t, err)
 	require.Equal(t, http.StatusPaymentRequired, status)
+	p.end()
 	inputs := find(t, p.log.of("r-large"), "refused: the rest of the budget does not cover")
 	require.Equal(t, "10000", inputs["cost"])
 	require.Equal(t, "5000", inputs["remaining_at_most"])
@@ -334,6 +342,7 @@
 	status, _, err := p.post("/booking/1", "r-booking", "")
 	require.NoError(t, err)
 	require.Equal(t, http.StatusBadGateway, status)
+	p.end()
 	lines := p.log.of("r-booking")
 	require.Equal(t, "i-desk", find(t, lines, "sent")["endpoint"])
 	require.Contains(t, find(t, lines, "attempt ended: broken")["reason"], "read answer")
@@ -347,6 +356,8 @@
 	p := startOne(t, "desk", ok, 100_000)
 	_, _, err := p.post("/booking/1", "r-1", "")
 	require.NoError(t, err)
+	p.end()
+	require.NotEmpty(t, p.log.of("r-1"))
 	p.log.mu.Lock()
 	defer p.log.mu.Unlock()
 	require.NotContains(t, p.log.b.String(), "key-1")
