One piece each for what daemon and gateway both wrote

The gateway repeated parts of the daemon: drawing an incarnation (wire.NewIncarnation), dialing at most once per process (peering.Peers.Dial), turning a frame into an event (peering.Post) and waiting with a context, which the store's client had a third time (traffic/pause).

No decision changes. A daemon's wait for midnight that is called off now ends without evaluating the configuration once more.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/binary"
 	"net"
 	"net/http"
 	"sync"
@@ -21,6 +19,7 @@
 	"laburnumroad.dev/laburnumroad/internal/traffic/callerapi"
 	"laburnumroad.dev/laburnumroad/internal/traffic/engine"
 	"laburnumroad.dev/laburnumroad/internal/traffic/operatorapi"
+	"laburnumroad.dev/laburnumroad/internal/traffic/pause"
 	"laburnumroad.dev/laburnumroad/internal/traffic/peering"
 	"laburnumroad.dev/laburnumroad/internal/traffic/relay"
 	"laburnumroad.dev/laburnumroad/internal/traffic/runner"
@@ -103,16 +102,16 @@
 }
 
 func newSelf(o *Options, listened string) (table.Process, error) {
-	var b [8]byte
-	if _, err := rand.Read(b[:]); err != nil {
-		return table.Process{}, errors.Wrap(err, "draw an incarnation")
+	incarnation, err := wire.NewIncarnation()
+	if err != nil {
+		return table.Process{}, err
 	}
 	address := o.PeerAddress
 	if address == "" {
 		address = listened
 	}
 	return table.Process{
-		Holder: table.Holder{Process: o.ID, Incarnation: table.Incarnation(binary.BigEndian.Uint64(b[:]))},
+		Holder: table.Holder{Process: o.ID, Incarnation: incarnation},
 		Role:   o.Role, Region: o.Region, Domain: o.Domain, Address: address, State: table.ProcessLive,
 	}, nil
 }
@@ -298,21 +297,14 @@
 		d.start(func(ctx context.Context) {
 			for ctx.Err() == nil && len(d.metrics.current.Load().Processes) <= 1 {
 				_ = d.node.Dial(ctx, address)
-				wait(ctx, time.Second)
+				if pause.For(ctx, time.Second) != nil {
+					return
+				}
 			}
 		})
 	}
 }
 
-func wait(ctx context.Context, t time.Duration) {
-	timer := time.NewTimer(t)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // Shutdown starts the graceful end: no new work, work in progress finishes.
 func (d *Daemon) Shutdown() {
 	d.shutdown.Store(true)
--- a/internal/daemon/flush.go
+++ b/internal/daemon/flush.go
@@ -105,7 +105,7 @@
 
 func (d *Daemon) flushSessions(out *command.Outbox) {
 	for _, c := range out.Dials {
-		d.dial(c)
+		d.peers.Dial(d.ctx, d.node, c)
 	}
 	for i := range out.Heartbeats {
 		d.sendHeartbeat(&out.Heartbeats[i])
@@ -137,17 +137,6 @@
 	}
 }
 
-func (d *Daemon) dial(c command.Dial) {
-	if !d.peers.BeginDial(c.Process) {
-		return
-	}
-	go func() {
-		defer d.peers.EndDial(c.Process)
-		// Membership tries again; the state change of the process is the log line.
-		_ = d.node.Dial(d.ctx, c.Address)
-	}()
-}
-
 func (d *Daemon) flushMessages(out *command.Outbox) {
 	for i := range out.SliceRequests {
 		d.peers.Send(out.SliceRequests[i].To, wire.TypeSliceRequest, &out.SliceRequests[i].Request)
--- a/internal/daemon/receive.go
+++ b/internal/daemon/receive.go
@@ -4,6 +4,7 @@
 	"github.com/pkg/errors"
 
 	"laburnumroad.dev/laburnumroad/internal/event"
+	"laburnumroad.dev/laburnumroad/internal/traffic/peering"
 	"laburnumroad.dev/laburnumroad/internal/traffic/wire"
 )
 
@@ -12,7 +13,7 @@
 func (d *Daemon) receive(s *wire.Session, f wire.Frame) error {
 	switch f.Type {
 	case wire.TypeHeartbeat:
-		return post(d, f, func(h *event.Heartbeat) { h.Peer = s.Holder() })
+		return peering.Post(d.peers, f, func(h *event.Heartbeat) { h.Peer = s.Holder() })
 	case wire.TypeConfigRequest:
 		return d.sendConfig(s, f)
 	case wire.TypeConfigBody:
@@ -40,23 +41,23 @@
 		}
 		return err
 	case wire.TypeLookupResult:
-		return post(d, f, func(e *event.LookupResult) { e.Agent = from })
+		return peering.Post(d.peers, f, func(e *event.LookupResult) { e.Agent = from })
 	case wire.TypeFenceResult:
-		return post(d, f, func(e *event.FenceResult) { e.Agent = from })
+		return peering.Post(d.peers, f, func(e *event.FenceResult) { e.Agent = from })
 	case wire.TypeSliceRequest:
-		return post(d, f, func(e *event.SliceRequest) { e.From = from })
+		return peering.Post(d.peers, f, func(e *event.SliceRequest) { e.From = from })
 	case wire.TypeSliceGrant:
-		return post(d, f, func(e *event.SliceGrant) { e.From = from })
+		return peering.Post(d.peers, f, func(e *event.SliceGrant) { e.From = from })
 	case wire.TypeSliceReport:
-		return post(d, f, func(e *event.SliceReport) { e.From = from })
+		return peering.Post(d.peers, f, func(e *event.SliceReport) { e.From = from })
 	case wire.TypeKeyRecord:
-		return post(d, f, func(e *event.KeyRecord) { e.From = from })
+		return peering.Post(d.peers, f, func(e *event.KeyRecord) { e.From = from })
 	case wire.TypeKeyQuery:
-		return post(d, f, func(e *event.KeyQuery) { e.From = from })
+		return peering.Post(d.peers, f, func(e *event.KeyQuery) { e.From = from })
 	case wire.TypeKeyResult:
-		return post(d, f, func(*event.KeyResult) {})
+		return peering.Post(d.peers, f, func(*event.KeyResult) {})
 	case wire.TypeCrash:
-		return post(d, f, func(*event.Crash) {})
+		return peering.Post(d.peers, f, func(*event.Crash) {})
 	}
 	return errors.Errorf("unexpected message %s", f.Type)
 }
@@ -77,9 +78,9 @@
 		}
 		return err
 	case wire.TypeLookup:
-		return post(d, f, func(e *event.Lookup) { e.From = from })
+		return peering.Post(d.peers, f, func(e *event.Lookup) { e.From = from })
 	case wire.TypeFence:
-		return post(d, f, func(e *event.Fence) { e.From = from })
+		return peering.Post(d.peers, f, func(e *event.Fence) { e.From = from })
 	case wire.TypeDrain:
 		m, err := wire.Decode[wire.Drain](f)
 		if err == nil {
@@ -90,17 +91,6 @@
 	return errors.Errorf("unexpected message %s", f.Type)
 }
 
-// post decodes the body of a frame as an event, completes it and posts it.
-func post[E event.Event](d *Daemon, f wire.Frame, complete func(*E)) error {
-	e, err := wire.Decode[E](f)
-	if err != nil {
-		return err
-	}
-	complete(&e)
-	d.loop.Post(e)
-	return nil
-}
-
 func (d *Daemon) sendConfig(s *wire.Session, f wire.Frame) error {
 	request, err := wire.Decode[wire.ConfigRequest](f)
 	if err != nil {
--- a/internal/daemon/renew.go
+++ b/internal/daemon/renew.go
@@ -6,6 +6,7 @@
 
 	"laburnumroad.dev/laburnumroad/internal/event"
 	"laburnumroad.dev/laburnumroad/internal/fleetconfig"
+	"laburnumroad.dev/laburnumroad/internal/traffic/pause"
 )
 
 // renewExceptions evaluates the configuration in force again when the end date
@@ -14,7 +15,9 @@
 	for ctx.Err() == nil {
 		now := time.Now().UTC()
 		midnight := now.Truncate(24 * time.Hour).Add(24 * time.Hour)
-		wait(ctx, midnight.Sub(now))
+		if pause.For(ctx, midnight.Sub(now)) != nil {
+			return
+		}
 		d.renewAt(time.Now())
 	}
 }
--- a/internal/event/exchange.go
+++ b/internal/event/exchange.go
@@ -84,6 +84,13 @@
 	LongestGap time.Duration
 }
 
+// serverError is the first HTTP status by which an endpoint says that it failed.
+const serverError = 500
+
+// Failed reports whether the attempt brought no answer, or one that says that the
+// endpoint failed.
+func (e *DirectEnd) Failed() bool { return e.Status != DirectAnswered || e.Code >= serverError }
+
 // ManifestSeen carries a configuration of the HTTP front.
 type ManifestSeen struct{ Manifest table.Manifest }
 
--- a/internal/gateway/flush.go
+++ b/internal/gateway/flush.go
@@ -7,6 +7,7 @@
 	"laburnumroad.dev/laburnumroad/internal/command"
 	"laburnumroad.dev/laburnumroad/internal/event"
 	"laburnumroad.dev/laburnumroad/internal/table"
+	"laburnumroad.dev/laburnumroad/internal/traffic/peering"
 	"laburnumroad.dev/laburnumroad/internal/traffic/wire"
 )
 
@@ -39,7 +40,7 @@
 
 func (g *Gateway) flushPeers(out *command.Outbox) {
 	for _, c := range out.Dials {
-		g.dial(c)
+		g.peers.Dial(g.ctx, g.node, c)
 	}
 	for i := range out.Allowances {
 		g.sendAll(wire.TypeAllowance, &out.Allowances[i].Allowance)
@@ -78,47 +79,24 @@
 	}
 }
 
-func (g *Gateway) dial(c command.Dial) {
-	if !g.peers.BeginDial(c.Process) {
-		return
-	}
-	go func() {
-		defer g.peers.EndDial(c.Process)
-		if err := g.node.Dial(g.ctx, c.Address); err != nil {
-			g.log.Debug().Str("router", string(c.Process)).Err(err).Msg("router not reached")
-		}
-	}()
-}
-
 // receive turns a frame of another router into an event. The sender's identity
 // comes from the session, never from the message.
 func (g *Gateway) receive(s *wire.Session, f wire.Frame) error {
 	switch f.Type {
 	case wire.TypeAllowance:
-		return post(g, f, func(e *event.Allowance) { e.From = s.Holder() })
+		return peering.Post(g.peers, f, func(e *event.Allowance) { e.From = s.Holder() })
 	case wire.TypeTransferRequest:
-		return post(g, f, func(e *event.TransferRequest) { e.From = s.Holder() })
+		return peering.Post(g.peers, f, func(e *event.TransferRequest) { e.From = s.Holder() })
 	case wire.TypeTransfer:
-		return post(g, f, func(e *event.Transfer) { e.From = s.Holder() })
+		return peering.Post(g.peers, f, func(e *event.Transfer) { e.From = s.Holder() })
 	case wire.TypeLedgerChange:
-		return post(g, f, func(*event.LedgerChange) {})
+		return peering.Post(g.peers, f, func(*event.LedgerChange) {})
 	case wire.TypeCrash:
-		return post(g, f, func(*event.Crash) {})
+		return peering.Post(g.peers, f, func(*event.Crash) {})
 	}
 	return errors.Errorf("unexpected message %s", f.Type)
 }
 
-// post decodes the body of a frame as an event, completes it and posts it.
-func post[E event.Event](g *Gateway, f wire.Frame, complete func(*E)) error {
-	e, err := wire.Decode[E](f)
-	if err != nil {
-		return err
-	}
-	complete(&e)
-	g.loop.Post(e)
-	return nil
-}
-
 func (g *Gateway) writeLimits(c command.WriteLimits) {
 	answer := g.store.WriteLimits(g.ctx, c.Revision, &c.Content)
 	if answer.Status != event.CallOK {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -4,8 +4,6 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/binary"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -97,12 +95,12 @@
 		metrics: newMetrics(),
 	}
 	g.ctx, g.cancel = context.WithCancel(context.Background())
-	var b [8]byte
-	if _, err := rand.Read(b[:]); err != nil {
-		return nil, errors.Wrap(err, "draw an incarnation")
+	incarnation, err := wire.NewIncarnation()
+	if err != nil {
+		return nil, err
 	}
 	g.self = table.Process{
-		Holder: table.Holder{Process: table.ProcessID(s.Name), Incarnation: table.Incarnation(binary.BigEndian.Uint64(b[:]))},
+		Holder: table.Holder{Process: table.ProcessID(s.Name), Incarnation: incarnation},
 		Role:   table.RoleRouter, Region: s.Region, Domain: s.Domain, State: table.ProcessLive,
 	}
 	peerListener, err := listenPeers(s)
@@ -160,6 +158,9 @@
 func (g *Gateway) servePeers(l net.Listener) {
 	g.peers = peering.New(g.loop.Post)
 	g.peers.Receive = g.receive
+	g.peers.Unreached = func(id table.ProcessID, err error) {
+		g.log.Debug().Str("router", string(id)).Err(err).Msg("router not reached")
+	}
 	g.node = &wire.Node{Hello: g.hello, Handler: g.peers, Handshake: peerHandshake, Idle: peerIdle}
 	go func() {
 		if err := g.node.Serve(l); !errors.Is(err, net.ErrClosed) {
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -9,6 +9,7 @@
 
 	"laburnumroad.dev/laburnumroad/internal/event"
 	"laburnumroad.dev/laburnumroad/internal/table"
+	"laburnumroad.dev/laburnumroad/internal/traffic/pause"
 	"laburnumroad.dev/laburnumroad/platform"
 )
 
@@ -34,64 +35,60 @@
 }
 
 func (f *follower) run(ctx context.Context) {
-	pause := firstPause
+	delay := firstPause
 	for ctx.Err() == nil {
 		objects, at, err := f.g.store.List(ctx, f.kind)
 		if err == nil {
 			f.g.reached(true)
 			f.listed(objects)
-			pause = firstPause
+			delay = firstPause
 			err = f.watch(ctx, at)
 		}
 		if errors.Is(err, platform.ErrCompacted) || ctx.Err() != nil {
 			f.g.log.Info().Str("kind", f.kind).Msg("history is gone; listing again")
 			continue
 		}
-		f.g.reached(false)
 		f.g.log.Info().Str("kind", f.kind).Err(err).Msg("list failed")
-		wait(ctx, pause/2+rand.N(pause/2))
-		pause = min(2*pause, longestPause)
+		delay = f.failed(ctx, delay)
 	}
 }
 
 // watch follows the changes until the history is gone or the list must be read
 // again. A call that failed is repeated from the same revision.
 func (f *follower) watch(ctx context.Context, at uint64) error {
-	pause := firstPause
+	delay := firstPause
 	for ctx.Err() == nil {
 		changes, next, err := f.g.store.Watch(ctx, f.kind, at, watchWait)
 		if errors.Is(err, platform.ErrCompacted) {
 			return err
 		}
 		if err != nil {
-			f.g.reached(false)
-			wait(ctx, pause/2+rand.N(pause/2))
-			pause = min(2*pause, longestPause)
+			delay = f.failed(ctx, delay)
 			continue
 		}
 		f.g.reached(true)
-		pause = firstPause
+		delay = firstPause
 		at = next
 		if len(changes) > 0 {
 			f.changed(changes)
-			wait(ctx, changesPause)
+			// The loop's condition sees an end of the context.
+			_ = pause.For(ctx, changesPause)
 		}
 	}
 	return ctx.Err()
 }
 
+// failed waits after a failed call, and returns the delay after the next one.
+func (f *follower) failed(ctx context.Context, delay time.Duration) time.Duration {
+	f.g.reached(false)
+	// The callers' loops see an end of the context.
+	_ = pause.For(ctx, delay/2+rand.N(delay/2))
+	return min(2*delay, longestPause)
+}
+
 // reached tells the control thread whether the store answered.
 func (g *Gateway) reached(ok bool) { g.loop.Post(event.PlatformState{Reachable: ok}) }
 
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 func (g *Gateway) watchConfig(ctx context.Context) {
 	f := &follower{
 		g: g, kind: platform.KindConfig,
--- a/internal/system/attempt/attempt.go
+++ b/internal/system/attempt/attempt.go
@@ -28,8 +28,6 @@
 	// timeoutRetry is what a client is told when the route's timeout passed
 	// before its request was sent.
 	timeoutRetry = 100 * time.Millisecond
-	// serverError is the first HTTP status by which an endpoint says that it failed.
-	serverError = 500
 )
 
 // Run handles what attempts and clients did in this tick, and what is due.
@@ -78,7 +76,7 @@
 func follow(w *world.World, x *table.Exchange, e *event.DirectEnd) {
 	x.Tried = append(x.Tried, x.Endpoint)
 	x.LastFailure = e.Reason
-	failed := e.Status != event.DirectAnswered || e.Code >= serverError
+	failed := e.Failed()
 	explain(w, x, "attempt ended: "+e.Status.String(), e)
 	if failed && again(w, x, e) {
 		w.Count("attempt.repeated")
--- a/internal/system/health/health.go
+++ b/internal/system/health/health.go
@@ -115,7 +115,7 @@
 	case e.Misdirected:
 		w.Change("endpoint", string(row.ID), "live", "leaving", "another endpoint answers at its address")
 		row.Leaving = true
-	case e.Status == event.DirectAnswered && e.Code < 500:
+	case !e.Failed():
 		row.FailureRate -= failureShare * row.FailureRate
 		if row.Failures > 0 {
 			w.Change("endpoint", string(row.ID), "suspect", "live", "an attempt succeeded")
--- a/internal/traffic/peering/peering.go
+++ b/internal/traffic/peering/peering.go
@@ -2,8 +2,10 @@
 package peering
 
 import (
+	"context"
 	"sync"
 
+	"laburnumroad.dev/laburnumroad/internal/command"
 	"laburnumroad.dev/laburnumroad/internal/event"
 	"laburnumroad.dev/laburnumroad/internal/table"
 	"laburnumroad.dev/laburnumroad/internal/traffic/wire"
@@ -18,6 +20,8 @@
 	Receive func(s *wire.Session, f wire.Frame) error
 	// Ended, if set, is called after a session has ended.
 	Ended func(s *wire.Session)
+	// Unreached, if set, is called after a dial that opened no session.
+	Unreached func(id table.ProcessID, err error)
 
 	mu       sync.Mutex
 	sessions map[table.ProcessID]*wire.Session
@@ -99,8 +103,23 @@
 	return s.Send(t, body)
 }
 
-// BeginDial reports whether a dial to id may start.
-func (p *Peers) BeginDial(id table.ProcessID) bool {
+// Dial opens a session with a process in the background, unless one is open or
+// being opened. The systems try again and explain what they make of a process
+// that is not reached.
+func (p *Peers) Dial(ctx context.Context, node *wire.Node, c command.Dial) {
+	if !p.beginDial(c.Process) {
+		return
+	}
+	go func() {
+		defer p.endDial(c.Process)
+		if err := node.Dial(ctx, c.Address); err != nil && p.Unreached != nil {
+			p.Unreached(c.Process, err)
+		}
+	}()
+}
+
+// beginDial reports whether a dial to id may start.
+func (p *Peers) beginDial(id table.ProcessID) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.dialing[id] || p.sessions[id] != nil {
@@ -110,9 +129,20 @@
 	return true
 }
 
-// EndDial ends what BeginDial began.
-func (p *Peers) EndDial(id table.ProcessID) {
+// endDial ends what beginDial began.
+func (p *Peers) endDial(id table.ProcessID) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.dialing, id)
 }
+
+// Post decodes the body of a frame as an event, completes it and posts it.
+func Post[E event.Event](p *Peers, f wire.Frame, complete func(*E)) error {
+	e, err := wire.Decode[E](f)
+	if err != nil {
+		return err
+	}
+	complete(&e)
+	p.Post(e)
+	return nil
+}
--- a/internal/traffic/store/process.go
+++ b/internal/traffic/store/process.go
@@ -11,6 +11,7 @@
 	"laburnumroad.dev/laburnumroad/internal/command"
 	"laburnumroad.dev/laburnumroad/internal/event"
 	"laburnumroad.dev/laburnumroad/internal/table"
+	"laburnumroad.dev/laburnumroad/internal/traffic/pause"
 	"laburnumroad.dev/laburnumroad/platform"
 )
 
@@ -39,7 +40,7 @@
 			s.post(event.Registered{Start: p.Start, First: first})
 			return
 		}
-		if sleep(ctx, delay) != nil {
+		if pause.For(ctx, delay) != nil {
 			return
 		}
 	}
@@ -90,7 +91,7 @@
 		if !errors.Is(err, platform.ErrConflict) {
 			return start, err
 		}
-		if err := sleep(ctx, rand.N(startJitter)); err != nil {
+		if err := pause.For(ctx, rand.N(startJitter)); err != nil {
 			return 0, err
 		}
 	}
@@ -159,14 +160,3 @@
 	}
 	return list
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-t.C:
-		return nil
-	}
-}
--- a/internal/traffic/store/watch.go
+++ b/internal/traffic/store/watch.go
@@ -9,6 +9,7 @@
 
 	"laburnumroad.dev/laburnumroad/internal/event"
 	"laburnumroad.dev/laburnumroad/internal/table"
+	"laburnumroad.dev/laburnumroad/internal/traffic/pause"
 	"laburnumroad.dev/laburnumroad/platform"
 )
 
@@ -37,7 +38,7 @@
 			continue
 		}
 		if s.status(err) != event.CallOK {
-			if sleep(ctx, delay) != nil {
+			if pause.For(ctx, delay) != nil {
 				return
 			}
 			delay = min(2*delay, lastRetry)
@@ -107,7 +108,7 @@
 func (s *Store) WatchMembers(ctx context.Context) {
 	for {
 		s.readMembers(ctx)
-		if sleep(ctx, membersInterval) != nil {
+		if pause.For(ctx, membersInterval) != nil {
 			return
 		}
 	}
--- a/internal/traffic/wire/message.go
+++ b/internal/traffic/wire/message.go
@@ -1,8 +1,12 @@
 package wire
 
 import (
+	"crypto/rand"
+	"encoding/binary"
 	"strconv"
 
+	"github.com/pkg/errors"
+
 	"laburnumroad.dev/laburnumroad/internal/event"
 	"laburnumroad.dev/laburnumroad/internal/table"
 )
@@ -10,6 +14,15 @@
 // Version is the protocol version. Peers with another one are refused.
 const Version = 1
 
+// NewIncarnation draws the incarnation of a process that starts.
+func NewIncarnation() (table.Incarnation, error) {
+	var b [8]byte
+	if _, err := rand.Read(b[:]); err != nil {
+		return 0, errors.Wrap(err, "draw an incarnation")
+	}
+	return table.Incarnation(binary.BigEndian.Uint64(b[:])), nil
+}
+
 // Type tells the messages apart.
 type Type uint8
 
