gateway: changes of the platform's lists are collected for 500 ms

Cause: each change of the list of endpoints or of the configuration ends the watches of all routers.

Change: the pause after changes is 500 ms instead of 150 ms. The bound for a configuration in force is two seconds.

--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -18,8 +18,9 @@
 	// silent without a reset, so it bounds how late a change can be seen then.
 	watchWait = 2500 * time.Millisecond
 	// changesPause is the pause after changes, so that several changes within a
-	// short time cost one call. Changes must be in force within two seconds.
-	changesPause = 150 * time.Millisecond
+	// short time cost one call of each router. Changes must be in force within two
+	// seconds, and half a second leaves time for a slow call.
+	changesPause = 500 * time.Millisecond
 	// firstPause and longestPause bound the pause after a failed call.
 	firstPause   = 30 * time.Millisecond
 	longestPause = 400 * time.Millisecond
