A fault soak over real gateway processes on loopback

Three gateways as processes, stand-ins of endpoints behind loopback proxies of ours, the stand-in of the platform's store behind another one for each process. Faults by seed, alone and overlapping: kills, pauses, ends by SIGTERM, all processes killed at once; links that delay, reset, fall silent in one direction or both; endpoints that fail, decline, break off, lose answers or are slow; the store down, silent, slow, losing answers or its history; top-ups. Promises are checked from what endpoints and clients saw: spend, bookings that run once, refusals that say "not run", whole answers, processes that end by themselves, service on every process after the faults.

--- a/Makefile
+++ b/Makefile
@@ -1,11 +1,11 @@
 # Targets: test (all checks), quickstart (a small fleet on loopback), bench, generate,
-# property (fresh cases of the budget's fault property).
+# property (fresh cases of the budget's fault property), soak (faults on processes).
 
 PACKAGES := ./...
 # rapid takes its seed from this value, so that each run draws the same cases.
 RAPID_SEED := 20261204
 
-.PHONY: all test fmt vet lint unit build quickstart bench generate property regressions
+.PHONY: all test fmt vet lint unit build quickstart bench generate property regressions soak
 
 all: build
 
@@ -51,6 +51,14 @@
 	go test -count=1 -timeout 2h -run TestNoOverspendOfLimits ./internal/system/allowance \
 		-rapid.checks=$(CASES) -rapid.seed=$(SEED) -rapid.nofailfile
 
+# Plays faults on real gateway processes; SOAK_SEED and SOAK_SECONDS choose the run,
+# SOAK_LOGS a directory for the processes' logs.
+SOAK_SEED := $(SEED)
+SOAK_SECONDS := 60
+soak:
+	SOAK_SEED=$(SOAK_SEED) SOAK_SECONDS=$(SOAK_SECONDS) SOAK_LOGS=$(SOAK_LOGS) \
+		go test -count=1 -v -timeout 1h -run TestPromisesUnderFaults ./internal/soak
+
 generate:
 	cd tools/buf && go build -o ../../bin/buf github.com/bufbuild/buf/cmd/buf
 	bin/buf generate
