gateway: spans of requests and attempts; log lines on the ledger's writer and on limits left by dead routers

Spans: laburnumroadd gateway -trace takes none (default), stdout, a file or the URL of an OTLP receiver, as the daemon's setting does; both use the package internal/traffic/tracing. A request has a span, each attempt one below it.

Logs: who was refused for budget after routers died finds the limits that they left, by customer, and what they had recorded as spent. Which router writes the ledger for this one, and that it stopped, is said when it changes.

--- a/cmd/laburnumroadd/gateway.go
+++ b/cmd/laburnumroadd/gateway.go
@@ -17,14 +17,15 @@
 )
 
 // gatewayCommand runs a router on the users' platform.
-type gatewayCommand struct{ file string }
+type gatewayCommand struct{ file, trace string }
 
 func (*gatewayCommand) Name() string     { return "gateway" }
 func (*gatewayCommand) Synopsis() string { return "run a router on the users' platform" }
-func (*gatewayCommand) Usage() string    { return "gateway [-settings FILE]\n" }
+func (*gatewayCommand) Usage() string    { return "gateway [-settings FILE] [-trace OUTPUT]\n" }
 
 func (c *gatewayCommand) SetFlags(f *flag.FlagSet) {
 	f.StringVar(&c.file, "settings", os.Getenv(platform.SettingsVariable), "settings file of the platform")
+	f.StringVar(&c.trace, "trace", "none", "output of OpenTelemetry spans: none, stdout, a file, or the URL of an OTLP receiver")
 }
 
 func (c *gatewayCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
@@ -48,7 +49,7 @@
 }
 
 func (c *gatewayCommand) run(s *platform.Settings, log zerolog.Logger) error {
-	g, err := gateway.New(s, log)
+	g, err := gateway.New(s, log, c.trace)
 	if err != nil {
 		return err
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -24,6 +24,7 @@
 	"laburnumroad.dev/laburnumroad/internal/traffic/relay"
 	"laburnumroad.dev/laburnumroad/internal/traffic/runner"
 	"laburnumroad.dev/laburnumroad/internal/traffic/store"
+	"laburnumroad.dev/laburnumroad/internal/traffic/tracing"
 	"laburnumroad.dev/laburnumroad/internal/traffic/wire"
 	"laburnumroad.dev/laburnumroad/internal/world"
 	"laburnumroad.dev/laburnumroad/platform"
@@ -80,7 +81,7 @@
 	}
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	var err error
-	if d.tracer, d.trace, err = newTracer(d.ctx, &opts); err != nil {
+	if d.tracer, d.trace, err = tracing.New(d.ctx, opts.Trace, opts.Role.String(), string(opts.ID)); err != nil {
 		return nil, err
 	}
 	listener, err := net.Listen("tcp", opts.PeerListen)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"laburnumroad.dev/laburnumroad/internal/table"
 	"laburnumroad.dev/laburnumroad/internal/traffic/front"
 	"laburnumroad.dev/laburnumroad/internal/traffic/peering"
+	"laburnumroad.dev/laburnumroad/internal/traffic/tracing"
 	"laburnumroad.dev/laburnumroad/internal/traffic/upstream"
 	"laburnumroad.dev/laburnumroad/internal/traffic/wire"
 	"laburnumroad.dev/laburnumroad/internal/world"
@@ -77,7 +78,9 @@
 	peers    *peering.Peers
 	node     *wire.Node
 
-	metrics  *metrics
+	metrics *metrics
+	// endTrace flushes and closes the output of spans.
+	endTrace func(context.Context)
 	servers  []*http.Server
 	ready    atomic.Bool
 	ctx      context.Context
@@ -87,8 +90,9 @@
 	once     sync.Once
 }
 
-// New opens the gateway's listeners. Run serves them.
-func New(s *platform.Settings, log zerolog.Logger) (*Gateway, error) {
+// New opens the gateway's listeners. Run serves them. Spans go to the target trace,
+// see package tracing.
+func New(s *platform.Settings, log zerolog.Logger, trace string) (*Gateway, error) {
 	g := &Gateway{
 		settings: s, log: log, clock: control.MonotonicClock(), pool: upstream.NewPool(),
 		store: platform.New("http://"+s.StoreAddress, platform.Options{Timeout: storeTimeout}), finished: make(chan struct{}),
@@ -113,6 +117,9 @@
 	g.loop.Publish = g.publish
 	g.servePeers(peerListener)
 	g.front = &front.Server{Post: g.loop.Post, Codec: platform.Headers{}, Pool: g.pool, Log: log}
+	if g.front.Tracer, g.endTrace, err = tracing.New(g.ctx, trace, "gateway", s.Name); err != nil {
+		return nil, err
+	}
 	if err := g.serve(s.ClientAddress, g.front); err != nil {
 		return nil, errors.Wrap(err, "listen for clients")
 	}
@@ -268,6 +275,7 @@
 		}
 	}
 	g.node.Close(ctx)
+	g.endTrace(ctx)
 	g.cancel()
 	g.wg.Wait()
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -9,6 +9,8 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"testing"
@@ -27,6 +29,8 @@
 	store *fake.Platform
 	url   string
 	api   *platform.Client
+	// trace is where the gateways write spans.
+	trace string
 }
 
 func newTestFleet(t *testing.T) *fleet {
@@ -120,7 +124,7 @@
 		FirstPort: port, LastPort: port, StoreAddress: strings.TrimPrefix(f.url, "http://"),
 	}
 	book := &logBook{}
-	g, err := New(s, zerolog.New(book))
+	g, err := New(s, zerolog.New(book), f.trace)
 	require.NoError(f.t, err)
 	p := &process{Gateway: g, t: f.t, log: book, done: make(chan error, 1)}
 	go func() { p.done <- g.Run() }()
@@ -380,3 +384,32 @@
 	require.NoError(t, w.Close())
 	<-ctx.Done()
 }
+
+// Guards against a trace that does not lead from a request to its attempts.
+func TestSpansOfARequestAndItsAttempts(t *testing.T) {
+	f := newTestFleet(t)
+	f.trace = filepath.Join(t.TempDir(), "spans.json")
+	f.endpoint("i-desk", "desk", ok)
+	f.manifest(1, 100_000)
+	p := f.start("edge-1")
+	p.awaitReady()
+	_, _, err := p.post("/booking/1", "r-1", "")
+	require.NoError(t, err)
+	p.end()
+	text, err := os.ReadFile(f.trace)
+	require.NoError(t, err)
+	type span struct {
+		Name        string
+		SpanContext struct{ SpanID, TraceID string }
+		Parent      struct{ SpanID, TraceID string }
+	}
+	spans := map[string]span{}
+	for d := json.NewDecoder(bytes.NewReader(text)); d.More(); {
+		var s span
+		require.NoError(t, d.Decode(&s))
+		spans[s.Name] = s
+	}
+	require.Equal(t, spans["gateway.request"].SpanContext, spans["gateway.attempt"].Parent)
+	require.Contains(t, string(text), "i-desk")
+	require.NotContains(t, string(text), "key-1")
+}
--- a/internal/system/allowance/fleet_test.go
+++ b/internal/system/allowance/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -41,6 +42,8 @@
 	loseNext    lost
 	incarnation table.Incarnation
 	next        table.ExchangeID
+	// changes are what the routers logged of their state.
+	changes []command.Change
 	// refused counts refusals by code.
 	refused map[table.Code]int
 	served  int
@@ -206,6 +209,7 @@
 }
 
 func (f *fleet) flush(r *router, out *command.Outbox) {
+	f.changes = append(f.changes, out.Changes...)
 	for _, c := range out.LimitWrites {
 		f.open = append(f.open, openWrite{r, r.world.Self(), c, f.now.Add(writeTime)})
 	}
@@ -669,3 +673,35 @@
 	require.Equal(t, table.Tokens(2000), s.Content.Find(f.routers[0].world.Self()).Entries[customer].Limit)
 	require.Empty(t, s.Later)
 }
+
+// Guards against tokens that are lost with a router and of which no log tells: a
+// customer that is refused for budget asks where they went.
+func TestLimitsOfDeadRoutersAreLogged(t *testing.T) {
+	f := newFleet(14, 2, 100_000)
+	f.steady(2 * time.Second)
+	r := f.routers[1]
+	f.kill(r)
+	f.start(r)
+	f.run(time.Second)
+	i := slices.IndexFunc(f.changes, func(c command.Change) bool { return c.Subject == "limit" && c.To == "closed" })
+	require.GreaterOrEqual(t, i, 0)
+	require.Equal(t, string(customer), f.changes[i].ID)
+	require.Contains(t, f.changes[i].Reason, "left by r1, which had recorded")
+}
+
+// Guards against a fleet whose log does not tell which router writes the ledger, and
+// that one stopped doing so.
+func TestWriterOfTheLedgerIsLogged(t *testing.T) {
+	f := newFleet(15, 3, 1_000_000)
+	f.steady(4 * time.Second)
+	f.routers[0].cutStore = true
+	f.steady(8 * time.Second)
+	has := func(from, to string) bool {
+		return slices.ContainsFunc(f.changes, func(c command.Change) bool {
+			return c.Subject == "ledger" && c.ID == "writer" && c.From == from && c.To == to
+		})
+	}
+	require.True(t, has("", "r0"))
+	require.True(t, has("r0", ""))
+	require.True(t, has("", "r1"))
+}
--- a/internal/system/allowance/ledger.go
+++ b/internal/system/allowance/ledger.go
@@ -90,9 +90,23 @@
 	}
 	step := s.Content.StepTo(&e.Content)
 	step.Previous, step.Revision = s.CalledRevision, e.Revision
+	for _, h := range step.Removed {
+		explainClosed(w, s.Content.Find(h))
+	}
 	w.Out.LedgerChanges = append(w.Out.LedgerChanges, command.SendLedgerChange{Change: event.LedgerChange{LedgerStep: step}})
 }
 
+// explainClosed tells what a router left behind that did not close its entry: what
+// it had not recorded as spent may be lost to its customers.
+func explainClosed(w *world.World, h *table.LimitHolder) {
+	if h.Holder == w.Self() {
+		return
+	}
+	for c, e := range h.Entries {
+		w.Change("limit", string(c), amount(e.Limit), "closed", "left by "+string(h.Process)+", which had recorded "+amount(e.Spent)+" as spent")
+	}
+}
+
 // conflict spreads the next writes of the routers that lost against another one.
 // The first conflict of a router in a small fleet costs no delay: few others are
 // likely to try again at the same time.
--- a/internal/system/allowance/requests.go
+++ b/internal/system/allowance/requests.go
@@ -67,6 +67,9 @@
 	if !dueFor(w, n.urgency, max(s.WrittenAt, s.RequestedAt), lowInterval, spentInterval) {
 		return true
 	}
+	if s.RequestedOf != writer.Holder {
+		w.Change("ledger", "writer", string(s.RequestedOf.Process), string(writer.Process), "it has the least name of the connected routers")
+	}
 	s.Requested, s.RequestedUrgent, s.RequestedAt, s.RequestedOf = true, urgent, w.Now, writer.Holder
 	w.Out.LimitRequests = append(w.Out.LimitRequests, command.SendLimitRequest{
 		To: writer.Holder, Request: event.LimitRequest{
@@ -84,7 +87,9 @@
 	s.Requested = false
 	if p := w.AllowancePeers.Get(s.RequestedOf.Process); p != nil && p.Holder == s.RequestedOf {
 		p.NoRequestsUntil = w.Now.Add(avoidTime)
+		w.Change("ledger", "writer", string(p.Process), "", "it did not write within "+w.Now.Sub(s.RequestedAt).String())
 	}
+	s.RequestedOf = table.Holder{}
 	w.Count("allowance.requests_unanswered")
 }
 
--- a/internal/traffic/front/exchange.go
+++ b/internal/traffic/front/exchange.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
 
 	"laburnumroad.dev/laburnumroad/internal/command"
 	"laburnumroad.dev/laburnumroad/internal/event"
@@ -33,6 +35,8 @@
 	info   Request
 	body   []byte
 	orders chan order
+	// trace holds the request's span.
+	trace context.Context
 
 	// answer is the last whole answer that is not passed on as it comes.
 	answer *answer
@@ -67,10 +71,12 @@
 func (x *exchange) serve() {
 	for o := range x.orders {
 		if o.finish != nil {
+			trace.SpanFromContext(x.trace).SetAttributes(
+				attribute.String("code", string(o.finish.Outcome.Code)), attribute.String("reason", o.finish.Outcome.Reason))
 			x.finish(o.finish)
 			return
 		}
-		end := x.run(o.call)
+		end := x.attemptWithSpan(o.call)
 		end.Exchange, end.Attempt = x.id, o.call.Attempt
 		end.Events, end.Begun = x.events, x.begun
 		x.server.Post(end)
@@ -88,7 +94,7 @@
 }
 
 func (x *exchange) context(attempt int) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancel(x.trace)
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.attempt, x.cancel = attempt, cancel
@@ -98,10 +104,20 @@
 	return ctx, cancel
 }
 
-// run makes one attempt and tells how it ended.
-func (x *exchange) run(c *command.CallEndpoint) event.DirectEnd {
+// attemptWithSpan makes one attempt below a span of its own.
+func (x *exchange) attemptWithSpan(c *command.CallEndpoint) event.DirectEnd {
 	ctx, cancel := x.context(c.Attempt)
 	defer cancel()
+	ctx, span := x.server.Tracer.Start(ctx, "gateway.attempt", trace.WithSpanKind(trace.SpanKindClient),
+		trace.WithAttributes(attribute.String("endpoint", string(c.Endpoint)), attribute.Int("attempt", c.Attempt)))
+	defer span.End()
+	end := x.run(ctx, c)
+	span.SetAttributes(attribute.String("status", end.Status.String()), attribute.String("reason", end.Reason))
+	return end
+}
+
+// run makes one attempt and tells how it ended.
+func (x *exchange) run(ctx context.Context, c *command.CallEndpoint) event.DirectEnd {
 	lastEvent := ""
 	if x.begun {
 		lastEvent = x.lastEvent
--- a/internal/traffic/front/front_test.go
+++ b/internal/traffic/front/front_test.go
@@ -21,6 +21,7 @@
 	"laburnumroad.dev/laburnumroad/internal/event"
 	"laburnumroad.dev/laburnumroad/internal/table"
 	"laburnumroad.dev/laburnumroad/internal/traffic/front"
+	"laburnumroad.dev/laburnumroad/internal/traffic/tracing"
 	"laburnumroad.dev/laburnumroad/internal/traffic/upstream"
 	"laburnumroad.dev/laburnumroad/platform"
 )
@@ -119,7 +120,7 @@
 
 func start(t *testing.T, stream bool, endpoints ...*endpoint) *controller {
 	c := &controller{endpoints: endpoints, stream: stream, gone: make(chan table.ExchangeID, 16)}
-	c.server = &front.Server{Codec: platform.Headers{}, Pool: upstream.NewPool(), Log: zerolog.Nop(), Post: c.post}
+	c.server = &front.Server{Tracer: tracing.Off(), Codec: platform.Headers{}, Pool: upstream.NewPool(), Log: zerolog.Nop(), Post: c.post}
 	s := httptest.NewServer(c.server)
 	t.Cleanup(s.Close)
 	c.url = s.URL
--- a/internal/traffic/front/server.go
+++ b/internal/traffic/front/server.go
@@ -16,6 +16,8 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
 
 	"laburnumroad.dev/laburnumroad/internal/command"
 	"laburnumroad.dev/laburnumroad/internal/event"
@@ -40,6 +42,8 @@
 	Codec Codec
 	Pool  *upstream.Pool
 	Log   zerolog.Logger
+	// Tracer takes a span for each request and each attempt.
+	Tracer trace.Tracer
 
 	// BodyLimit is the most bytes of a request's body; 0 means a default.
 	BodyLimit atomic.Int64
@@ -72,6 +76,11 @@
 	}
 	x := s.enter(w, r, info, body)
 	defer s.leave(x)
+	var span trace.Span
+	// An order to end it is the only end of an attempt's context, not the client's.
+	x.trace, span = s.Tracer.Start(context.WithoutCancel(r.Context()), "gateway.request", trace.WithSpanKind(trace.SpanKindServer),
+		trace.WithAttributes(attribute.String("request", info.ID)))
+	defer span.End()
 	defer context.AfterFunc(r.Context(), func() { s.Post(event.ClientGone{Exchange: x.id}) })()
 	s.Post(x.arrival())
 	x.serve()
--- a/internal/daemon/trace.go
+++ b/internal/traffic/tracing/tracing.go
@@ -1,4 +1,5 @@
-package daemon
+// Package tracing opens the output of OpenTelemetry spans.
+package tracing
 
 import (
 	"context"
@@ -16,21 +17,21 @@
 	"go.opentelemetry.io/otel/trace/noop"
 )
 
-// newTracer returns a tracer for the output named in the settings, and a
-// function that flushes and closes it.
-func newTracer(ctx context.Context, o *Options) (trace.Tracer, func(context.Context), error) {
-	exporter, closer, err := newExporter(ctx, o.Trace)
+// New returns a tracer for an output, and a function that flushes and closes it.
+// The target is none, stdout, a file, or the URL of an OTLP receiver.
+func New(ctx context.Context, target, service, instance string) (trace.Tracer, func(context.Context), error) {
+	exporter, closer, err := newExporter(ctx, target)
 	if err != nil {
 		return nil, nil, err
 	}
 	if exporter == nil {
-		return noop.NewTracerProvider().Tracer("laburnumroad"), func(context.Context) {}, nil
+		return Off(), func(context.Context) {}, nil
 	}
 	provider := sdktrace.NewTracerProvider(
 		sdktrace.WithBatcher(exporter),
 		sdktrace.WithResource(resource.NewSchemaless(
-			attribute.String("service.name", "laburnumroad-"+o.Role.String()),
-			attribute.String("service.instance.id", string(o.ID)),
+			attribute.String("service.name", "laburnumroad-"+service),
+			attribute.String("service.instance.id", instance),
 		)),
 	)
 	stop := func(ctx context.Context) {
@@ -43,6 +44,9 @@
 	return provider.Tracer("laburnumroad"), stop, nil
 }
 
+// Off returns a tracer without an output.
+func Off() trace.Tracer { return noop.NewTracerProvider().Tracer("laburnumroad") }
+
 func newExporter(ctx context.Context, target string) (sdktrace.SpanExporter, io.Closer, error) {
 	switch {
 	case target == "" || target == "none":
