wire: a new number for the changed message on the ledger, the protocol version as before

The version is shared with routers and agents of the caller API, which would have refused each other during a rolling restart although nothing of theirs changed. Gateways of two releases end their session over the other's message and go on by the ledger alone.

--- a/internal/traffic/wire/message.go
+++ b/internal/traffic/wire/message.go
@@ -12,7 +12,7 @@
 )
 
 // Version is the protocol version. Peers with another one are refused.
-const Version = 2
+const Version = 1
 
 // NewIncarnation draws the incarnation of a process that starts.
 func NewIncarnation() (table.Incarnation, error) {
@@ -51,6 +51,9 @@
 	TypeAllowance
 	TypeTransferRequest
 	TypeTransfer
+	// The number of a message that earlier releases send for one changed entry.
+	// This one ends sessions over it, so that their copies do not mix.
+	_
 	TypeLedgerChange
 	TypeLimitRequest
 )
@@ -59,7 +62,7 @@
 	"", "Hello", "Heartbeat", "Dispatch", "Chunk", "End", "Cancel", "Lookup", "LookupResult",
 	"SliceRequest", "SliceGrant", "SliceReport", "KeyRecord", "KeyQuery", "KeyResult",
 	"Fence", "FenceResult", "ConfigRequest", "ConfigBody", "Crash", "Drain",
-	"Allowance", "TransferRequest", "Transfer", "LedgerChange", "LimitRequest",
+	"Allowance", "TransferRequest", "Transfer", "", "LedgerChange", "LimitRequest",
 }
 
 // String returns the name of the message type.
