table: moving averages of times and of demand stand once each

The average of an endpoint's times stood in the agents' and in the routers' system and in the load model, that of demand in the budgets of both paths.

--- a/internal/daemon/capacity_world_test.go
+++ b/internal/daemon/capacity_world_test.go
@@ -130,7 +130,7 @@
 	const granted = table.Tokens(1 << 50)
 	shard := ledger.ShardOf(b.w, id)
 	b.w.Budgets.Put(id, table.Budget{
-		ID: id, Shard: shard, Granted: granted, Expires: table.Never, UsedAt: b.now, DemandAt: b.now,
+		ID: id, Shard: shard, Granted: granted, Expires: table.Never, UsedAt: b.now, Demand: table.DecayingRate{At: b.now},
 	})
 	b.w.BudgetTimers.Set(id, b.now.Add(b.w.Params.GrantLifetime/2))
 	s := ledger.Shard(b.w, shard)
--- a/internal/loadtest/agent.go
+++ b/internal/loadtest/agent.go
@@ -129,11 +129,7 @@
 
 // observe adds a sample to one of the agent's moving averages.
 func (a *agent) observe(mean *time.Duration, sample time.Duration) {
-	const share = 0.2
-	if *mean == 0 {
-		*mean = sample
-	}
-	*mean += time.Duration(share * float64(sample-*mean))
+	*mean = table.AverageTime(*mean, sample)
 	a.observed.Observed++
 }
 
--- a/internal/system/allowance/allowance.go
+++ b/internal/system/allowance/allowance.go
@@ -8,7 +8,6 @@
 package allowance
 
 import (
-	"math"
 	"time"
 
 	"laburnumroad.dev/laburnumroad/internal/table"
@@ -63,7 +62,7 @@
 	if a := w.Accounts.Get(c); a != nil {
 		return a
 	}
-	return w.Accounts.Put(c, table.Account{Customer: c, DemandAt: w.Now})
+	return w.Accounts.Put(c, table.Account{Customer: c, Demand: table.DecayingRate{At: w.Now}})
 }
 
 func reserve(w *world.World, x *table.Exchange) {
@@ -88,20 +87,13 @@
 }
 
 func noteDemand(w *world.World, a *table.Account, cost table.Tokens) {
-	decayDemand(w, a)
-	a.Demand += float64(cost) / demandTime.Seconds()
+	a.Demand.Add(w.Now, float64(cost), demandTime)
 	if a.Mean == 0 {
 		a.Mean = float64(cost)
 	}
 	a.Mean += meanShare * (float64(cost) - a.Mean)
 }
 
-func decayDemand(w *world.World, a *table.Account) {
-	age := w.Now.Sub(a.DemandAt)
-	a.Demand *= math.Exp(-age.Seconds() / demandTime.Seconds())
-	a.DemandAt = w.Now
-}
-
 // refused ends a request that cannot be paid for. It waits for a call to the
 // ledger first, unless the total is known to be spent.
 func refused(w *world.World, x *table.Exchange, a *table.Account, cost table.Tokens) bool {
--- a/internal/system/allowance/limits.go
+++ b/internal/system/allowance/limits.go
@@ -25,8 +25,8 @@
 
 // wanted returns what this router wants to be free to spend of a total.
 func wanted(w *world.World, a *table.Account, p *table.Prepaid) table.Tokens {
-	decayDemand(w, a)
-	margin := max(p.Total/floorShare, table.Tokens(a.Demand*horizon.Seconds()+a.Mean))
+	a.Demand.Add(w.Now, 0, demandTime)
+	margin := max(p.Total/floorShare, table.Tokens(a.Demand.PerSecond*horizon.Seconds()+a.Mean))
 	parts := min(leastShare, marginShare+w.LimitShare.Content.Deaths) * max(1, w.LimitShare.Routers)
 	share := max(0, remaining(w, a)) / table.Tokens(parts)
 	return min(margin, share)
--- a/internal/system/budget/ask.go
+++ b/internal/system/budget/ask.go
@@ -61,7 +61,7 @@
 }
 
 func hot(w *world.World, b *table.Budget) bool {
-	return b.Demand*horizon(w, b).Seconds() >= hotReservations*float64(max(1, b.Reservation))
+	return b.Demand.PerSecond*horizon(w, b).Seconds() >= hotReservations*float64(max(1, b.Reservation))
 }
 
 // pursue takes the next step for a budget that is waited for: the home router,
--- a/internal/system/budget/budget.go
+++ b/internal/system/budget/budget.go
@@ -94,7 +94,7 @@
 	if b := w.Budgets.Get(id); b != nil {
 		return b
 	}
-	b := w.Budgets.Put(id, table.Budget{ID: id, Shard: ledger.ShardOf(w, id), UsedAt: w.Now, DemandAt: w.Now})
+	b := w.Budgets.Put(id, table.Budget{ID: id, Shard: ledger.ShardOf(w, id), UsedAt: w.Now, Demand: table.DecayingRate{At: w.Now}})
 	w.BudgetTimers.Set(id, idleAt(w, b))
 	return b
 }
--- a/internal/system/budget/demand.go
+++ b/internal/system/budget/demand.go
@@ -1,7 +1,6 @@
 package budget
 
 import (
-	"math"
 	"time"
 
 	"laburnumroad.dev/laburnumroad/internal/table"
@@ -35,10 +34,7 @@
 
 // addDemand updates the moving average of the spend rate.
 func addDemand(w *world.World, b *table.Budget, spent table.Tokens) {
-	h := horizon(w, b).Seconds()
-	elapsed := w.Now.Sub(b.DemandAt).Seconds()
-	b.Demand = b.Demand*math.Exp(-elapsed/h) + float64(spent)/h
-	b.DemandAt = w.Now
+	b.Demand.Add(w.Now, float64(spent), horizon(w, b))
 }
 
 func noteReservation(b *table.Budget, reserve table.Tokens) {
@@ -48,6 +44,6 @@
 
 // setTarget sets how much the router wants to hold.
 func setTarget(w *world.World, b *table.Budget) {
-	demand := table.Tokens(b.Demand * horizon(w, b).Seconds())
+	demand := table.Tokens(b.Demand.PerSecond * horizon(w, b).Seconds())
 	b.Target = max(demand, minReservations*b.Reservation, b.Waiting, minTarget)
 }
--- a/internal/system/routing/learn.go
+++ b/internal/system/routing/learn.go
@@ -8,13 +8,9 @@
 	"laburnumroad.dev/laburnumroad/internal/world"
 )
 
-const (
-	// timeShare is the share of a new sample in an endpoint's moving averages.
-	timeShare = 0.2
-	// outputShare is the share of a new sample in a service's mean output, which
-	// varies more from request to request than with time.
-	outputShare = 0.02
-)
+// outputShare is the share of a new sample in a service's mean output, which
+// varies more from request to request than with time.
+const outputShare = 0.02
 
 // learn updates the observed times from the events of this tick.
 func learn(w *world.World) {
@@ -57,7 +53,7 @@
 	}
 	e.Waiting = max(0, e.Waiting-1)
 	e.WaitingSince = w.Now
-	e.FirstTokenTime = average(e.FirstTokenTime, w.Now.Sub(r.Dispatched))
+	e.FirstTokenTime = table.AverageTime(e.FirstTokenTime, w.Now.Sub(r.Dispatched))
 	e.Samples++
 	judge(w, e)
 }
@@ -69,7 +65,7 @@
 	perToken := w.Now.Sub(r.Work.MarkAt) / time.Duration(delivered-r.Work.MarkTokens)
 	r.Work.MarkAt, r.Work.MarkTokens = w.Now, delivered
 	if e := w.Endpoints.Get(r.Work.Endpoint); e != nil {
-		e.TokenTime = average(e.TokenTime, perToken)
+		e.TokenTime = table.AverageTime(e.TokenTime, perToken)
 		judge(w, e)
 	}
 }
@@ -101,7 +97,7 @@
 // the time of its one token of work.
 func learnCall(w *world.World, r *table.Request) {
 	if e := w.Endpoints.Get(r.Work.Endpoint); e != nil {
-		e.FirstTokenTime = average(e.FirstTokenTime, w.Now.Sub(r.Dispatched))
+		e.FirstTokenTime = table.AverageTime(e.FirstTokenTime, w.Now.Sub(r.Dispatched))
 		e.TokenTime = e.FirstTokenTime
 		e.Samples++
 		judge(w, e)
@@ -117,13 +113,6 @@
 	}
 }
 
-func average(mean, sample time.Duration) time.Duration {
-	if mean == 0 {
-		return sample
-	}
-	return mean + time.Duration(timeShare*float64(sample-mean))
-}
-
 // bestFirstToken returns the shortest observed first-token time, 0 if unknown.
 func bestFirstToken(list []*table.Endpoint) time.Duration {
 	best := time.Duration(0)
--- a/internal/table/account.go
+++ b/internal/table/account.go
@@ -25,9 +25,8 @@
 	// TransferredIn and TransferredOut moved between routers without the ledger.
 	TransferredIn  Tokens
 	TransferredOut Tokens
-	// Demand is a moving average of the spend in tokens per second, as of DemandAt.
-	Demand   float64
-	DemandAt Instant
+	// Demand is a moving average of the spend in tokens.
+	Demand DecayingRate
 	// Mean is a moving average of the size of reservations.
 	Mean float64
 	// Missing is the smallest addition that serves a waiting request, and
--- a/internal/table/budget.go
+++ b/internal/table/budget.go
@@ -193,9 +193,8 @@
 	// Settled is what this router has settled or withheld since its start.
 	Settled Tokens
 	Expires Instant
-	// Demand is the recent spend rate in tokens per second.
-	Demand   float64
-	DemandAt Instant
+	// Demand is the recent spend in tokens.
+	Demand DecayingRate
 	// Reservation is the size of a recent large reservation.
 	Reservation Tokens
 	// Target is what the router wants to hold.
