allowance: a router that cannot reach the store is not asked to write

Each of 23 routers asked it again every two seconds, and its clients waited 120 ms each time (66 requests without an answer).

Change: the reports between routers say whether calls to the store fail; such a router is left out when the writer is chosen.

The test fails on the code before: three requests without an answer instead of one.

--- a/internal/event/exchange.go
+++ b/internal/event/exchange.go
@@ -126,6 +126,8 @@
 type Allowance struct {
 	From table.Holder
 	Free map[table.CustomerID]table.Tokens
+	// StoreDown is true while the sender's calls to the store fail.
+	StoreDown bool
 }
 
 // TransferRequest asks another router for a part of what it may still spend. It
--- a/internal/system/allowance/peers.go
+++ b/internal/system/allowance/peers.go
@@ -50,7 +50,7 @@
 	for i := range w.In.Allowances {
 		e := &w.In.Allowances[i]
 		if p := w.AllowancePeers.Get(e.From.Process); p != nil && p.Holder == e.From {
-			p.Free = e.Free
+			p.Free, p.StoreDown = e.Free, e.StoreDown
 		}
 	}
 	for i := range w.In.Transfers {
@@ -107,7 +107,9 @@
 			free[c] = n
 		}
 	})
-	w.Out.Allowances = append(w.Out.Allowances, command.SendAllowance{Allowance: event.Allowance{Free: free}})
+	w.Out.Allowances = append(w.Out.Allowances, command.SendAllowance{
+		Allowance: event.Allowance{Free: free, StoreDown: !w.PlatformUp || w.LimitShare.Backoff > 0},
+	})
 }
 
 func receive(w *world.World, e *event.Transfer) {
--- a/internal/system/allowance/requests.go
+++ b/internal/system/allowance/requests.go
@@ -35,7 +35,7 @@
 func chooseWriter(w *world.World, registered bool) *table.AllowancePeer {
 	var writer *table.AllowancePeer
 	w.AllowancePeers.Each(func(id table.ProcessID, p *table.AllowancePeer) {
-		if !p.Connected || p.NoRequestsUntil > w.Now || w.LimitShare.Content.Find(p.Holder) == nil {
+		if !p.Connected || p.StoreDown || p.NoRequestsUntil > w.Now || w.LimitShare.Content.Find(p.Holder) == nil {
 			return
 		}
 		if writer == nil || id < writer.Process {
--- a/internal/table/account.go
+++ b/internal/table/account.go
@@ -248,6 +248,8 @@
 	Session   uint64
 	// Free is what it said it may still spend, less what was asked for since.
 	Free map[CustomerID]Tokens
+	// StoreDown is true if it said that its calls to the store fail.
+	StoreDown bool
 	// NoRequestsUntil is when it may be asked to write the ledger again after it
 	// did not do so.
 	NoRequestsUntil Instant
