allowance: margins shrink with what is left of a total

Change: a third of what is left while most is left, in proportion to what is left below that (a tenth at a quarter).

--- a/internal/system/allowance/limits.go
+++ b/internal/system/allowance/limits.go
@@ -15,21 +15,35 @@
 	// floorShare is the part of a total that a router without demand holds, so
 	// that first requests need not wait for the ledger.
 	floorShare = 100
-	// marginShare is the part of what is left of a total that all routers together
-	// hold as their margin at most. A margin is lost if its router dies, so the
-	// last of a total must not lie in margins. Each death that the ledger has seen
-	// makes another one more likely and the share smaller, down to leastShare.
-	marginShare = 6
-	leastShare  = 18
+	// marginShare is the largest part of what is left of a total that all routers
+	// together hold as their margin, and marginSlope what that part is for each part
+	// of the total that is left. A margin is lost if its router dies, and the less is
+	// left, the sooner clients are refused for what was lost. Of the shapes that were
+	// measured, this one served most; see docs/decisions/0007-limit-ledger.md.
+	marginShare = 1.0 / 3
+	marginSlope = 0.4
+	// deathScale is the number of deaths in the ledger that halves the share: each
+	// one makes another one more likely. mostDeaths bounds it to a third.
+	deathScale = 6
+	mostDeaths = 12
 )
 
 // wanted returns what this router wants to be free to spend of a total.
 func wanted(w *world.World, a *table.Account, p *table.Prepaid) table.Tokens {
 	a.Demand.Add(w.Now, 0, demandTime)
 	margin := max(p.Total/floorShare, table.Tokens(a.Demand.PerSecond*horizon.Seconds()+a.Mean))
-	parts := min(leastShare, marginShare+w.LimitShare.Content.Deaths) * max(1, w.LimitShare.Routers)
-	share := max(0, remaining(w, a)) / table.Tokens(parts)
-	return min(margin, share)
+	return min(margin, marginPart(w, p, remaining(w, a)))
+}
+
+// marginPart returns the most that this router may hold as its margin of a total
+// of which so much is left.
+func marginPart(w *world.World, p *table.Prepaid, left table.Tokens) table.Tokens {
+	if left <= 0 || p.Total <= 0 {
+		return 0
+	}
+	share := min(marginShare, marginSlope*float64(left)/float64(p.Total))
+	share *= deathScale / float64(deathScale+min(mostDeaths, w.LimitShare.Content.Deaths))
+	return table.Tokens(share * float64(left) / float64(max(1, w.LimitShare.Routers)))
 }
 
 // propose returns the ledger with the limits that this router wants.
