allowance: one pass over limited customers, margins once per customer; one piece explains an attempt

Each tick computed the margin of a customer up to three times (in the limit that a router wants, there again for a surplus, and to judge whether the margin is low), each time with a sum over all routers; it is computed once and passed on. The loop over customers with a limited total stood three times (eachLimited). Granting a request wrote the same entry in two branches beside LimitLedger.Replace. Applying a step copied the closed amounts twice, although contents are never changed. Placement and attempt gave the same three inputs to the log (World.ExplainAttempt).

No change of behaviour; no test was touched.

--- a/internal/system/allowance/limits.go
+++ b/internal/system/allowance/limits.go
@@ -46,17 +46,24 @@
 	return table.Tokens(share * float64(left) / float64(max(1, w.LimitShare.Routers)))
 }
 
+// eachLimited visits the customers with a limited total, and adds accounts that
+// are absent.
+func eachLimited(w *world.World, visit func(table.CustomerID, *table.Prepaid, *table.Account)) {
+	w.Prepaids.Each(func(c table.CustomerID, p *table.Prepaid) {
+		if p.Limited {
+			visit(c, p, account(w, c))
+		}
+	})
+}
+
 // propose returns the ledger with the limits that this router wants.
 func propose(w *world.World) table.LimitLedger {
 	content := w.LimitShare.Content.Clone()
 	content.CloseEarlier(w.Self())
 	entries := make(map[table.CustomerID]table.LimitEntry)
-	count := table.Tokens(max(1, routers(&content)))
-	w.Prepaids.Each(func(c table.CustomerID, p *table.Prepaid) {
-		if p.Limited {
-			a := account(w, c)
-			entries[c] = table.LimitEntry{Limit: limit(w, a, p, &content, count), Spent: a.Net()}
-		}
+	count := routers(&content)
+	eachLimited(w, func(c table.CustomerID, p *table.Prepaid, a *table.Account) {
+		entries[c] = table.LimitEntry{Limit: limit(w, a, p, &content, count, wanted(w, a, p)), Spent: a.Net()}
 	})
 	w.Accounts.Each(func(c table.CustomerID, a *table.Account) {
 		if _, ok := entries[c]; !ok && a.Recorded != 0 {
@@ -77,10 +84,10 @@
 	return content
 }
 
-// limit returns the limit that this router proposes for itself. What no request
-// waits for is taken in parts of what is left, so that the last of a total is
-// not held by a router that does not need it.
-func limit(w *world.World, a *table.Account, p *table.Prepaid, content *table.LimitLedger, count table.Tokens) table.Tokens {
+// limit returns the limit that this router, one of count, proposes for itself to
+// have the margin free. What no request waits for is taken in parts of what is
+// left, so that the last of a total is not held by a router that does not need it.
+func limit(w *world.World, a *table.Account, p *table.Prepaid, content *table.LimitLedger, count int, margin table.Tokens) table.Tokens {
 	// What was received from other routers is in their limits; an entry may be
 	// negative by what is left of it.
 	used := a.Used() - a.Base
@@ -89,15 +96,15 @@
 	}
 	room := p.Total - (content.Allocated(a.Customer) - a.Recorded)
 	left := room - a.Recorded
-	want := used + a.Waiting + wanted(w, a, p)
+	want := used + a.Waiting + margin
 	if left < 0 {
 		// The total was lowered below what the routers may spend.
 		return max(used, min(a.Recorded, room))
 	}
 	if want > a.Recorded {
-		return a.Recorded + min(want-a.Recorded, left, max(a.Waiting, left/(2*count)))
+		return a.Recorded + min(want-a.Recorded, left, max(a.Waiting, left/table.Tokens(2*max(1, count))))
 	}
-	if a.Recorded-want < wanted(w, a, p)/gainShare {
+	if a.Recorded-want < margin/gainShare {
 		// Small surpluses stay, so that limits do not change with each write.
 		return a.Recorded
 	}
--- a/internal/system/allowance/plan.go
+++ b/internal/system/allowance/plan.go
@@ -94,14 +94,10 @@
 		return need{urgency: urgencyWaiting}
 	}
 	n := need{urgency: urgencyNone}
-	count := table.Tokens(max(1, s.Routers))
-	w.Prepaids.Each(func(c table.CustomerID, p *table.Prepaid) {
-		if !p.Limited {
-			return
-		}
-		a := account(w, c)
+	eachLimited(w, func(c table.CustomerID, p *table.Prepaid, a *table.Account) {
 		left := p.Total - s.Content.Allocated(c)
-		target := limit(w, a, p, &s.Content, count)
+		margin := wanted(w, a, p)
+		target := limit(w, a, p, &s.Content, s.Routers, margin)
 		n.lowers = n.lowers || target < a.Recorded
 		if left < 0 && a.Recorded > 0 {
 			n.urgency = max(n.urgency, urgencyLow)
@@ -109,7 +105,7 @@
 		if a.Missing > 0 && !asking(w, a) && (left >= a.Missing || s.Confirmed.Add(scaled(w, staleAfter)) <= w.Now) {
 			n.urgency = urgencyWaiting
 		}
-		if want := wanted(w, a, p); a.Free() < want/lowShare && target-a.Recorded > want/gainShare {
+		if a.Free() < margin/lowShare && target-a.Recorded > margin/gainShare {
 			n.urgency = max(n.urgency, urgencyLow)
 		}
 		if a.Net() != own.Entries[c].Spent {
--- a/internal/system/allowance/requests.go
+++ b/internal/system/allowance/requests.go
@@ -98,13 +98,9 @@
 // with limits that are not below those recorded.
 func raises(w *world.World, own *table.LimitHolder) map[table.CustomerID]table.LimitEntry {
 	entries := make(map[table.CustomerID]table.LimitEntry)
-	count := table.Tokens(max(1, w.LimitShare.Routers))
-	w.Prepaids.Each(func(c table.CustomerID, p *table.Prepaid) {
-		if !p.Limited {
-			return
-		}
-		a := account(w, c)
-		e := table.LimitEntry{Limit: max(a.Recorded, limit(w, a, p, &w.LimitShare.Content, count)), Spent: a.Net()}
+	eachLimited(w, func(c table.CustomerID, p *table.Prepaid, a *table.Account) {
+		target := limit(w, a, p, &w.LimitShare.Content, w.LimitShare.Routers, wanted(w, a, p))
+		e := table.LimitEntry{Limit: max(a.Recorded, target), Spent: a.Net()}
 		if own == nil || e != own.Entries[c] {
 			entries[c] = e
 		}
@@ -140,16 +136,15 @@
 		if r.Register {
 			content.CloseEarlier(r.Holder)
 		}
-		h := content.Find(r.Holder)
-		switch {
-		case h != nil:
-			raised := *h
-			raised.Entries = raise(w, content, h.Entries, r.Entries)
-			*h = raised
-		case r.Register:
-			added := table.LimitHolder{Holder: r.Holder, Address: r.Address, Entries: raise(w, content, nil, r.Entries)}
-			content.Holders = append(content.Holders, added)
+		granted := table.LimitHolder{Holder: r.Holder, Address: r.Address}
+		if h := content.Find(r.Holder); h != nil {
+			granted = *h
+		} else if !r.Register {
+			// The router has closed its entry.
+			return
 		}
+		granted.Entries = raise(w, content, granted.Entries, r.Entries)
+		content.Replace(granted)
 	})
 }
 
--- a/internal/system/attempt/attempt.go
+++ b/internal/system/attempt/attempt.go
@@ -164,11 +164,7 @@
 }
 
 func explain(w *world.World, x *table.Exchange, decision string, e *event.DirectEnd) {
-	inputs := []table.Input{
-		{Name: "endpoint", Value: string(x.Endpoint)},
-		{Name: "attempt", Value: strconv.Itoa(x.Attempt)},
-		{Name: "age", Value: w.Now.Sub(x.Arrived).Round(time.Millisecond).String()},
-	}
+	var inputs []table.Input
 	if e != nil {
 		inputs = append(inputs,
 			table.Input{Name: "status", Value: strconv.Itoa(e.Code)},
@@ -180,5 +176,5 @@
 			table.Input{Name: "first_event", Value: x.FirstEventAt.Sub(x.Arrived).Round(time.Millisecond).String()},
 			table.Input{Name: "longest_gap", Value: e.LongestGap.Round(time.Millisecond).String()})
 	}
-	w.Explain(x.Request, System, decision, inputs...)
+	w.ExplainAttempt(x, System, decision, inputs...)
 }
--- a/internal/system/placement/placement.go
+++ b/internal/system/placement/placement.go
@@ -112,9 +112,6 @@
 
 func explain(w *world.World, x *table.Exchange, e *table.DirectEndpoint, considered []scored) {
 	inputs := []table.Input{
-		{Name: "endpoint", Value: string(e.ID)},
-		{Name: "attempt", Value: strconv.Itoa(x.Attempt)},
-		{Name: "age", Value: w.Now.Sub(x.Arrived).Round(time.Millisecond).String()},
 		{Name: "in_flight", Value: strconv.Itoa(e.InFlight - 1)},
 		{Name: "report_age", Value: w.Now.Sub(e.ReportedAt).Round(time.Millisecond).String()},
 		{Name: "candidates", Value: strconv.Itoa(len(considered))},
@@ -122,7 +119,7 @@
 	if x.Prompt > 0 {
 		inputs = append(inputs, table.Input{Name: "prefill", Value: strconv.FormatInt(int64(x.Prefill), 10)})
 	}
-	w.Explain(x.Request, System, "sent", inputs...)
+	w.ExplainAttempt(x, System, "sent", inputs...)
 }
 
 // rendezvous orders endpoints for a prompt part in the same way at all routers.
--- a/internal/table/account.go
+++ b/internal/table/account.go
@@ -86,9 +86,7 @@
 	c := LimitLedger{
 		Closed: make(map[CustomerID]Tokens, len(l.Closed)), Deaths: l.Deaths, Holders: slices.Clone(l.Holders),
 	}
-	for id, n := range l.Closed {
-		c.Closed[id] = n
-	}
+	maps.Copy(c.Closed, l.Closed)
 	return c
 }
 
@@ -145,14 +143,11 @@
 
 // Apply returns the content after a step. It does not change l.
 func (l *LimitLedger) Apply(step *LedgerStep) LimitLedger {
-	next := l.Clone()
+	next := LimitLedger{Closed: step.Closed, Deaths: step.Deaths, Holders: slices.Clone(l.Holders)}
 	next.Holders = slices.DeleteFunc(next.Holders, func(h LimitHolder) bool { return slices.Contains(step.Removed, h.Holder) })
 	for _, h := range step.Holders {
 		next.Replace(h)
 	}
-	next.Deaths = step.Deaths
-	next.Closed = make(map[CustomerID]Tokens, len(step.Closed))
-	maps.Copy(next.Closed, step.Closed)
 	return next
 }
 
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -7,6 +7,7 @@
 import (
 	"crypto/subtle"
 	"math/rand/v2"
+	"strconv"
 	"time"
 
 	"laburnumroad.dev/laburnumroad/internal/command"
@@ -241,6 +242,15 @@
 	w.Out.StopAttempts = append(w.Out.StopAttempts, command.StopAttempt{Exchange: x.ID, Attempt: x.Attempt})
 }
 
+// ExplainAttempt records a decision on the current attempt of an exchange.
+func (w *World) ExplainAttempt(x *table.Exchange, system, decision string, inputs ...table.Input) {
+	w.Explain(x.Request, system, decision, append([]table.Input{
+		{Name: "endpoint", Value: string(x.Endpoint)},
+		{Name: "attempt", Value: strconv.Itoa(x.Attempt)},
+		{Name: "age", Value: w.Now.Sub(x.Arrived).Round(time.Millisecond).String()},
+	}, inputs...)...)
+}
+
 // Change records a change of state for the log.
 func (w *World) Change(subject, id, from, to, reason string) {
 	w.Out.Changes = append(w.Out.Changes, command.Change{
