admission: retry time of a rate-limit refusal is rounded up to a millisecond

Cause: when the bucket was a rounding error short of a token, the wait was under a nanosecond and was cut to 0 s. Before: TestRateLimitIsEnforced failed. After: the seed passes and is part of make regressions.

--- a/Makefile
+++ b/Makefile
@@ -30,9 +30,11 @@
 	go tool staticcheck $(PACKAGES)
 
 # Seeds of past failures. Budget: a used slice was returned as unused. Allowance: a
-# closing write whose response was lost was attributed to a later process.
+# closing write whose response was lost was attributed to a later process. Rate limit: a
+# refusal carried a retry time of zero.
 BUDGET_SEEDS := 3706106 49785332 5353768482971186141
 ALLOWANCE_SEEDS := 6432764850078580855
+RATE_LIMIT_SEEDS := 8252258011871140987
 regressions:
 	@for seed in $(BUDGET_SEEDS); do \
 		go test -count=1 -run TestNoOverspendUnderFailures ./internal/system/budget \
@@ -42,6 +44,10 @@
 		go test -count=1 -run TestNoOverspendOfLimits ./internal/system/allowance \
 			-rapid.seed=$$seed -rapid.checks=1 -rapid.nofailfile || exit 1; \
 	done
+	@for seed in $(RATE_LIMIT_SEEDS); do \
+		go test -count=1 -run TestRateLimitIsEnforced ./internal/system/admission \
+			-rapid.seed=$$seed -rapid.nofailfile || exit 1; \
+	done
 
 unit:
 	RAPID_SEED=$(RAPID_SEED) go test -race -count=1 $(PACKAGES)
--- a/internal/system/admission/check.go
+++ b/internal/system/admission/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"time"
 
@@ -85,9 +86,15 @@
 	c.customer.RateBucketAt = w.Now
 	if level < 1 {
 		c.customer.RateBucketLevel = level
-		wait := time.Duration((1 - level) / rate * float64(time.Second))
-		return refusal{table.CodeRateLimited, fmt.Sprintf("the limit is %g requests/s", rate), wait}
+		return refusal{table.CodeRateLimited, fmt.Sprintf("the limit is %g requests/s", rate), timeToRefill(1-level, rate)}
 	}
 	c.customer.RateBucketLevel = level - 1
 	return refusal{}
 }
+
+// timeToRefill returns when a bucket has gained the missing part of a token. It is
+// rounded up to a whole millisecond: a shorter wait would find the bucket short of
+// a token by a rounding error.
+func timeToRefill(missing, rate float64) time.Duration {
+	return time.Duration(math.Ceil(missing/rate*1000)) * time.Millisecond
+}
