allowance: few routers hold limits of a customer, the others get tokens per request

Cause: each router kept an entry and a margin of every customer, sent its whole table of allowances to all others twice a second, and summed all entries in each tick. Change: one holder in each failure domain, at least four, by rendezvous hashing over the larger hosts; the other routers ask the nearest for what a request needs and give back the rest. Reports carry what holders have, at an interval that grows with the fleet. Sums of the ledger are kept.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -70,8 +70,8 @@
 	FinishExchanges   []FinishExchange
 	WriteLimitLedgers []WriteLimitLedger
 
-	// Allowances between routers.
-	Allowances       []SendAllowance
+	// Reports and allowances between routers.
+	RouterReports    []SendRouterReport
 	TransferRequests []SendTransferRequest
 	Transfers        []SendTransfer
 	LedgerChanges    []SendLedgerChange
--- a/internal/command/exchange.go
+++ b/internal/command/exchange.go
@@ -50,8 +50,8 @@
 	Content  table.LimitLedger
 }
 
-// SendAllowance tells all connected routers what this one may still spend.
-type SendAllowance struct{ Allowance event.Allowance }
+// SendRouterReport sends a report to all connected routers.
+type SendRouterReport struct{ Report event.RouterReport }
 
 // SendTransferRequest asks another router for part of its allowance.
 type SendTransferRequest struct {
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -84,8 +84,8 @@
 	EndpointChanges      []EndpointChanges
 	LimitLedgerResults   []LimitLedgerResult
 
-	// Allowances between routers.
-	Allowances       []Allowance
+	// Reports and allowances between routers.
+	RouterReports    []RouterReport
 	TransferRequests []TransferRequest
 	Transfers        []Transfer
 	LedgerChanges    []LedgerChange
--- a/internal/event/exchange.go
+++ b/internal/event/exchange.go
@@ -135,10 +135,11 @@
 	Reason  string
 }
 
-// Allowance tells other routers how much the sender may still spend for each
-// customer.
-type Allowance struct {
-	From      table.Holder
+// RouterReport is a router's periodic report to the others.
+type RouterReport struct {
+	From table.Holder
+	// Available is what the sender may still spend of the totals that it holds limits
+	// of.
 	Available map[table.CustomerID]table.Tokens `msgpack:"Free"`
 	// StoreDown is true while the sender's calls to the store fail.
 	StoreDown bool
@@ -155,7 +156,8 @@
 }
 
 // Transfer gives another router part of what the sender may still spend. The
-// sender counts it as spent from the moment it is sent.
+// sender counts it as spent from the moment it is sent. An amount below the need of
+// a request, which may be 0, says that the sender has no more.
 type Transfer struct {
 	From     table.Holder
 	Customer table.CustomerID
@@ -188,7 +190,7 @@
 func (e LedgerChange) AddTo(in *Inbox) { in.LedgerChanges = append(in.LedgerChanges, e) }
 
 // AddTo implements Event.
-func (e Allowance) AddTo(in *Inbox) { in.Allowances = append(in.Allowances, e) }
+func (e RouterReport) AddTo(in *Inbox) { in.RouterReports = append(in.RouterReports, e) }
 
 // AddTo implements Event.
 func (e TransferRequest) AddTo(in *Inbox) { in.TransferRequests = append(in.TransferRequests, e) }
--- a/internal/gateway/flush.go
+++ b/internal/gateway/flush.go
@@ -42,8 +42,8 @@
 	for _, c := range out.Dials {
 		g.peers.Dial(g.ctx, g.node, c)
 	}
-	for i := range out.Allowances {
-		g.broadcast(wire.TypeAllowance, &out.Allowances[i].Allowance)
+	for i := range out.RouterReports {
+		g.broadcast(wire.TypeRouterReport, &out.RouterReports[i].Report)
 	}
 	for i := range out.Crashes {
 		g.broadcast(wire.TypeCrash, &out.Crashes[i].Crash)
@@ -86,8 +86,8 @@
 // sender's identity is taken from the session, never from the message.
 func (g *Gateway) receive(s *wire.Session, f wire.Frame) error {
 	switch f.Type {
-	case wire.TypeAllowance:
-		return peering.PostDecoded(g.peers, f, func(e *event.Allowance) { e.From = s.Holder() })
+	case wire.TypeRouterReport:
+		return peering.PostDecoded(g.peers, f, func(e *event.RouterReport) { e.From = s.Holder() })
 	case wire.TypeTransferRequest:
 		return peering.PostDecoded(g.peers, f, func(e *event.TransferRequest) { e.From = s.Holder() })
 	case wire.TypeTransfer:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -112,7 +112,7 @@
 	}
 	g.self = table.Process{
 		Holder: table.Holder{Process: table.ProcessID(s.Name), Incarnation: incarnation},
-		Role:   table.RoleRouter, Region: s.Region, Domain: s.Domain, State: table.ProcessLive,
+		Role:   table.RoleRouter, Region: s.Region, Domain: s.Domain, Cores: s.Cores, State: table.ProcessLive,
 	}
 	peerListener, err := listenPeers(s)
 	if err != nil {
--- a/internal/system/allowance/allowance.go
+++ b/internal/system/allowance/allowance.go
@@ -51,6 +51,7 @@
 		onLedgerChange(w, &w.In.LedgerChanges[i])
 	}
 	w.Accounts.Each(func(_ table.CustomerID, a *table.Account) { a.SmallestShortfall, a.WaitingTokens = 0, 0 })
+	servePendingTransfers(w)
 	for _, id := range w.ExchangesWaiting.Keys() {
 		if x := w.Exchanges.Get(id); x.State == table.ExchangeReserving {
 			reserve(w, x)
@@ -91,6 +92,12 @@
 	if refuseIfNotCovered(w, x, a, cost) {
 		return
 	}
+	addWaiting(a, cost)
+}
+
+// addWaiting adds a request that the available tokens do not cover to those that
+// wait.
+func addWaiting(a *table.Account, cost table.Tokens) {
 	a.WaitingTokens += cost
 	if shortfall := cost - a.Available(); a.SmallestShortfall == 0 || shortfall < a.SmallestShortfall {
 		a.SmallestShortfall = shortfall
@@ -120,16 +127,38 @@
 		}, remaining)
 		return true
 	}
+	if outOfReach(w, a, cost-a.Available()) {
+		refuseUnreachable(w, x, a, remaining)
+		return true
+	}
 	waitEnd := x.ArrivedAt.Add(max(minBudgetWait, x.LatencyObjective/waitObjectiveDivisor))
 	if w.Now < waitEnd {
 		w.WakeAt(waitEnd)
 		return false
 	}
+	refuseUnreachable(w, x, a, remaining)
+	return true
+}
+
+// outOfReach reports whether neither a holder nor the ledger can give the missing
+// tokens, so that waiting for them is in vain.
+func outOfReach(w *world.World, a *table.Account, missing table.Tokens) bool {
+	s := &w.LimitLedgerView
+	if !s.ContentKnown || len(a.Denials) == 0 || transferPending(w, a) {
+		return false
+	}
+	if nextHolder(w, a) != nil {
+		return false
+	}
+	p := w.PrepaidCustomers.Get(a.Customer)
+	return p != nil && p.Total-s.Sums[a.Customer].Allocated < missing && s.ConfirmedAt.Add(ledgerStaleAfter) > w.Now
+}
+
+func refuseUnreachable(w *world.World, x *table.Exchange, a *table.Account, remaining table.Tokens) {
 	refuse(w, x, a, table.Outcome{
 		Code: table.CodeBudgetUnreachable, Reason: "the rest of the budget is held by other routers or out of reach",
 		Ran: table.NotRun, RetryAfter: unreachableRetryAfter,
 	}, remaining)
-	return true
 }
 
 // maxRemaining returns an upper bound of what remains of a customer's total: the
@@ -139,7 +168,7 @@
 	if p == nil {
 		return 0
 	}
-	spent := w.LimitLedgerView.Content.RecordedSpent(a.Customer)
+	spent := w.LimitLedgerView.Sums[a.Customer].Spent
 	if h := w.LimitLedgerView.Content.Find(w.Self()); h != nil {
 		spent -= h.Entries[a.Customer].Spent
 	}
--- a/internal/system/allowance/fleet_test.go
+++ b/internal/system/allowance/fleet_test.go
@@ -46,7 +46,7 @@
 	servedByPriority map[int]int
 	// allComplete makes every request end at once.
 	allComplete bool
-	writeCalls       int
+	writeCalls  int
 }
 
 // writeTime is the duration of a write, which lets writes of several routers
@@ -70,9 +70,11 @@
 )
 
 type router struct {
-	name  table.ProcessID
-	world *world.World
-	alive bool
+	name   table.ProcessID
+	domain string
+	cores  float64
+	world  *world.World
+	alive  bool
 	// storeUnreachable and peersUnreachable cut this router from the store and
 	// from the other routers.
 	storeUnreachable bool
@@ -88,7 +90,10 @@
 		refusals: map[table.Code]int{}, servedByPriority: map[int]int{},
 	}
 	for i := range count {
-		r := &router{name: table.ProcessID(fmt.Sprintf("r%d", i))}
+		r := &router{name: table.ProcessID(fmt.Sprintf("r%d", i)), domain: fmt.Sprintf("d%d", i%domains(count)), cores: 0.8}
+		if count >= 8 && i%2 == 0 {
+			r.cores = 0.2
+		}
 		f.routers = append(f.routers, r)
 		f.start(r)
 	}
@@ -96,10 +101,13 @@
 	return f
 }
 
+// domains returns the number of failure domains of a fleet.
+func domains(routers int) int { return min(6, 1+routers/8) }
+
 func (f *fleet) start(r *router) {
 	f.incarnation++
 	p := world.Params{
-		Self:  table.Process{Holder: table.Holder{Process: r.name, Incarnation: f.incarnation}},
+		Self:  table.Process{Holder: table.Holder{Process: r.name, Incarnation: f.incarnation}, Domain: r.domain, Cores: r.cores},
 		Front: world.FrontParams{PeerAddress: string(r.name)},
 	}
 	r.world = world.New(p, uint64(f.incarnation))
@@ -138,7 +146,7 @@
 		f.nextID++
 		pair[0].sessions[pair[1].name] = uint64(f.nextID)
 		pair[0].inbox = append(pair[0].inbox, event.SessionOpened{
-			Session: uint64(f.nextID), Process: table.Process{Holder: pair[1].world.Self()},
+			Session: uint64(f.nextID), Process: pair[1].world.Params.Self,
 		})
 	}
 }
@@ -225,8 +233,8 @@
 			}
 		}
 	}
-	for _, c := range out.Allowances {
-		f.broadcast(r, func(h table.Holder) event.Event { c.Allowance.From = h; return c.Allowance })
+	for _, c := range out.RouterReports {
+		f.broadcast(r, func(h table.Holder) event.Event { c.Report.From = h; return c.Report })
 	}
 	for _, c := range out.LedgerChanges {
 		f.broadcast(r, func(table.Holder) event.Event { return c.Change })
--- a/internal/system/allowance/ledger.go
+++ b/internal/system/allowance/ledger.go
@@ -38,7 +38,7 @@
 		// again.
 		s.LimitRequestOpen = false
 		if e.Revision >= s.Revision {
-			s.Revision, s.Content = e.Revision, e.Content
+			setContent(w, e.Revision, &e.Content)
 		}
 		applyFollowingSteps(w)
 		adoptRecordedLimits(w)
@@ -86,7 +86,6 @@
 // adoptRecordedLimits sets the limits of all accounts to those in the ledger.
 func adoptRecordedLimits(w *world.World) {
 	own := w.LimitLedgerView.Content.Find(w.Self())
-	w.LimitLedgerView.RouterCount = countRouters(&w.LimitLedgerView.Content)
 	if own == nil && w.LimitLedgerView.EntryCloseSent {
 		// The closing write took effect, possibly without an answer.
 		w.LimitLedgerView.EntryClosed = true
@@ -111,6 +110,23 @@
 	w.Accounts.Each(func(_ table.CustomerID, a *table.Account) { a.Limit = a.ClosedLimit + a.RecordedLimit })
 }
 
+// setContent replaces the copy of the ledger and what is derived from it.
+func setContent(w *world.World, revision uint64, content *table.LimitLedger) {
+	s := &w.LimitLedgerView
+	s.Revision, s.Content = revision, *content
+	s.Sums = content.SumEntries()
+	registered := make(map[table.Holder]bool, len(content.Holders))
+	changed := len(content.Holders) != len(s.Registered)
+	for i := range content.Holders {
+		registered[content.Holders[i].Holder] = true
+		changed = changed || !s.Registered[content.Holders[i].Holder]
+	}
+	if changed {
+		s.Registered, s.RouterCount = registered, countRouters(content)
+		w.HolderGeneration++
+	}
+}
+
 func formatTokens(n table.Tokens) string { return strconv.FormatInt(int64(n), 10) }
 
 // countRouters returns the number of distinct process names in the ledger.
--- a/internal/system/allowance/limits.go
+++ b/internal/system/allowance/limits.go
@@ -23,31 +23,41 @@
 	// values serve the most requests; see docs/decisions/0007-limit-ledger.md.
 	maxMarginFraction   = 1.0 / 3
 	marginFractionSlope = 0.4
-	// abandonedEntryScale is the number of abandoned entries in the ledger that
-	// halves the margins: each crash makes another one more likely.
-	// maxAbandonedEntries caps the count, so that margins shrink to no less than a
-	// third.
-	abandonedEntryScale = 6
-	maxAbandonedEntries = 12
+	// crashScale is the number of crashes for each router that halves the margins:
+	// each crash makes another one more likely. maxCrashes caps the number, so that
+	// margins shrink to no less than a third.
+	crashScale = 2.0
+	maxCrashes = 4.0
 )
 
 // targetMargin returns the amount of a total that this router aims to have
-// available.
+// available: nothing if it is no holder of the customer.
 func targetMargin(w *world.World, a *table.Account, p *table.PrepaidCustomer) table.Tokens {
+	holders := holdersOf(w, a.Customer)
+	if !holders.IncludesSelf {
+		return 0
+	}
 	a.DemandRate.Add(w.Now, 0, demandTimeConstant)
 	margin := max(p.Total/minMarginDivisor, table.Tokens(a.DemandRate.PerSecond*demandHorizon.Seconds()+a.MeanReservation))
-	return min(margin, maxMargin(w, p, maxRemaining(w, a)))
+	return min(margin, maxMargin(w, p, maxRemaining(w, a))/holderCount(w, holders))
+}
+
+// holderCount returns the number of holders that share the margins of a total. It
+// counts those that this router expects but is not connected with.
+func holderCount(w *world.World, h *table.CustomerHolders) table.Tokens {
+	return table.Tokens(max(1, len(h.Holders), min(minHolders, w.LimitLedgerView.RouterCount)))
 }
 
-// maxMargin returns the largest margin that this router may hold if the given
-// amount of a total remains.
+// maxMargin returns the most that the margins of all holders may add up to if the
+// given amount of a total remains.
 func maxMargin(w *world.World, p *table.PrepaidCustomer, remaining table.Tokens) table.Tokens {
 	if remaining <= 0 || p.Total <= 0 {
 		return 0
 	}
 	fraction := min(maxMarginFraction, marginFractionSlope*float64(remaining)/float64(p.Total))
-	fraction *= abandonedEntryScale / float64(abandonedEntryScale+min(maxAbandonedEntries, w.LimitLedgerView.Content.AbandonedEntries))
-	return table.Tokens(fraction * float64(remaining) / float64(max(1, w.LimitLedgerView.RouterCount)))
+	crashes := float64(w.LimitLedgerView.Content.AbandonedEntries) / float64(max(1, w.LimitLedgerView.RouterCount))
+	fraction *= crashScale / (crashScale + min(maxCrashes, crashes))
+	return table.Tokens(fraction * float64(remaining))
 }
 
 // forEachLimited visits the customers with a limited total, and adds missing
@@ -66,9 +76,11 @@
 	proposal := w.LimitLedgerView.Content.Clone()
 	proposal.CloseEarlierIncarnations(w.Self())
 	entries := make(map[table.CustomerID]table.LimitEntry)
-	routerCount := countRouters(&proposal)
+	sums := proposal.SumEntries()
 	forEachLimited(w, func(c table.CustomerID, p *table.PrepaidCustomer, a *table.Account) {
-		entries[c] = table.LimitEntry{Limit: proposeLimit(w, a, p, &proposal, routerCount, targetMargin(w, a, p)), Spent: a.NetSpent()}
+		if e := proposeEntry(w, a, p, sums[c].Allocated); e != (table.LimitEntry{}) {
+			entries[c] = e
+		}
 	})
 	w.Accounts.Each(func(c table.CustomerID, a *table.Account) {
 		if _, ok := entries[c]; !ok && a.RecordedLimit != 0 {
@@ -90,18 +102,31 @@
 	return proposal
 }
 
+// proposeEntry returns the entry that this router proposes for a customer. It is
+// empty if the router spends only what others transferred to it: their entries
+// count that.
+func proposeEntry(w *world.World, a *table.Account, p *table.PrepaidCustomer, allocated table.Tokens) table.LimitEntry {
+	limit := proposeLimit(w, a, p, allocated, targetMargin(w, a, p))
+	if limit == 0 && a.RecordedLimit == 0 && !w.Closing && !holdersOf(w, a.Customer).IncludesSelf {
+		return table.LimitEntry{}
+	}
+	return table.LimitEntry{Limit: limit, Spent: a.NetSpent()}
+}
+
 // proposeLimit returns the limit that this router proposes for itself so that
 // the margin is available. One write takes only a part of the unallocated tokens
 // beyond what waiting requests need, so that a router without need does not
-// hold the last tokens of a total.
-func proposeLimit(w *world.World, a *table.Account, p *table.PrepaidCustomer, ledger *table.LimitLedger, routerCount int, margin table.Tokens) table.Tokens {
+// hold the last tokens of a total. A router that is no holder returns tokens by
+// transfer, so its limit does not fall.
+func proposeLimit(w *world.World, a *table.Account, p *table.PrepaidCustomer, allocated, margin table.Tokens) table.Tokens {
 	// Tokens transferred in are covered by the limit of the router that sent them,
 	// so the result may be negative.
 	used := a.RequiredLimit() - a.ClosedLimit
 	if w.Closing {
 		return used
 	}
-	maxLimit := p.Total - (ledger.Allocated(a.Customer) - a.RecordedLimit)
+	holders := holdersOf(w, a.Customer)
+	maxLimit := p.Total - (allocated - a.RecordedLimit)
 	unallocated := maxLimit - a.RecordedLimit
 	target := used + a.WaitingTokens + margin
 	if unallocated < 0 {
@@ -109,9 +134,9 @@
 		return max(used, min(a.RecordedLimit, maxLimit))
 	}
 	if target > a.RecordedLimit {
-		return a.RecordedLimit + min(target-a.RecordedLimit, unallocated, max(a.WaitingTokens, unallocated/table.Tokens(2*max(1, routerCount))))
+		return a.RecordedLimit + min(target-a.RecordedLimit, unallocated, max(a.WaitingTokens, unallocated/(2*holderCount(w, holders))))
 	}
-	if a.RecordedLimit-target < margin/minChangeDivisor {
+	if a.RecordedLimit-target < margin/minChangeDivisor || !holders.IncludesSelf {
 		// A small surplus stays, so that limits do not change with each write.
 		return a.RecordedLimit
 	}
--- a/internal/system/allowance/plan.go
+++ b/internal/system/allowance/plan.go
@@ -101,26 +101,36 @@
 	}
 	need := writeNeed{urgency: urgencyNone}
 	forEachLimited(w, func(c table.CustomerID, p *table.PrepaidCustomer, a *table.Account) {
-		unallocated := p.Total - s.Content.Allocated(c)
+		allocated := s.Sums[c].Allocated
+		unallocated := p.Total - allocated
 		margin := targetMargin(w, a, p)
-		target := proposeLimit(w, a, p, &s.Content, s.RouterCount, margin)
+		target := proposeLimit(w, a, p, allocated, margin)
 		need.returnsLimit = need.returnsLimit || target < a.RecordedLimit
 		if unallocated < 0 && a.RecordedLimit > 0 {
 			need.urgency = max(need.urgency, urgencyRefill)
 		}
-		if a.SmallestShortfall > 0 && !transferPending(w, a) && (unallocated >= a.SmallestShortfall || s.ConfirmedAt.Add(scaleToFleet(w, ledgerStaleAfter)) <= w.Now) {
+		if a.SmallestShortfall > 0 && !transferPossible(w, a) && (unallocated >= a.SmallestShortfall || s.ConfirmedAt.Add(scaleToFleet(w, ledgerStaleAfter)) <= w.Now) {
 			need.urgency = urgencyWaiting
 		}
 		if a.Available() < margin/refillDivisor && target-a.RecordedLimit > margin/minChangeDivisor {
 			need.urgency = max(need.urgency, urgencyRefill)
 		}
-		if a.NetSpent() != own.Entries[c].Spent {
+		if a.NetSpent() != own.Entries[c].Spent && (a.RecordedLimit != 0 || holdersOf(w, c).IncludesSelf) {
 			need.urgency = max(need.urgency, urgencyReport)
 		}
 	})
 	return need
 }
 
+// transferPossible reports whether another router may still serve a waiting request.
+// A holder does not wait for the others if the ledger has what it needs.
+func transferPossible(w *world.World, a *table.Account) bool {
+	if transferPending(w, a) {
+		return !canRaiseLimit(w, a, a.Available()+a.SmallestShortfall)
+	}
+	return nextHolder(w, a) != nil
+}
+
 // urgencyDue reports whether a change of the given urgency is due if the last
 // one was at last.
 func urgencyDue(w *world.World, u urgency, last table.Instant, refill, report time.Duration) bool {
--- a/internal/system/allowance/requests.go
+++ b/internal/system/allowance/requests.go
@@ -33,24 +33,33 @@
 )
 
 // chooseWriter returns the router that writes the ledger for this one, or nil
-// if this one writes itself. Among connected routers, the one with the least
-// name that has an entry is the writer.
+// if this one writes itself. Among connected routers with an entry, the writer is
+// the one on the largest host, and of these the one with the least name.
 func chooseWriter(w *world.World, registered bool) *table.AllowancePeer {
 	var writer *table.AllowancePeer
 	w.AllowancePeers.Each(func(id table.ProcessID, p *table.AllowancePeer) {
-		if !p.Connected || p.StoreDown || p.NoLimitRequestsUntil > w.Now || w.LimitLedgerView.Content.Find(p.Holder) == nil {
+		if !p.Connected || p.StoreDown || p.NoLimitRequestsUntil > w.Now || !w.LimitLedgerView.Registered[p.Holder] {
 			return
 		}
-		if writer == nil || id < writer.Process {
+		if writer == nil || precedes(p.Cores, id, writer.Cores, writer.Process) {
 			writer = p
 		}
 	})
-	if registered && writer != nil && w.Self().Process < writer.Process {
+	self := &w.Params.Self
+	if registered && writer != nil && precedes(self.Cores, self.Process, writer.Cores, writer.Process) {
 		return nil
 	}
 	return writer
 }
 
+// precedes reports whether the first of two routers is preferred as writer.
+func precedes(cores float64, id table.ProcessID, otherCores float64, otherID table.ProcessID) bool {
+	if cores != otherCores {
+		return cores > otherCores
+	}
+	return id < otherID
+}
+
 // requestWrite asks the writer for what this router needs if a change is due.
 // It returns false if the writer did not serve an earlier request in time:
 // this router then writes itself.
@@ -72,7 +81,7 @@
 		return true
 	}
 	if s.LimitRequestSentTo != writer.Holder {
-		w.RecordStateChange("ledger", "writer", string(s.LimitRequestSentTo.Process), string(writer.Process), "it has the least name of the connected routers")
+		w.RecordStateChange("ledger", "writer", string(s.LimitRequestSentTo.Process), string(writer.Process), "it comes first among the connected routers")
 	}
 	s.LimitRequestOpen, s.LimitRequestUrgent, s.LimitRequestSentAt, s.LimitRequestSentTo = true, urgent, w.Now, writer.Holder
 	w.Out.LimitRequests = append(w.Out.LimitRequests, command.SendLimitRequest{
@@ -102,9 +111,9 @@
 func raisedEntries(w *world.World, own *table.LimitHolder) map[table.CustomerID]table.LimitEntry {
 	entries := make(map[table.CustomerID]table.LimitEntry)
 	forEachLimited(w, func(c table.CustomerID, p *table.PrepaidCustomer, a *table.Account) {
-		target := proposeLimit(w, a, p, &w.LimitLedgerView.Content, w.LimitLedgerView.RouterCount, targetMargin(w, a, p))
-		e := table.LimitEntry{Limit: max(a.RecordedLimit, target), Spent: a.NetSpent()}
-		if own == nil || e != own.Entries[c] {
+		e := proposeEntry(w, a, p, w.LimitLedgerView.Sums[c].Allocated)
+		e.Limit = max(a.RecordedLimit, e.Limit)
+		if own == nil && e != (table.LimitEntry{}) || own != nil && e != own.Entries[c] {
 			entries[c] = e
 		}
 	})
--- /dev/null
+++ b/internal/system/allowance/sessions.go
@@ -0,0 +1,139 @@
+package allowance
+
+import (
+	"time"
+
+	"laburnumroad.dev/laburnumroad/internal/command"
+	"laburnumroad.dev/laburnumroad/internal/event"
+	"laburnumroad.dev/laburnumroad/internal/table"
+	"laburnumroad.dev/laburnumroad/internal/world"
+)
+
+const (
+	// Reports between routers are sent at an interval of reportIntervalPerRouter for
+	// each router of the fleet, within the two bounds, so that the number of reports
+	// that a router receives in a second does not grow with the fleet.
+	reportIntervalPerRouter = 20 * time.Millisecond
+	minReportInterval       = 500 * time.Millisecond
+	maxReportInterval       = 2 * time.Second
+	// dialYieldDelay is how long the router with the greater name waits before it
+	// dials.
+	dialYieldDelay = 400 * time.Millisecond
+	// minRedialDelay and maxRedialDelay bound the delay between attempts to connect
+	// to a router that has an entry in the ledger: its process may have ended.
+	minRedialDelay = 250 * time.Millisecond
+	maxRedialDelay = 2 * time.Second
+)
+
+// SyncPeers handles the sessions with the other routers and the transfers of
+// allowances between them, which work while the store is out of reach.
+func SyncPeers(w *world.World) {
+	for i := range w.In.SessionsOpened {
+		onSessionOpened(w, &w.In.SessionsOpened[i])
+	}
+	for _, closed := range w.In.SessionsClosed {
+		onSessionClosed(w, closed)
+	}
+	for i := range w.In.RouterReports {
+		onRouterReport(w, &w.In.RouterReports[i])
+	}
+	for i := range w.In.Transfers {
+		onTransfer(w, &w.In.Transfers[i])
+	}
+	for i := range w.In.TransferRequests {
+		onTransferRequest(w, &w.In.TransferRequests[i])
+	}
+	dialPeers(w)
+	sendReport(w)
+}
+
+func onSessionOpened(w *world.World, e *event.SessionOpened) {
+	w.AllowancePeers.Put(e.Process.Process, table.AllowancePeer{
+		Holder: e.Process.Holder, Domain: e.Process.Domain, Cores: e.Process.Cores, Connected: true, Session: e.Session,
+	})
+	w.HolderGeneration++
+	w.RecordStateChange("router", string(e.Process.Process), "", "connected", "session opened")
+}
+
+func onSessionClosed(w *world.World, e event.SessionClosed) {
+	peer := w.AllowancePeers.Get(e.Peer.Process)
+	if peer == nil || peer.Session != e.Session {
+		return
+	}
+	peer.Connected, peer.Available = false, nil
+	w.HolderGeneration++
+	w.LimitRequests.Delete(peer.Process)
+	w.PendingTransfers.DeleteIf(func(k table.TransferKey, _ *table.PendingTransfer) bool { return k.Process == peer.Process })
+	w.RecordStateChange("router", string(peer.Process), "connected", "", "session ended")
+}
+
+func onRouterReport(w *world.World, e *event.RouterReport) {
+	peer := w.AllowancePeers.Get(e.From.Process)
+	if peer == nil || peer.Holder != e.From {
+		return
+	}
+	if peer.StoreDown != e.StoreDown {
+		w.HolderGeneration++
+	}
+	peer.StoreDown, peer.Available = e.StoreDown, e.Available
+}
+
+// dialPeers opens sessions with the routers in the ledger. In each pair, the
+// router with the lesser name dials at once. The other one waits first,
+// because it may learn of its peer before the peer learns of it.
+func dialPeers(w *world.World) {
+	if w.DialCheckGeneration == w.HolderGeneration && w.DialCheckAt > w.Now {
+		w.WakeAt(w.DialCheckAt)
+		return
+	}
+	w.DialCheckGeneration, w.DialCheckAt = w.HolderGeneration, table.Never
+	for i := range w.LimitLedgerView.Content.Holders {
+		holder := &w.LimitLedgerView.Content.Holders[i]
+		if holder.Process == w.Self().Process || holder.Address == "" {
+			continue
+		}
+		peer := w.AllowancePeers.Get(holder.Process)
+		if peer == nil || peer.Holder != holder.Holder && !peer.Connected {
+			peer = w.AllowancePeers.Put(holder.Process, table.AllowancePeer{Holder: holder.Holder})
+			if holder.Process < w.Self().Process {
+				peer.DialAt = w.Now.Add(dialYieldDelay)
+			}
+		}
+		if peer.Connected {
+			continue
+		}
+		if peer.DialAt <= w.Now {
+			peer.DialBackoff = min(max(2*peer.DialBackoff, minRedialDelay), maxRedialDelay)
+			peer.DialAt = w.Now.Add(peer.DialBackoff)
+			w.Out.Dials = append(w.Out.Dials, command.Dial{Process: holder.Process, Address: holder.Address})
+		}
+		w.DialCheckAt = min(w.DialCheckAt, peer.DialAt)
+	}
+	w.WakeAt(w.DialCheckAt)
+}
+
+// sendReport sends the periodic report to the other routers. The reports also keep
+// sessions open, which end after several missing ones.
+func sendReport(w *world.World) {
+	nextReport := w.ReportSentAt.Add(ReportInterval(w))
+	if nextReport > w.Now {
+		w.WakeAt(nextReport)
+		return
+	}
+	w.ReportSentAt = w.Now
+	w.WakeAt(w.Now.Add(ReportInterval(w)))
+	available := make(map[table.CustomerID]table.Tokens)
+	w.Accounts.Each(func(c table.CustomerID, a *table.Account) {
+		if n := a.Available(); n > 0 && holdersOf(w, c).IncludesSelf {
+			available[c] = n
+		}
+	})
+	w.Out.RouterReports = append(w.Out.RouterReports, command.SendRouterReport{
+		Report: event.RouterReport{Available: available, StoreDown: !w.PlatformReachable || w.LimitLedgerView.Backoff > 0},
+	})
+}
+
+// ReportInterval returns the interval between reports to the other routers.
+func ReportInterval(w *world.World) time.Duration {
+	return min(max(reportIntervalPerRouter*time.Duration(w.LimitLedgerView.RouterCount), minReportInterval), maxReportInterval)
+}
--- a/internal/system/allowance/settle.go
+++ b/internal/system/allowance/settle.go
@@ -17,6 +17,7 @@
 		w.ExchangesEnded.Remove(id)
 		w.Exchanges.Delete(id)
 	}
+	returnUnused(w)
 	planWrite(w)
 }
 
--- a/internal/system/allowance/steps.go
+++ b/internal/system/allowance/steps.go
@@ -86,8 +86,9 @@
 // longer take effect.
 func applyStep(w *world.World, step *table.LedgerStep) {
 	s := &w.LimitLedgerView
-	s.Content = s.Content.Apply(step)
-	s.Revision, s.ConfirmedAt, s.OutOfOrderSince = step.Revision, w.Now, w.Now
+	content := s.Content.Apply(step)
+	setContent(w, step.Revision, &content)
+	s.ConfirmedAt, s.OutOfOrderSince = w.Now, w.Now
 	updated := slices.ContainsFunc(step.Holders, func(h table.LimitHolder) bool { return h.Holder == w.Self() })
 	if updated {
 		s.LimitRequestOpen = false
--- a/internal/table/account.go
+++ b/internal/table/account.go
@@ -37,10 +37,23 @@
 	// WaitingTokens is the sum of the reservations of all waiting requests.
 	SmallestShortfall Tokens
 	WaitingTokens     Tokens
-	// TransferRequestedAt is when peers were last asked for a transfer, and
-	// TransferRequestedNeed the amount that was needed then.
+	// TransferRequestedFrom was asked for a transfer at TransferRequestedAt, which is
+	// 0 if no answer is awaited. TransferRequestedNeed is the least amount that was
+	// asked for.
+	TransferRequestedFrom Holder
 	TransferRequestedAt   Instant
 	TransferRequestedNeed Tokens
+	// Denials are the routers that recently had less than was asked for.
+	Denials []TransferDenial
+	// ReturnedAt is when unused tokens were last transferred back to a holder.
+	ReturnedAt Instant
+}
+
+// TransferDenial says that a router had too few tokens for a transfer. It is not
+// asked again before Until.
+type TransferDenial struct {
+	Holder Holder
+	Until  Instant
 }
 
 // Available returns the tokens that may still be reserved.
@@ -208,8 +221,12 @@
 	// be carried out, until a later call shows whether it took effect.
 	WriteOutcomeUnknown bool
 	// RouterCount is the number of routers in the ledger, or 0 before it is known.
-	// They share the margins of each total and the retry budget.
+	// They share the retry budget.
 	RouterCount int
+	// Registered are the routers that have an entry in Content, and Sums the sums
+	// over the entries of each customer.
+	Registered map[Holder]bool
+	Sums       map[CustomerID]LedgerSum
 	// ConsecutiveConflicts counts the consecutive writes that failed because
 	// another router wrote first.
 	ConsecutiveConflicts int
@@ -240,6 +257,28 @@
 	EntryClosed    bool
 }
 
+// LedgerSum holds the sums over a customer's entries in the limit ledger, as
+// LimitLedger.Allocated and LimitLedger.RecordedSpent return them.
+type LedgerSum struct {
+	Allocated Tokens
+	Spent     Tokens
+}
+
+// SumEntries returns the sums of all customers with tokens in the ledger.
+func (l *LimitLedger) SumEntries() map[CustomerID]LedgerSum {
+	sums := make(map[CustomerID]LedgerSum, len(l.ClosedTokens))
+	for c, closed := range l.ClosedTokens {
+		sums[c] = LedgerSum{Allocated: closed, Spent: closed}
+	}
+	for i := range l.Holders {
+		for c, e := range l.Holders[i].Entries {
+			s := sums[c]
+			sums[c] = LedgerSum{Allocated: s.Allocated + e.Limit, Spent: s.Spent + e.Spent}
+		}
+	}
+	return sums
+}
+
 // LedgerStep is one change of the limit ledger: the difference between the
 // revisions before and after a write.
 type LedgerStep struct {
@@ -274,6 +313,9 @@
 // AllowancePeer is another router that this one exchanges allowances with.
 type AllowancePeer struct {
 	Holder
+	// Domain is the peer's failure domain and Cores the processor share of its host.
+	Domain    string
+	Cores     float64
 	Connected bool
 	// Session is the number of the session last opened.
 	Session uint64
@@ -285,8 +327,37 @@
 	// NoLimitRequestsUntil is when the peer may be asked to write the ledger
 	// again, after it failed to do so.
 	NoLimitRequestsUntil Instant
+	// NoTransferRequestsUntil is when the peer may be asked for a transfer again,
+	// after it did not answer.
+	NoTransferRequestsUntil Instant
 	// DialAt is when the next session may be tried, and DialBackoff the delay
 	// after that attempt.
 	DialAt      Instant
 	DialBackoff time.Duration
 }
+
+// CustomerHolders are the routers that hold limits of a customer, as this router
+// sees them, in the order in which it asks them.
+type CustomerHolders struct {
+	// Generation is the value of FrontTables.HolderGeneration that Holders was
+	// computed for.
+	Generation uint64
+	Holders    []Holder
+	// IncludesSelf is true if this router is one of them.
+	IncludesSelf bool
+}
+
+// TransferKey identifies a router's request for a transfer.
+type TransferKey struct {
+	Process  ProcessID
+	Customer CustomerID
+}
+
+// PendingTransfer is another router's request for a transfer that waits until the
+// ledger raises this router's limit.
+type PendingTransfer struct {
+	From      Holder
+	Need      Tokens
+	Want      Tokens
+	ExpiresAt Instant
+}
--- a/internal/table/exchange.go
+++ b/internal/table/exchange.go
@@ -123,7 +123,16 @@
 	AllowancePeers Table[ProcessID, AllowancePeer]
 	// LimitRequests are what other routers asked this one to write to the ledger.
 	LimitRequests Table[ProcessID, LimitRequest]
-	// AllowanceSentAt is when the peers were last told what this router may still
-	// spend.
-	AllowanceSentAt Instant
+	// CustomerHolders caches the holders of each customer. HolderGeneration
+	// increases with each change that may affect them.
+	CustomerHolders  Table[CustomerID, CustomerHolders]
+	HolderGeneration uint64
+	// PendingTransfers are other routers' requests that wait for a limit.
+	PendingTransfers Table[TransferKey, PendingTransfer]
+	// ReportSentAt is when the peers were last sent a report.
+	ReportSentAt Instant
+	// DialCheckAt is when the sessions with other routers are checked next, and
+	// DialCheckGeneration the HolderGeneration at the last check.
+	DialCheckAt         Instant
+	DialCheckGeneration uint64
 }
--- a/internal/table/process.go
+++ b/internal/table/process.go
@@ -50,7 +50,9 @@
 	Left   bool
 	Region string
 	// Domain is the failure domain (zone).
-	Domain  string
+	Domain string
+	// Cores is the processor share of a router's host, in cores; 0 if unknown.
+	Cores   float64
 	Address string
 	State   ProcessState
 	// Connected is true while a session is open.
--- a/internal/traffic/wire/message.go
+++ b/internal/traffic/wire/message.go
@@ -48,7 +48,7 @@
 	TypeConfigBody
 	TypeCrash
 	TypeDrain
-	TypeAllowance
+	TypeRouterReport
 	TypeTransferRequest
 	TypeTransfer
 	// Reserved: earlier releases send this type for a single changed ledger entry. Receiving it
@@ -62,7 +62,7 @@
 	"", "Hello", "Heartbeat", "Dispatch", "Chunk", "End", "Cancel", "Lookup", "LookupResult",
 	"SliceRequest", "SliceGrant", "SliceReport", "KeyRecord", "KeyQuery", "KeyResult",
 	"Fence", "FenceResult", "ConfigRequest", "ConfigBody", "Crash", "Drain",
-	"Allowance", "TransferRequest", "Transfer", "", "LedgerChange", "LimitRequest",
+	"RouterReport", "TransferRequest", "Transfer", "", "LedgerChange", "LimitRequest",
 }
 
 // String returns the name of the message type.
