--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -71,7 +71,11 @@
 	WriteLimitLedgers []WriteLimitLedger
 
 	// Reports and allowances between routers.
-	RouterReports    []SendRouterReport
+	RouterReports []SendRouterReport
+	// Calls and messages about the store's objects.
+	WatchCalls       []WatchObjects
+	WatchStops       []StopWatch
+	EndpointRelays   []RelayEndpointChanges
 	TransferRequests []SendTransferRequest
 	Transfers        []SendTransfer
 	LedgerChanges    []SendLedgerChange
--- a/internal/command/exchange.go
+++ b/internal/command/exchange.go
@@ -53,6 +53,24 @@
 // SendRouterReport sends a report to all connected routers.
 type SendRouterReport struct{ Report event.RouterReport }
 
+// WatchObjects calls the store for the objects of a kind: the complete list, or, if
+// Since is not 0, the changes since a revision, for which the call waits up to Wait.
+type WatchObjects struct {
+	Kind  table.WatchKind
+	Call  uint64
+	Since uint64
+	Wait  time.Duration
+}
+
+// StopWatch ends the open call that follows a kind of objects.
+type StopWatch struct{ Kind table.WatchKind }
+
+// RelayEndpointChanges sends changes of the list of endpoints to other routers.
+type RelayEndpointChanges struct {
+	To      []table.Holder
+	Changes event.EndpointChanges
+}
+
 // SendTransferRequest asks another router for part of its allowance.
 type SendTransferRequest struct {
 	To      table.Holder
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -82,6 +82,7 @@
 	DirectAttemptEnds    []DirectAttemptEnd
 	Manifests            []ManifestReceived
 	EndpointChanges      []EndpointChanges
+	WatchResults         []WatchResult
 	LimitLedgerResults   []LimitLedgerResult
 
 	// Reports and allowances between routers.
--- a/internal/event/exchange.go
+++ b/internal/event/exchange.go
@@ -118,12 +118,45 @@
 	StartedUnixMilli int64
 }
 
-// EndpointChanges carries changes of the platform's list of endpoints, or, if
-// Full, the whole list.
+// EndpointChanges carries all changes of the platform's list of endpoints between two
+// revisions of the store, or, if Full, the whole list at a revision.
 type EndpointChanges struct {
-	Full    bool
-	Present []EndpointEntry
-	Removed []table.EndpointID
+	Full bool
+	// Since and Covered are the revisions; Since is 0 if Full.
+	Since   uint64
+	Covered uint64
+	// LastChange is the highest revision of an entry in the list or the changes.
+	LastChange uint64
+	Present    []EndpointEntry
+	Removed    []table.EndpointID
+	// Relayed is true if another router sent the changes. MayHaveLapsed is true if an
+	// outage of the store at that router may have caused the removals.
+	Relayed       bool `msgpack:"-"`
+	MayHaveLapsed bool
+}
+
+// WatchStatus is how a call that follows a kind of objects ended.
+type WatchStatus uint8
+
+// Values of WatchStatus.
+const (
+	WatchOK WatchStatus = iota + 1
+	// WatchCompacted means that the store no longer has the history since the
+	// revision.
+	WatchCompacted
+	WatchFailed
+)
+
+// WatchResult is the end of a call that follows a kind of objects. The objects are
+// carried by events before it.
+type WatchResult struct {
+	Kind   table.WatchKind
+	Call   uint64
+	Status WatchStatus
+	// Covered is the revision up to which the call returned all changes, and
+	// LastChange the highest revision of an object that it returned, or 0.
+	Covered    uint64
+	LastChange uint64
 }
 
 // LimitLedgerResult is the result of a call to the limit ledger.
@@ -143,6 +176,9 @@
 	Available map[table.CustomerID]table.Tokens `msgpack:"Free"`
 	// StoreDown is true while the sender's calls to the store fail.
 	StoreDown bool
+	// LastChanges are the highest revisions of changes in the store that the sender
+	// knows, by kind of object.
+	LastChanges map[table.WatchKind]uint64
 }
 
 // TransferRequest asks another router for part of what it may still spend. Need
@@ -218,5 +254,8 @@
 // AddTo implements Event.
 func (e EndpointChanges) AddTo(in *Inbox) { in.EndpointChanges = append(in.EndpointChanges, e) }
 
+// AddTo implements Event.
+func (e WatchResult) AddTo(in *Inbox) { in.WatchResults = append(in.WatchResults, e) }
+
 // AddTo implements Event.
 func (e LimitLedgerResult) AddTo(in *Inbox) { in.LimitLedgerResults = append(in.LimitLedgerResults, e) }
--- a/internal/gateway/flush.go
+++ b/internal/gateway/flush.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"slices"
+
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
@@ -24,6 +26,12 @@
 	for _, c := range out.EndpointCalls {
 		g.front.CallEndpoint(c)
 	}
+	for _, c := range out.WatchStops {
+		g.stopWatch(c)
+	}
+	for _, c := range out.WatchCalls {
+		g.startWatch(c)
+	}
 	for _, c := range out.WriteLimitLedgers {
 		go g.writeLimitLedger(c)
 	}
@@ -45,6 +53,9 @@
 	for i := range out.RouterReports {
 		g.broadcast(wire.TypeRouterReport, &out.RouterReports[i].Report)
 	}
+	for i := range out.EndpointRelays {
+		g.sendToAll(out.EndpointRelays[i].To, wire.TypeEndpointChanges, &out.EndpointRelays[i].Changes)
+	}
 	for i := range out.Crashes {
 		g.broadcast(wire.TypeCrash, &out.Crashes[i].Crash)
 	}
@@ -62,14 +73,30 @@
 	}
 }
 
-// broadcast encodes a message once and sends it to all connected routers.
+// broadcast sends a message to all connected routers.
 func (g *Gateway) broadcast(t wire.Type, body any) {
+	g.sendFrame(g.peers.Sessions(), t, body)
+}
+
+// sendToAll sends a message to those of the given routers that are connected.
+func (g *Gateway) sendToAll(to []table.Holder, t wire.Type, body any) {
+	var sessions []*wire.Session
+	for _, s := range g.peers.Sessions() {
+		if slices.Contains(to, s.Holder()) {
+			sessions = append(sessions, s)
+		}
+	}
+	g.sendFrame(sessions, t, body)
+}
+
+// sendFrame encodes a message once and sends it on the sessions.
+func (g *Gateway) sendFrame(sessions []*wire.Session, t wire.Type, body any) {
 	frame, err := wire.AppendFrame(nil, t, body)
 	if err != nil {
 		g.log.Error().Err(err).Msg("failed to encode message to routers")
 		return
 	}
-	for _, s := range g.peers.Sessions() {
+	for _, s := range sessions {
 		g.logSendError(s.SendFrame(frame))
 	}
 }
@@ -96,6 +123,8 @@
 		return peering.PostDecoded(g.peers, f, func(*event.LedgerChange) {})
 	case wire.TypeLimitRequest:
 		return peering.PostDecoded(g.peers, f, func(e *event.LimitRequest) { e.From = s.Holder() })
+	case wire.TypeEndpointChanges:
+		return peering.PostDecoded(g.peers, f, func(e *event.EndpointChanges) { e.Relayed = true })
 	case wire.TypeCrash:
 		return peering.PostDecoded(g.peers, f, func(*event.Crash) {})
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -85,6 +85,10 @@
 	peers    *peering.Peers
 	node     *wire.Node
 
+	// watches are the open calls that follow objects of the store. Only the control
+	// thread uses it.
+	watches map[table.WatchKind]watchCall
+
 	metrics *metrics
 	// shutdownTracing flushes and closes the span exporter.
 	shutdownTracing func(context.Context)
@@ -103,7 +107,7 @@
 	g := &Gateway{
 		settings: s, log: log, clock: control.MonotonicClock(), pool: upstream.NewPool(),
 		store: platform.New("http://"+s.StoreAddress, platform.Options{Timeout: storeTimeout}), exitRequested: make(chan struct{}),
-		metrics: newMetrics(),
+		metrics: newMetrics(), watches: make(map[table.WatchKind]watchCall),
 	}
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	incarnation, err := wire.NewIncarnation()
@@ -237,8 +241,6 @@
 func (g *Gateway) Run() error {
 	g.log.Info().Str("process", string(g.self.Process)).Uint64("incarnation", uint64(g.self.Incarnation)).
 		Str("domain", g.self.Domain).Str("clients", g.settings.ClientAddress).Msg("started")
-	g.startWorker(g.watchConfig)
-	g.startWorker(g.watchEndpoints)
 	stopLoop := make(chan struct{})
 	loopDone := make(chan struct{})
 	go func() {
--- a/internal/gateway/systems.go
+++ b/internal/gateway/systems.go
@@ -8,20 +8,23 @@
 	"laburnumroad.dev/laburnumroad/internal/system/explain"
 	"laburnumroad.dev/laburnumroad/internal/system/health"
 	"laburnumroad.dev/laburnumroad/internal/system/intake"
+	"laburnumroad.dev/laburnumroad/internal/system/peers"
 	"laburnumroad.dev/laburnumroad/internal/system/placement"
 	"laburnumroad.dev/laburnumroad/internal/system/quarantine"
+	"laburnumroad.dev/laburnumroad/internal/system/watch"
 	"laburnumroad.dev/laburnumroad/internal/world"
 )
 
 // Systems returns the systems of a gateway in the order in which a tick runs them.
 func Systems() []world.System {
 	return []world.System{
+		world.SystemFunc(watch.Run),
 		world.SystemFunc(catalog.Run),
 		world.SystemFunc(health.Run),
 		world.SystemFunc(quarantine.RunGateway),
 		world.SystemFunc(attempt.Run),
 		world.SystemFunc(intake.Run),
-		world.SystemFunc(allowance.SyncPeers),
+		world.SystemFunc(peers.Run),
 		world.SystemFunc(allowance.Run),
 		world.SystemFunc(placement.Run),
 		drain.New(),
--- a/internal/gateway/systems_test.go
+++ b/internal/gateway/systems_test.go
@@ -23,6 +23,8 @@
 	now          table.Instant
 	lastExchange table.ExchangeID
 	revision     uint64
+	// storeRevision is the revision of the last change of the list of endpoints.
+	storeRevision uint64
 	// ledgerReachable is false while writes to the ledger get no result.
 	ledgerReachable bool
 	calls           []command.CallEndpoint
@@ -89,6 +91,13 @@
 // writes.
 func (h *harness) step(events ...event.Event) {
 	for _, e := range events {
+		if changes, ok := e.(event.EndpointChanges); ok {
+			// The harness numbers the changes as a store does.
+			changes.Since = h.storeRevision
+			h.storeRevision++
+			changes.Covered, changes.LastChange = h.storeRevision, h.storeRevision
+			e = changes
+		}
 		e.AddTo(&h.world.In)
 	}
 	for range 3 {
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -2,123 +2,93 @@
 
 import (
 	"context"
-	"math/rand/v2"
-	"time"
 
 	"github.com/pkg/errors"
 
+	"laburnumroad.dev/laburnumroad/internal/command"
 	"laburnumroad.dev/laburnumroad/internal/event"
 	"laburnumroad.dev/laburnumroad/internal/table"
-	"laburnumroad.dev/laburnumroad/internal/traffic/pause"
 	"laburnumroad.dev/laburnumroad/platform"
 )
 
-const (
-	// watchTimeout is how long a watch call waits for changes. A connection can stall
-	// without a reset; the timeout bounds how late a change is seen in that case.
-	watchTimeout = 2500 * time.Millisecond
-	// changeBatchDelay is the delay after a watch call that returned changes, so that
-	// several changes within a short time cost each router a single call. Changes
-	// must take effect within two seconds, and half a second leaves time for a slow
-	// call.
-	changeBatchDelay = 500 * time.Millisecond
-	// minBackoff and maxBackoff bound the delay after a failed call.
-	minBackoff = 30 * time.Millisecond
-	maxBackoff = 400 * time.Millisecond
-)
+// watchCall is an open call that follows a kind of objects in the store.
+type watchCall struct {
+	number uint64
+	cancel context.CancelFunc
+}
 
-// objectWatcher follows the stored objects of one kind: it lists them and then
-// watches for changes.
-type objectWatcher struct {
-	g    *Gateway
-	kind string
-	// onList is called with the complete list, onChange with later changes.
-	onList   func([]platform.Object)
-	onChange func([]platform.Object)
+// startWatch carries out a call in the background. It runs on the control thread.
+func (g *Gateway) startWatch(c command.WatchObjects) {
+	ctx, cancel := context.WithCancel(g.ctx)
+	g.watches[c.Kind] = watchCall{c.Call, cancel}
+	go func() {
+		defer cancel()
+		g.followObjects(ctx, c)
+	}()
 }
 
-func (w *objectWatcher) run(ctx context.Context) {
-	backoff := minBackoff
-	for ctx.Err() == nil {
-		objects, revision, err := w.g.store.List(ctx, w.kind)
-		if err == nil {
-			w.g.postReachable(true)
-			w.onList(objects)
-			backoff = minBackoff
-			err = w.watch(ctx, revision)
-		}
-		if errors.Is(err, platform.ErrCompacted) || ctx.Err() != nil {
-			w.g.log.Info().Str("kind", w.kind).Msg("watch history compacted; listing again")
-			continue
-		}
-		w.g.log.Info().Str("kind", w.kind).Err(err).Msg("failed to list objects")
-		backoff = w.backOff(ctx, backoff)
+// stopWatch ends the open call of a kind.
+func (g *Gateway) stopWatch(c command.StopWatch) {
+	if call, open := g.watches[c.Kind]; open {
+		call.cancel()
 	}
 }
 
-// watch calls onChange for each batch of changes after the revision. It returns
-// when the context ends or the store no longer has the history since the last
-// revision. A failed call is repeated from the same revision.
-func (w *objectWatcher) watch(ctx context.Context, revision uint64) error {
-	backoff := minBackoff
-	for ctx.Err() == nil {
-		changes, nextRevision, err := w.g.store.Watch(ctx, w.kind, revision, watchTimeout)
-		if errors.Is(err, platform.ErrCompacted) {
-			return err
-		}
-		if err != nil {
-			backoff = w.backOff(ctx, backoff)
-			continue
-		}
-		w.g.postReachable(true)
-		backoff = minBackoff
-		revision = nextRevision
-		if len(changes) > 0 {
-			w.onChange(changes)
-			// The loop condition checks whether the context has ended.
-			_ = pause.Sleep(ctx, changeBatchDelay)
+// followObjects calls the store and posts the objects that it returns, and then the
+// result of the call.
+func (g *Gateway) followObjects(ctx context.Context, c command.WatchObjects) {
+	kind := platform.KindConfig
+	if c.Kind == table.WatchEndpoints {
+		kind = platform.KindEndpoint
+	}
+	var objects []platform.Object
+	var revision uint64
+	var err error
+	if c.Since == 0 {
+		objects, revision, err = g.store.List(ctx, kind)
+	} else {
+		objects, revision, err = g.store.Watch(ctx, kind, c.Since, c.Wait)
+	}
+	result := event.WatchResult{Kind: c.Kind, Call: c.Call, Status: event.WatchOK, Covered: revision}
+	switch {
+	case errors.Is(err, platform.ErrCompacted):
+		result.Status = event.WatchCompacted
+	case err != nil:
+		result.Status = event.WatchFailed
+		g.log.Info().Str("kind", kind).Err(err).Msg("failed to follow objects of the store")
+	default:
+		for i := range objects {
+			result.LastChange = max(result.LastChange, objects[i].Version)
 		}
+		g.postObjects(c, objects, &result)
 	}
-	return ctx.Err()
-}
-
-// backOff waits a random time between half of the backoff and all of it, and
-// returns the backoff for the next failed call.
-func (w *objectWatcher) backOff(ctx context.Context, backoff time.Duration) time.Duration {
-	w.g.postReachable(false)
-	// The callers' loop conditions check whether the context has ended.
-	_ = pause.Sleep(ctx, backoff/2+rand.N(backoff/2))
-	return min(2*backoff, maxBackoff)
-}
-
-// postReachable posts to the control thread whether the store answered.
-func (g *Gateway) postReachable(reachable bool) {
-	g.loop.Post(event.PlatformState{Reachable: reachable})
+	if ctx.Err() != nil && err != nil {
+		// The call was stopped; a failure says nothing about the store.
+		return
+	}
+	g.loop.Post(event.PlatformState{Reachable: result.Status != event.WatchFailed})
+	g.loop.Post(result)
 }
 
-func (g *Gateway) watchConfig(ctx context.Context) {
-	w := &objectWatcher{
-		g: g, kind: platform.KindConfig,
-		onList: func(objects []platform.Object) {
-			for i := range objects {
-				g.postConfig(&objects[i])
-			}
-		},
-		onChange: func(changes []platform.Object) {
-			for i := range changes {
-				if !changes[i].Deleted() {
-					g.postConfig(&changes[i])
-				}
-			}
-		},
+// postObjects decodes the objects of a call and posts them.
+func (g *Gateway) postObjects(c command.WatchObjects, objects []platform.Object, result *event.WatchResult) {
+	if c.Kind == table.WatchConfig {
+		for i := range objects {
+			g.postConfig(&objects[i])
+		}
+		return
+	}
+	if c.Since == 0 || len(objects) > 0 {
+		changes := event.EndpointChanges{Full: c.Since == 0, Since: c.Since, Covered: result.Covered, LastChange: result.LastChange}
+		g.addEndpoints(&changes, objects)
+		g.loop.Post(changes)
 	}
-	w.run(ctx)
 }
 
 // postConfig decodes a configuration object and posts it to the control thread. An
 // invalid configuration is logged and the current one stays active.
 func (g *Gateway) postConfig(o *platform.Object) {
-	if o.Name != platform.NameConfig {
+	if o.Name != platform.NameConfig || o.Deleted() {
 		return
 	}
 	m, err := platform.DecodeManifest(o.Value)
@@ -129,38 +99,27 @@
 	g.loop.Post(event.ManifestReceived{Manifest: m})
 }
 
-func (g *Gateway) watchEndpoints(ctx context.Context) {
-	w := &objectWatcher{
-		g: g, kind: platform.KindEndpoint,
-		onList: func(objects []platform.Object) {
-			update := event.EndpointChanges{Full: true}
-			for i := range objects {
-				g.addEndpoint(&update, &objects[i])
-			}
-			g.loop.Post(update)
-		},
-		onChange: func(changes []platform.Object) {
-			for i := range changes {
-				update := event.EndpointChanges{}
-				if changes[i].Deleted() {
-					update.Removed = []table.EndpointID{table.EndpointID(changes[i].Name)}
-				} else {
-					g.addEndpoint(&update, &changes[i])
-				}
-				g.loop.Post(update)
-			}
-		},
+// addEndpoints adds the last state of each stored entry to changes. An invalid entry
+// is logged and skipped.
+func (g *Gateway) addEndpoints(changes *event.EndpointChanges, objects []platform.Object) {
+	last := make(map[string]int, len(objects))
+	for i := range objects {
+		last[objects[i].Name] = i
 	}
-	w.run(ctx)
-}
-
-// addEndpoint adds a stored endpoint entry to update. An invalid entry is logged
-// and skipped.
-func (g *Gateway) addEndpoint(update *event.EndpointChanges, o *platform.Object) {
-	e, err := platform.DecodeEndpoint(o.Name, o.Value)
-	if err != nil {
-		g.log.Warn().Err(err).Msg("skipped invalid endpoint entry")
-		return
+	for i := range objects {
+		o := &objects[i]
+		if last[o.Name] != i {
+			continue
+		}
+		if o.Deleted() {
+			changes.Removed = append(changes.Removed, table.EndpointID(o.Name))
+			continue
+		}
+		e, err := platform.DecodeEndpoint(o.Name, o.Value)
+		if err != nil {
+			g.log.Warn().Err(err).Msg("skipped invalid endpoint entry")
+			continue
+		}
+		changes.Present = append(changes.Present, e)
 	}
-	update.Present = append(update.Present, e)
 }
--- a/internal/system/allowance/allowance.go
+++ b/internal/system/allowance/allowance.go
@@ -11,6 +11,7 @@
 import (
 	"time"
 
+	"laburnumroad.dev/laburnumroad/internal/system/delegate"
 	"laburnumroad.dev/laburnumroad/internal/table"
 	"laburnumroad.dev/laburnumroad/internal/world"
 )
@@ -38,12 +39,21 @@
 	exhaustedRetryAfter   = 5 * time.Second
 )
 
-// Run applies the results of ledger calls and other routers' messages about the
-// ledger, and reserves budget for the waiting requests.
+// Run applies the results of ledger calls and other routers' messages, and reserves
+// budget for the waiting requests.
 func Run(w *world.World) {
 	for i := range w.In.LimitLedgerResults {
 		onLedgerResult(w, &w.In.LimitLedgerResults[i])
 	}
+	for _, closed := range w.In.SessionsClosed {
+		onSessionClosed(w, closed.Peer.Process)
+	}
+	for i := range w.In.Transfers {
+		onTransfer(w, &w.In.Transfers[i])
+	}
+	for i := range w.In.TransferRequests {
+		onTransferRequest(w, &w.In.TransferRequests[i])
+	}
 	for i := range w.In.LimitRequests {
 		onLimitRequest(w, &w.In.LimitRequests[i])
 	}
@@ -64,6 +74,28 @@
 	})
 }
 
+// onSessionClosed drops what a router asked for that is no longer connected.
+func onSessionClosed(w *world.World, id table.ProcessID) {
+	if p := w.RouterPeers.Get(id); p != nil && p.Connected {
+		// A later session is open.
+		return
+	}
+	w.LimitRequests.Delete(id)
+	w.PendingTransfers.DeleteIf(func(k table.TransferKey, _ *table.PendingTransfer) bool { return k.Process == id })
+}
+
+// HeldTokens returns what this router may still spend of the totals that it holds
+// limits of.
+func HeldTokens(w *world.World) map[table.CustomerID]table.Tokens {
+	held := make(map[table.CustomerID]table.Tokens)
+	w.Accounts.Each(func(c table.CustomerID, a *table.Account) {
+		if n := a.Available(); n > 0 && delegate.For(w, string(c)).IncludesSelf {
+			held[c] = n
+		}
+	})
+	return held
+}
+
 // ensureAccount returns the account of a customer and adds it if absent.
 func ensureAccount(w *world.World, c table.CustomerID) *table.Account {
 	if a := w.Accounts.Get(c); a != nil {
--- a/internal/system/allowance/fleet_test.go
+++ b/internal/system/allowance/fleet_test.go
@@ -8,6 +8,7 @@
 	"laburnumroad.dev/laburnumroad/internal/command"
 	"laburnumroad.dev/laburnumroad/internal/event"
 	"laburnumroad.dev/laburnumroad/internal/system/allowance"
+	"laburnumroad.dev/laburnumroad/internal/system/peers"
 	"laburnumroad.dev/laburnumroad/internal/table"
 	"laburnumroad.dev/laburnumroad/internal/world"
 )
@@ -182,7 +183,7 @@
 	}
 	r.inbox = nil
 	w.Tick(f.now, []world.System{
-		world.SystemFunc(allowance.SyncPeers), world.SystemFunc(allowance.Run), world.SystemFunc(f.serve), world.SystemFunc(allowance.Settle),
+		world.SystemFunc(peers.Run), world.SystemFunc(allowance.Run), world.SystemFunc(f.serve), world.SystemFunc(allowance.Settle),
 	})
 	out := w.Out
 	w.ClearOutbox()
--- a/internal/system/allowance/ledger.go
+++ b/internal/system/allowance/ledger.go
@@ -123,7 +123,7 @@
 	}
 	if changed {
 		s.Registered, s.RouterCount = registered, countRouters(content)
-		w.HolderGeneration++
+		w.FleetGeneration++
 	}
 }
 
--- a/internal/system/allowance/limits.go
+++ b/internal/system/allowance/limits.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"laburnumroad.dev/laburnumroad/internal/system/delegate"
 	"laburnumroad.dev/laburnumroad/internal/table"
 	"laburnumroad.dev/laburnumroad/internal/world"
 )
@@ -33,7 +34,7 @@
 // targetMargin returns the amount of a total that this router aims to have
 // available: nothing if it is no holder of the customer.
 func targetMargin(w *world.World, a *table.Account, p *table.PrepaidCustomer) table.Tokens {
-	holders := holdersOf(w, a.Customer)
+	holders := delegate.For(w, string(a.Customer))
 	if !holders.IncludesSelf {
 		return 0
 	}
@@ -44,8 +45,8 @@
 
 // holderCount returns the number of holders that share the margins of a total. It
 // counts those that this router expects but is not connected with.
-func holderCount(w *world.World, h *table.CustomerHolders) table.Tokens {
-	return table.Tokens(max(1, len(h.Holders), min(minHolders, w.LimitLedgerView.RouterCount)))
+func holderCount(w *world.World, h *table.Delegates) table.Tokens {
+	return table.Tokens(max(1, len(h.Routers), min(delegate.MinCount, w.LimitLedgerView.RouterCount)))
 }
 
 // maxMargin returns the most that the margins of all holders may add up to if the
@@ -107,7 +108,7 @@
 // count that.
 func proposeEntry(w *world.World, a *table.Account, p *table.PrepaidCustomer, allocated table.Tokens) table.LimitEntry {
 	limit := proposeLimit(w, a, p, allocated, targetMargin(w, a, p))
-	if limit == 0 && a.RecordedLimit == 0 && !w.Closing && !holdersOf(w, a.Customer).IncludesSelf {
+	if limit == 0 && a.RecordedLimit == 0 && !w.Closing && !delegate.For(w, string(a.Customer)).IncludesSelf {
 		return table.LimitEntry{}
 	}
 	return table.LimitEntry{Limit: limit, Spent: a.NetSpent()}
@@ -125,7 +126,7 @@
 	if w.Closing {
 		return used
 	}
-	holders := holdersOf(w, a.Customer)
+	holders := delegate.For(w, string(a.Customer))
 	maxLimit := p.Total - (allocated - a.RecordedLimit)
 	unallocated := maxLimit - a.RecordedLimit
 	target := used + a.WaitingTokens + margin
--- a/internal/system/allowance/plan.go
+++ b/internal/system/allowance/plan.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"laburnumroad.dev/laburnumroad/internal/command"
+	"laburnumroad.dev/laburnumroad/internal/system/delegate"
 	"laburnumroad.dev/laburnumroad/internal/table"
 	"laburnumroad.dev/laburnumroad/internal/world"
 )
@@ -56,15 +57,15 @@
 	}
 	own := s.Content.Find(w.Self())
 	if w.Closing {
-		return w.Exchanges.Len() == 0 || own != nil && hasSurplus(w) && dueOrWake(w, s.WrittenAt.Add(scaleToFleet(w, refillInterval)))
+		return w.Exchanges.Len() == 0 || own != nil && hasSurplus(w) && w.DueOrWake(s.WrittenAt.Add(scaleToFleet(w, refillInterval)))
 	}
 	need := assessNeed(w, own)
-	if need.returnsLimit && dueOrWake(w, s.WrittenAt.Add(scaleToFleet(w, spentReportInterval))) || own != nil && peerWriteDue(w) {
+	if need.returnsLimit && w.DueOrWake(s.WrittenAt.Add(scaleToFleet(w, spentReportInterval))) || own != nil && peerWriteDue(w) {
 		return true
 	}
 	if stepMissing(w) {
 		// This write will conflict, and the answer will contain the whole ledger.
-		return dueOrWake(w, s.WrittenAt.Add(refillInterval))
+		return w.DueOrWake(s.WrittenAt.Add(refillInterval))
 	}
 	if writer := chooseWriter(w, own != nil); writer != nil {
 		return !requestWrite(w, writer, own, need)
@@ -115,7 +116,7 @@
 		if a.Available() < margin/refillDivisor && target-a.RecordedLimit > margin/minChangeDivisor {
 			need.urgency = max(need.urgency, urgencyRefill)
 		}
-		if a.NetSpent() != own.Entries[c].Spent && (a.RecordedLimit != 0 || holdersOf(w, c).IncludesSelf) {
+		if a.NetSpent() != own.Entries[c].Spent && (a.RecordedLimit != 0 || delegate.For(w, string(c)).IncludesSelf) {
 			need.urgency = max(need.urgency, urgencyReport)
 		}
 	})
@@ -138,9 +139,9 @@
 	case urgencyWaiting:
 		return true
 	case urgencyRefill:
-		return dueOrWake(w, last.Add(refill))
+		return w.DueOrWake(last.Add(refill))
 	case urgencyReport:
-		return dueOrWake(w, last.Add(report))
+		return w.DueOrWake(last.Add(report))
 	}
 	return false
 }
@@ -159,13 +160,3 @@
 func scaleToFleet(w *world.World, interval time.Duration) time.Duration {
 	return max(interval, interval*time.Duration(w.LimitLedgerView.RouterCount)/unscaledFleetSize)
 }
-
-// dueOrWake reports whether a time has come, and schedules a tick for it
-// otherwise.
-func dueOrWake(w *world.World, at table.Instant) bool {
-	if at <= w.Now {
-		return true
-	}
-	w.WakeAt(at)
-	return false
-}
--- a/internal/system/allowance/requests.go
+++ b/internal/system/allowance/requests.go
@@ -35,9 +35,9 @@
 // chooseWriter returns the router that writes the ledger for this one, or nil
 // if this one writes itself. Among connected routers with an entry, the writer is
 // the one on the largest host, and of these the one with the least name.
-func chooseWriter(w *world.World, registered bool) *table.AllowancePeer {
-	var writer *table.AllowancePeer
-	w.AllowancePeers.Each(func(id table.ProcessID, p *table.AllowancePeer) {
+func chooseWriter(w *world.World, registered bool) *table.RouterPeer {
+	var writer *table.RouterPeer
+	w.RouterPeers.Each(func(id table.ProcessID, p *table.RouterPeer) {
 		if !p.Connected || p.StoreDown || p.NoLimitRequestsUntil > w.Now || !w.LimitLedgerView.Registered[p.Holder] {
 			return
 		}
@@ -63,7 +63,7 @@
 // requestWrite asks the writer for what this router needs if a change is due.
 // It returns false if the writer did not serve an earlier request in time:
 // this router then writes itself.
-func requestWrite(w *world.World, writer *table.AllowancePeer, own *table.LimitHolder, need writeNeed) bool {
+func requestWrite(w *world.World, writer *table.RouterPeer, own *table.LimitHolder, need writeNeed) bool {
 	s := &w.LimitLedgerView
 	urgent := need.urgency == urgencyWaiting
 	if s.LimitRequestOpen && (s.LimitRequestUrgent || !urgent) {
@@ -71,7 +71,7 @@
 		if s.LimitRequestUrgent {
 			timeout = urgentRequestTimeout
 		}
-		if !dueOrWake(w, s.LimitRequestSentAt.Add(timeout)) {
+		if !w.DueOrWake(s.LimitRequestSentAt.Add(timeout)) {
 			return true
 		}
 		avoidWriter(w)
@@ -98,7 +98,7 @@
 func avoidWriter(w *world.World) {
 	s := &w.LimitLedgerView
 	s.LimitRequestOpen = false
-	if p := w.AllowancePeers.Get(s.LimitRequestSentTo.Process); p != nil && p.Holder == s.LimitRequestSentTo {
+	if p := w.RouterPeers.Get(s.LimitRequestSentTo.Process); p != nil && p.Holder == s.LimitRequestSentTo {
 		p.NoLimitRequestsUntil = w.Now.Add(writerAvoidTime)
 		w.RecordStateChange("ledger", "writer", string(p.Process), "", "it did not write within "+w.Now.Sub(s.LimitRequestSentAt).String())
 	}
@@ -135,7 +135,7 @@
 		if r.Urgent {
 			interval = urgentWriteInterval
 		}
-		due = due || dueOrWake(w, w.LimitLedgerView.WrittenAt.Add(interval))
+		due = due || w.DueOrWake(w.LimitLedgerView.WrittenAt.Add(interval))
 	})
 	return due
 }
--- a/internal/system/allowance/steps.go
+++ b/internal/system/allowance/steps.go
@@ -104,5 +104,5 @@
 // Only a call to the store can then bring the copy of the ledger up to date.
 func stepMissing(w *world.World) bool {
 	s := &w.LimitLedgerView
-	return len(s.OutOfOrderSteps) > 0 && dueOrWake(w, s.OutOfOrderSince.Add(missingStepTimeout))
+	return len(s.OutOfOrderSteps) > 0 && w.DueOrWake(s.OutOfOrderSince.Add(missingStepTimeout))
 }
--- a/internal/system/allowance/transfers.go
+++ b/internal/system/allowance/transfers.go
@@ -6,6 +6,7 @@
 
 	"laburnumroad.dev/laburnumroad/internal/command"
 	"laburnumroad.dev/laburnumroad/internal/event"
+	"laburnumroad.dev/laburnumroad/internal/system/delegate"
 	"laburnumroad.dev/laburnumroad/internal/table"
 	"laburnumroad.dev/laburnumroad/internal/world"
 )
@@ -51,7 +52,7 @@
 		return
 	}
 	a := ensureAccount(w, e.Customer)
-	if !slices.Contains(holdersOf(w, e.Customer).Holders, e.From) {
+	if !slices.Contains(delegate.For(w, string(e.Customer)).Routers, e.From) {
 		// Other holders keep a margin of their own for their demand.
 		a.DemandRate.Add(w.Now, float64(e.Need), demandTimeConstant)
 	}
@@ -68,7 +69,7 @@
 // tokens that it lacks for a need.
 func canRaiseLimit(w *world.World, a *table.Account, need table.Tokens) bool {
 	p := w.PrepaidCustomers.Get(a.Customer)
-	if p == nil || !w.PlatformReachable || w.LimitLedgerView.Backoff > 0 || !holdersOf(w, a.Customer).IncludesSelf {
+	if p == nil || !w.PlatformReachable || w.LimitLedgerView.Backoff > 0 || !delegate.For(w, string(a.Customer)).IncludesSelf {
 		return false
 	}
 	return p.Total-w.LimitLedgerView.Sums[a.Customer].Allocated >= need-a.Available()
@@ -139,7 +140,7 @@
 // from further ones for a while.
 func avoidSilentPeer(w *world.World, a *table.Account) {
 	a.TransferRequestedAt = 0
-	if p := w.AllowancePeers.Get(a.TransferRequestedFrom.Process); p != nil && p.Holder == a.TransferRequestedFrom {
+	if p := w.RouterPeers.Get(a.TransferRequestedFrom.Process); p != nil && p.Holder == a.TransferRequestedFrom {
 		p.NoTransferRequestsUntil = w.Now.Add(silentPeerTime)
 	}
 	w.Count("allowance.asked_unanswered")
@@ -154,11 +155,11 @@
 // nextHolder returns the holder to ask for a transfer, or nil: the nearest one if it
 // reported about as much as others, else the one that reported the most. Holders that
 // recently denied a transfer or did not answer are left out.
-func nextHolder(w *world.World, a *table.Account) *table.AllowancePeer {
+func nextHolder(w *world.World, a *table.Account) *table.RouterPeer {
 	a.Denials = slices.DeleteFunc(a.Denials, func(d table.TransferDenial) bool { return d.Until <= w.Now })
-	var nearest, richest *table.AllowancePeer
-	for _, h := range holdersOf(w, a.Customer).Holders {
-		p := w.AllowancePeers.Get(h.Process)
+	var nearest, richest *table.RouterPeer
+	for _, h := range delegate.For(w, string(a.Customer)).Routers {
+		p := w.RouterPeers.Get(h.Process)
 		if p == nil || p.Holder != h || !p.Connected || p.NoTransferRequestsUntil > w.Now || hasDenied(a, h) {
 			continue
 		}
@@ -182,7 +183,7 @@
 // spareTokens returns what a router wants beyond the need of its waiting requests:
 // holders even out their margins, the others take what they keep.
 func spareTokens(w *world.World, a *table.Account) table.Tokens {
-	if p := w.PrepaidCustomers.Get(a.Customer); p != nil && holdersOf(w, a.Customer).IncludesSelf {
+	if p := w.PrepaidCustomers.Get(a.Customer); p != nil && delegate.For(w, string(a.Customer)).IncludesSelf {
 		return targetMargin(w, a, p) / 2
 	}
 	return keptTokens(w, a)
@@ -203,7 +204,7 @@
 		return
 	}
 	w.Accounts.Each(func(c table.CustomerID, a *table.Account) {
-		if a.Available() <= 0 || a.SmallestShortfall > 0 || holdersOf(w, c).IncludesSelf {
+		if a.Available() <= 0 || a.SmallestShortfall > 0 || delegate.For(w, string(c)).IncludesSelf {
 			return
 		}
 		kept := keptTokens(w, a)
@@ -213,7 +214,7 @@
 			w.WakeAt(w.Now.Add(demandTimeConstant))
 			return
 		}
-		if !dueOrWake(w, a.ReturnedAt.Add(returnInterval)) {
+		if !w.DueOrWake(a.ReturnedAt.Add(returnInterval)) {
 			return
 		}
 		if holder := nextHolder(w, a); holder != nil {
--- a/internal/system/catalog/catalog.go
+++ b/internal/system/catalog/catalog.go
@@ -18,10 +18,6 @@
 	// outage of the store: endpoints that still run are listed again within two
 	// seconds.
 	relistGrace = 2 * time.Second
-	// outageWindow is how long after an outage a removal may be caused by it. Such
-	// removals appear in the first list or the first watched changes after the
-	// outage.
-	outageWindow = relistGrace
 )
 
 // Run applies the manifests and the endpoint changes of this tick.
@@ -107,14 +103,14 @@
 		applyEndpoint(w, &changes.Present[i])
 	}
 	for _, id := range changes.Removed {
-		markRemoved(w, id)
+		markRemoved(w, id, changes.MayHaveLapsed)
 	}
 	if !changes.Full {
 		return
 	}
 	for i := range w.DirectEndpoints.Len() {
 		if id, _ := w.DirectEndpoints.At(i); !present[id] {
-			markRemoved(w, id)
+			markRemoved(w, id, false)
 		}
 	}
 }
@@ -149,14 +145,15 @@
 
 // markRemoved records that an entry is gone. Endpoints whose entries lapsed
 // around an outage stay live for a grace period. Others finish their open
-// requests and get no new ones.
-func markRemoved(w *world.World, id table.EndpointID) {
+// requests and get no new ones. mayHaveLapsed is true if the router that reported the
+// removal saw an outage.
+func markRemoved(w *world.World, id table.EndpointID, mayHaveLapsed bool) {
 	row := w.DirectEndpoints.Get(id)
 	if row == nil || row.RemovedAt != 0 {
 		return
 	}
 	row.RemovedAt = w.Now
-	if recentOutage(w) && !row.Leaving {
+	if (mayHaveLapsed || w.RecentOutage()) && !row.Leaving {
 		w.RecordStateChange("endpoint", string(id), stateName(row.Leaving), "unlisted", "entry lapsed around an outage of the store")
 		w.WakeAt(w.Now.Add(relistGrace))
 		return
@@ -165,10 +162,6 @@
 	row.Leaving = true
 }
 
-func recentOutage(w *world.World) bool {
-	return !w.PlatformReachable || w.PlatformRestoredAt != 0 && w.Now.Sub(w.PlatformRestoredAt) < outageWindow
-}
-
 // deleteRemoved ends the grace period of lapsed entries, and deletes the rows of
 // removed entries that have no open attempts.
 func deleteRemoved(w *world.World) {
--- a/internal/system/allowance/sessions.go
+++ b/internal/system/peers/peers.go
@@ -1,10 +1,14 @@
-package allowance
+// Package peers keeps the sessions with the other routers of the fleet and exchanges
+// reports with them.
+package peers
 
 import (
 	"time"
 
 	"laburnumroad.dev/laburnumroad/internal/command"
 	"laburnumroad.dev/laburnumroad/internal/event"
+	"laburnumroad.dev/laburnumroad/internal/system/allowance"
+	"laburnumroad.dev/laburnumroad/internal/system/watch"
 	"laburnumroad.dev/laburnumroad/internal/table"
 	"laburnumroad.dev/laburnumroad/internal/world"
 )
@@ -25,9 +29,9 @@
 	maxRedialDelay = 2 * time.Second
 )
 
-// SyncPeers handles the sessions with the other routers and the transfers of
-// allowances between them, which work while the store is out of reach.
-func SyncPeers(w *world.World) {
+// Run handles the sessions and reports of this tick, opens missing sessions and sends
+// the periodic report.
+func Run(w *world.World) {
 	for i := range w.In.SessionsOpened {
 		onSessionOpened(w, &w.In.SessionsOpened[i])
 	}
@@ -37,43 +41,35 @@
 	for i := range w.In.RouterReports {
 		onRouterReport(w, &w.In.RouterReports[i])
 	}
-	for i := range w.In.Transfers {
-		onTransfer(w, &w.In.Transfers[i])
-	}
-	for i := range w.In.TransferRequests {
-		onTransferRequest(w, &w.In.TransferRequests[i])
-	}
 	dialPeers(w)
 	sendReport(w)
 }
 
 func onSessionOpened(w *world.World, e *event.SessionOpened) {
-	w.AllowancePeers.Put(e.Process.Process, table.AllowancePeer{
+	w.RouterPeers.Put(e.Process.Process, table.RouterPeer{
 		Holder: e.Process.Holder, Domain: e.Process.Domain, Cores: e.Process.Cores, Connected: true, Session: e.Session,
 	})
-	w.HolderGeneration++
+	w.FleetGeneration++
 	w.RecordStateChange("router", string(e.Process.Process), "", "connected", "session opened")
 }
 
 func onSessionClosed(w *world.World, e event.SessionClosed) {
-	peer := w.AllowancePeers.Get(e.Peer.Process)
+	peer := w.RouterPeers.Get(e.Peer.Process)
 	if peer == nil || peer.Session != e.Session {
 		return
 	}
 	peer.Connected, peer.Available = false, nil
-	w.HolderGeneration++
-	w.LimitRequests.Delete(peer.Process)
-	w.PendingTransfers.DeleteIf(func(k table.TransferKey, _ *table.PendingTransfer) bool { return k.Process == peer.Process })
+	w.FleetGeneration++
 	w.RecordStateChange("router", string(peer.Process), "connected", "", "session ended")
 }
 
 func onRouterReport(w *world.World, e *event.RouterReport) {
-	peer := w.AllowancePeers.Get(e.From.Process)
+	peer := w.RouterPeers.Get(e.From.Process)
 	if peer == nil || peer.Holder != e.From {
 		return
 	}
 	if peer.StoreDown != e.StoreDown {
-		w.HolderGeneration++
+		w.FleetGeneration++
 	}
 	peer.StoreDown, peer.Available = e.StoreDown, e.Available
 }
@@ -82,19 +78,19 @@
 // router with the lesser name dials at once. The other one waits first,
 // because it may learn of its peer before the peer learns of it.
 func dialPeers(w *world.World) {
-	if w.DialCheckGeneration == w.HolderGeneration && w.DialCheckAt > w.Now {
+	if w.DialCheckGeneration == w.FleetGeneration && w.DialCheckAt > w.Now {
 		w.WakeAt(w.DialCheckAt)
 		return
 	}
-	w.DialCheckGeneration, w.DialCheckAt = w.HolderGeneration, table.Never
+	w.DialCheckGeneration, w.DialCheckAt = w.FleetGeneration, table.Never
 	for i := range w.LimitLedgerView.Content.Holders {
 		holder := &w.LimitLedgerView.Content.Holders[i]
 		if holder.Process == w.Self().Process || holder.Address == "" {
 			continue
 		}
-		peer := w.AllowancePeers.Get(holder.Process)
+		peer := w.RouterPeers.Get(holder.Process)
 		if peer == nil || peer.Holder != holder.Holder && !peer.Connected {
-			peer = w.AllowancePeers.Put(holder.Process, table.AllowancePeer{Holder: holder.Holder})
+			peer = w.RouterPeers.Put(holder.Process, table.RouterPeer{Holder: holder.Holder})
 			if holder.Process < w.Self().Process {
 				peer.DialAt = w.Now.Add(dialYieldDelay)
 			}
@@ -112,25 +108,24 @@
 	w.WakeAt(w.DialCheckAt)
 }
 
-// sendReport sends the periodic report to the other routers. The reports also keep
-// sessions open, which end after several missing ones.
+// sendReport sends the periodic report to the other routers, and one at once if the
+// store went out of reach or came back: the others choose their delegates by it. The
+// reports also keep sessions open, which end after several missing ones.
 func sendReport(w *world.World) {
+	storeDown := !w.PlatformReachable || w.LimitLedgerView.Backoff > 0
 	nextReport := w.ReportSentAt.Add(ReportInterval(w))
+	if storeDown != w.ReportedStoreDown {
+		nextReport = min(nextReport, w.ReportSentAt.Add(minReportInterval))
+	}
 	if nextReport > w.Now {
 		w.WakeAt(nextReport)
 		return
 	}
-	w.ReportSentAt = w.Now
+	w.ReportSentAt, w.ReportedStoreDown = w.Now, storeDown
 	w.WakeAt(w.Now.Add(ReportInterval(w)))
-	available := make(map[table.CustomerID]table.Tokens)
-	w.Accounts.Each(func(c table.CustomerID, a *table.Account) {
-		if n := a.Available(); n > 0 && holdersOf(w, c).IncludesSelf {
-			available[c] = n
-		}
-	})
-	w.Out.RouterReports = append(w.Out.RouterReports, command.SendRouterReport{
-		Report: event.RouterReport{Available: available, StoreDown: !w.PlatformReachable || w.LimitLedgerView.Backoff > 0},
-	})
+	w.Out.RouterReports = append(w.Out.RouterReports, command.SendRouterReport{Report: event.RouterReport{
+		Available: allowance.HeldTokens(w), StoreDown: storeDown, LastChanges: watch.LastChanges(w),
+	}})
 }
 
 // ReportInterval returns the interval between reports to the other routers.
--- /dev/null
+++ b/internal/system/watch/watch.go
@@ -0,0 +1,214 @@
+// Package watch decides which router asks the store for changes, and when.
+//
+// The calls of a fleet must not grow with its size: the delegates follow the list of
+// endpoints and pass changes on, and the others apply what they are sent. A router
+// that misses a change sees a later one in the report of another router and asks the
+// store itself. Each router follows the configuration, which changes rarely, with
+// calls that wait the longer the more routers there are: the first one that sees a
+// change tells it to the others in its report.
+package watch
+
+import (
+	"slices"
+	"time"
+
+	"laburnumroad.dev/laburnumroad/internal/command"
+	"laburnumroad.dev/laburnumroad/internal/event"
+	"laburnumroad.dev/laburnumroad/internal/system/delegate"
+	"laburnumroad.dev/laburnumroad/internal/table"
+	"laburnumroad.dev/laburnumroad/internal/world"
+)
+
+const (
+	// minWait is how long a call of a single router or of a delegate waits for changes.
+	// A connection can stall without a reset; the end of the wait bounds how late a
+	// change is seen in that case. maxWait bounds the waits of larger fleets, below the
+	// 30 s that the store allows.
+	minWait = 2500 * time.Millisecond
+	maxWait = 25 * time.Second
+	// batchDelay is the delay after a call that returned changes, so that several
+	// changes within a short time cost a single call.
+	batchDelay = 500 * time.Millisecond
+	// relayDelay is how long changes that another router reported may take to arrive
+	// by other ways, before this router asks the store for them.
+	relayDelay = 300 * time.Millisecond
+	// stalledAfter is the least age of an open call that counts as stalled if it did not
+	// return a change which others know. A younger one may still be on its way over a
+	// slow link.
+	stalledAfter = minWait
+	// idlePollInterval is the longest time without a call to the store of a router
+	// that gets changes from others.
+	idlePollInterval = 20 * time.Second
+	// pollWait is the wait of a call that only asks for changes which exist. The store
+	// takes whole milliseconds above 0.
+	pollWait = time.Millisecond
+	// minBackoff and maxBackoff bound the delay after a failed call.
+	minBackoff = 30 * time.Millisecond
+	maxBackoff = 400 * time.Millisecond
+)
+
+// endpointDuty is the duty of the routers that follow the list of endpoints for the
+// others.
+const endpointDuty = "endpoints"
+
+// Run applies the results of calls to the store, drops changes that this router has
+// already, and sends the next calls.
+func Run(w *world.World) {
+	w.In.EndpointChanges = slices.DeleteFunc(w.In.EndpointChanges, func(e event.EndpointChanges) bool { return !accept(w, &e) })
+	for i := range w.In.WatchResults {
+		onResult(w, &w.In.WatchResults[i])
+	}
+	for i := range w.In.RouterReports {
+		onReport(w, &w.In.RouterReports[i])
+	}
+	planCall(w, table.WatchConfig)
+	planCall(w, table.WatchEndpoints)
+}
+
+func watchOf(w *world.World, kind table.WatchKind) *table.Watch {
+	if row := w.Watches.Get(kind); row != nil {
+		return row
+	}
+	return w.Watches.Put(kind, table.Watch{})
+}
+
+// LastChanges returns the highest revisions of changes that this router knows.
+func LastChanges(w *world.World) map[table.WatchKind]uint64 {
+	changes := make(map[table.WatchKind]uint64, w.Watches.Len())
+	w.Watches.Each(func(kind table.WatchKind, row *table.Watch) { changes[kind] = row.LastChange })
+	return changes
+}
+
+// accept reports whether changes of the list of endpoints are new, and records that
+// this router has them. A batch must begin at or before the revision up to which this
+// router has all changes: a gap could hide a removal. A batch that overlaps with what
+// the router has is applied as a whole, because it holds the last state of each entry
+// that it names.
+func accept(w *world.World, e *event.EndpointChanges) bool {
+	row := watchOf(w, table.WatchEndpoints)
+	row.LastChange = max(row.LastChange, e.LastChange)
+	switch {
+	case e.Full && row.Listed && e.Covered < row.Covered:
+		w.Count("watch.outdated")
+		return false
+	case !e.Full && row.Listed && e.Covered <= row.Covered:
+		return false
+	case !e.Full && (!row.Listed || e.Since > row.Covered):
+		w.Count("watch.gaps")
+		markBehind(w, row)
+		return false
+	}
+	relay(w, row, e)
+	row.Listed, row.Covered, row.BatchSince, row.BehindSince = true, e.Covered, e.Covered, 0
+	return true
+}
+
+// relay passes changes on. A delegate sends what the store returned to the other
+// delegates, and all new changes to the routers of its failure domain.
+func relay(w *world.World, row *table.Watch, e *event.EndpointChanges) {
+	duty := delegate.For(w, endpointDuty)
+	if e.Full || !duty.IncludesSelf {
+		return
+	}
+	var to []table.Holder
+	w.RouterPeers.Each(func(_ table.ProcessID, p *table.RouterPeer) {
+		isDelegate := slices.Contains(duty.Routers, p.Holder)
+		if p.Connected && (isDelegate && !e.Relayed || !isDelegate && p.Domain == w.Params.Self.Domain) {
+			to = append(to, p.Holder)
+		}
+	})
+	if len(to) == 0 {
+		return
+	}
+	changes := *e
+	if !e.Relayed {
+		// No change came between the last list or batch and the call's revision.
+		changes.Since = min(e.Since, row.BatchSince)
+		changes.MayHaveLapsed = w.RecentOutage()
+	}
+	w.Out.EndpointRelays = append(w.Out.EndpointRelays, command.RelayEndpointChanges{To: to, Changes: changes})
+}
+
+func onResult(w *world.World, e *event.WatchResult) {
+	row := watchOf(w, e.Kind)
+	if row.Call != e.Call {
+		return
+	}
+	row.Call = 0
+	switch e.Status {
+	case event.WatchOK:
+		row.Listed, row.Backoff, row.BehindSince = true, 0, 0
+		row.Covered, row.LastChange = max(row.Covered, e.Covered), max(row.LastChange, e.LastChange)
+		row.NextCallAt = w.Now
+		if e.LastChange > 0 {
+			row.NextCallAt = w.Now.Add(batchDelay)
+		}
+	case event.WatchCompacted:
+		row.Listed = false
+		w.RecordStateChange("watch", e.Kind.String(), "listed", "unknown", "the store dropped the history")
+	default:
+		row.Backoff = min(max(2*row.Backoff, minBackoff), maxBackoff)
+		row.NextCallAt = w.Now.Add(row.Backoff/2 + time.Duration(w.Rand.Int64N(int64(row.Backoff/2))))
+	}
+}
+
+func onReport(w *world.World, e *event.RouterReport) {
+	for kind, revision := range e.LastChanges {
+		if row := w.Watches.Get(kind); row != nil && row.Listed && revision > row.Covered {
+			markBehind(w, row)
+		}
+	}
+}
+
+func markBehind(w *world.World, row *table.Watch) {
+	if row.BehindSince == 0 {
+		row.BehindSince = w.Now
+	}
+}
+
+// planCall sends the next call for a kind of objects if it is due.
+func planCall(w *world.World, kind table.WatchKind) {
+	row := watchOf(w, kind)
+	behind := row.BehindSince != 0 && w.DueOrWake(row.BehindSince.Add(relayDelay))
+	if row.Call != 0 {
+		if !behind || !w.DueOrWake(row.CallSentAt.Add(stalledAfter)) {
+			return
+		}
+		// The open call should have returned the change: its connection has stalled.
+		w.Out.WatchStops = append(w.Out.WatchStops, command.StopWatch{Kind: kind})
+		w.Count("watch.stalled")
+	}
+	if !w.DueOrWake(row.NextCallAt) {
+		return
+	}
+	wait := waitTime(w, kind)
+	if row.Listed && kind == table.WatchEndpoints && !delegate.For(w, endpointDuty).IncludesSelf {
+		if !behind && !w.DueOrWake(row.CallSentAt.Add(idlePollInterval)) {
+			return
+		}
+		wait = pollWait
+	}
+	call := command.WatchObjects{Kind: kind, Call: w.NextCall(), Wait: wait}
+	if row.Listed {
+		call.Since = row.Covered
+	}
+	row.Call, row.CallSentAt, row.BehindSince = call.Call, w.Now, 0
+	w.Out.WatchCalls = append(w.Out.WatchCalls, call)
+	w.Count("watch.calls")
+}
+
+// waitTime returns how long a call waits for changes. All routers follow the
+// configuration, so the waits grow with the fleet beyond the number of delegates of a
+// small one.
+func waitTime(w *world.World, kind table.WatchKind) time.Duration {
+	if kind == table.WatchEndpoints {
+		return minWait
+	}
+	connected := 1
+	w.RouterPeers.Each(func(_ table.ProcessID, p *table.RouterPeer) {
+		if p.Connected && !p.StoreDown {
+			connected++
+		}
+	})
+	return min(max(minWait, minWait*time.Duration(connected)/delegate.MinCount), maxWait)
+}
--- a/internal/table/account.go
+++ b/internal/table/account.go
@@ -310,8 +310,8 @@
 	WriteOpen bool
 }
 
-// AllowancePeer is another router that this one exchanges allowances with.
-type AllowancePeer struct {
+// RouterPeer is another router of the fleet.
+type RouterPeer struct {
 	Holder
 	// Domain is the peer's failure domain and Cores the processor share of its host.
 	Domain    string
@@ -336,13 +336,13 @@
 	DialBackoff time.Duration
 }
 
-// CustomerHolders are the routers that hold limits of a customer, as this router
-// sees them, in the order in which it asks them.
-type CustomerHolders struct {
-	// Generation is the value of FrontTables.HolderGeneration that Holders was
+// Delegates are the routers that do a duty for the others, as this router sees them,
+// those in its failure domain first.
+type Delegates struct {
+	// Generation is the value of FrontTables.FleetGeneration that Routers was
 	// computed for.
 	Generation uint64
-	Holders    []Holder
+	Routers    []Holder
 	// IncludesSelf is true if this router is one of them.
 	IncludesSelf bool
 }
--- a/internal/table/exchange.go
+++ b/internal/table/exchange.go
@@ -119,20 +119,25 @@
 	// the requests, in tokens per second.
 	DemandByPriority Table[int, DecayingRate]
 	LimitLedgerView  LimitLedgerView
-	// AllowancePeers are the other routers in the limit ledger.
-	AllowancePeers Table[ProcessID, AllowancePeer]
+	// RouterPeers are the other routers in the limit ledger.
+	RouterPeers Table[ProcessID, RouterPeer]
 	// LimitRequests are what other routers asked this one to write to the ledger.
 	LimitRequests Table[ProcessID, LimitRequest]
-	// CustomerHolders caches the holders of each customer. HolderGeneration
-	// increases with each change that may affect them.
-	CustomerHolders  Table[CustomerID, CustomerHolders]
-	HolderGeneration uint64
+	// Delegates caches which routers do a duty for the others, by the name of the duty.
+	// For the limits of a customer that is its id. FleetGeneration increases with each
+	// change that may affect them.
+	Delegates       Table[string, Delegates]
+	FleetGeneration uint64
+	// Watches are the kinds of objects in the store that this router follows.
+	Watches Table[WatchKind, Watch]
 	// PendingTransfers are other routers' requests that wait for a limit.
 	PendingTransfers Table[TransferKey, PendingTransfer]
-	// ReportSentAt is when the peers were last sent a report.
-	ReportSentAt Instant
+	// ReportSentAt is when the peers were last sent a report, and ReportedStoreDown
+	// what it said about the store.
+	ReportSentAt      Instant
+	ReportedStoreDown bool
 	// DialCheckAt is when the sessions with other routers are checked next, and
-	// DialCheckGeneration the HolderGeneration at the last check.
+	// DialCheckGeneration the FleetGeneration at the last check.
 	DialCheckAt         Instant
 	DialCheckGeneration uint64
 }
--- /dev/null
+++ b/internal/table/watch.go
@@ -0,0 +1,40 @@
+package table
+
+import "time"
+
+// WatchKind is a kind of objects in the platform's store that routers follow.
+type WatchKind uint8
+
+// Kinds of objects.
+const (
+	WatchConfig WatchKind = iota + 1
+	WatchEndpoints
+)
+
+// String returns the lower-case name of the kind.
+func (k WatchKind) String() string {
+	return [...]string{"unknown", "config", "endpoints"}[k]
+}
+
+// Watch is how far this router follows the objects of a kind. Revisions are those of
+// the store.
+type Watch struct {
+	// Listed is true once the complete list was received.
+	Listed bool
+	// Covered is the revision up to which all changes are known.
+	Covered uint64
+	// LastChange is the highest revision of a change that is known.
+	LastChange uint64
+	// BatchSince is what Covered was after the last list or batch of changes. Who has
+	// all changes up to it needs only the next batch.
+	BatchSince uint64
+	// Call is the number of the open call, or 0. CallSentAt is when it was sent.
+	Call       uint64
+	CallSentAt Instant
+	// NextCallAt is when the next call may be sent, and Backoff the delay after the
+	// last failed one.
+	NextCallAt Instant
+	Backoff    time.Duration
+	// BehindSince is when another router first reported a later change, or 0.
+	BehindSince Instant
+}
--- a/internal/traffic/wire/message.go
+++ b/internal/traffic/wire/message.go
@@ -56,13 +56,14 @@
 	_
 	TypeLedgerChange
 	TypeLimitRequest
+	TypeEndpointChanges
 )
 
 var typeNames = [...]string{
 	"", "Hello", "Heartbeat", "Dispatch", "Chunk", "End", "Cancel", "Lookup", "LookupResult",
 	"SliceRequest", "SliceGrant", "SliceReport", "KeyRecord", "KeyQuery", "KeyResult",
 	"Fence", "FenceResult", "ConfigRequest", "ConfigBody", "Crash", "Drain",
-	"RouterReport", "TransferRequest", "Transfer", "", "LedgerChange", "LimitRequest",
+	"RouterReport", "TransferRequest", "Transfer", "", "LedgerChange", "LimitRequest", "EndpointChanges",
 }
 
 // String returns the name of the message type.
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -190,6 +190,26 @@
 	}
 }
 
+// DueOrWake reports whether a time has come, and requests a tick at it otherwise.
+func (w *World) DueOrWake(at table.Instant) bool {
+	if at <= w.Now {
+		return true
+	}
+	w.WakeAt(at)
+	return false
+}
+
+// outageWindow is how long after an outage of the store a removal from its lists may
+// be caused by it. Such removals appear in the first list or the first watched changes
+// after the outage.
+const outageWindow = 2 * time.Second
+
+// RecentOutage reports whether the store is out of reach, or was so until shortly
+// before.
+func (w *World) RecentOutage() bool {
+	return !w.PlatformReachable || w.PlatformRestoredAt != 0 && w.Now.Sub(w.PlatformRestoredAt) < outageWindow
+}
+
 // NextWake returns when the next tick is due if no event arrives.
 func (w *World) NextWake() table.Instant { return w.wakeAt }
 
