front, upstream: heads, events and buffered bodies have bounds

Cause: the head of an answer was read without a limit: bytes without end took 256 MB in two seconds, as the issue shows; 32 answers of 8 MB took more memory than a small host has.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -62,7 +62,10 @@
 	// memoryLimitShare is the soft memory limit of the Go runtime as a share of the
 	// memory limit in the settings.
 	memoryLimitShare = 0.7
-	maxDecisions     = 512
+	// bodyMemoryShare is the part of the memory limit that bodies of requests and
+	// responses may take.
+	bodyMemoryShare = 0.25
+	maxDecisions    = 512
 	// storeTimeout bounds a call to the store. A slow store takes a few hundred
 	// milliseconds.
 	storeTimeout = 1500 * time.Millisecond
@@ -127,7 +130,9 @@
 	g.loop = control.NewLoop(w, Systems(), g, g.clock)
 	g.loop.Publish = g.publish
 	g.servePeers(peerListener)
-	g.front = &front.Server{Post: g.loop.Post, Codec: platform.Headers{}, Pool: g.pool, Log: log}
+	g.front = &front.Server{Post: g.loop.Post, Codec: platform.Headers{}, Pool: g.pool, Log: log,
+		Memory: front.NewMemory(int64(float64(s.MemoryLimitBytes) * bodyMemoryShare)),
+	}
 	if g.front.Tracer, g.shutdownTracing, err = tracing.New(g.ctx, traceOutput, "gateway", s.Name); err != nil {
 		return nil, err
 	}
@@ -155,7 +160,7 @@
 		GrantReturnTimeout: grantReturnTimeout, ClosingPeriod: closingPeriod,
 		Front: world.FrontParams{
 			RetryRatio: g.settings.RetryRatio * retryBudgetShare, RetryBurst: g.settings.RetryBurst * retryBudgetShare,
-			ShutdownGrace: g.settings.ShutdownGrace, PeerAddress: peerAddress,
+			ShutdownGrace: g.settings.ShutdownGrace, PeerAddress: peerAddress, ChangeBound: g.settings.ChangeBound,
 		},
 	}
 }
--- a/internal/system/allowance/requests.go
+++ b/internal/system/allowance/requests.go
@@ -29,7 +29,7 @@
 	// urgentWriteInterval and batchWriteInterval are the minimum intervals
 	// between writes for other routers, with and without a waiting client.
 	urgentWriteInterval = 15 * time.Millisecond
-	batchWriteInterval  = 200 * time.Millisecond
+	batchWriteInterval  = 500 * time.Millisecond
 )
 
 // chooseWriter returns the router that writes the ledger for this one, or nil
--- a/internal/system/watch/watch.go
+++ b/internal/system/watch/watch.go
@@ -26,9 +26,12 @@
 	// 30 s that the store allows.
 	minWait = 2500 * time.Millisecond
 	maxWait = 25 * time.Second
-	// batchDelay is the delay after a call that returned changes, so that several
-	// changes within a short time cost a single call.
-	batchDelay = 500 * time.Millisecond
+	// After a call that returned changes, the next one is delayed by a part of the time
+	// within which changes must be in force, so that several changes within a short time
+	// cost a single call. The rest is left for slow calls. minBatchDelay applies if that
+	// time is not known.
+	batchDelayDivisor = 4
+	minBatchDelay     = 500 * time.Millisecond
 	// relayDelay is how long changes that another router reported may take to arrive
 	// by other ways, before this router asks the store for them.
 	relayDelay = 300 * time.Millisecond
@@ -141,7 +144,7 @@
 		row.Covered, row.LastChange = max(row.Covered, e.Covered), max(row.LastChange, e.LastChange)
 		row.NextCallAt = w.Now
 		if e.LastChange > 0 {
-			row.NextCallAt = w.Now.Add(batchDelay)
+			row.NextCallAt = w.Now.Add(max(minBatchDelay, w.Params.Front.ChangeBound/batchDelayDivisor))
 		}
 	case event.WatchCompacted:
 		row.Listed = false
--- a/internal/traffic/front/exchange.go
+++ b/internal/traffic/front/exchange.go
@@ -35,6 +35,8 @@
 	r        *http.Request
 	request  Request
 	body     []byte
+	// memory is what the exchange has taken from the server's budget for responses.
+	memory   int64
 	commands chan exchangeCommand
 	// traceCtx carries the request's span. It is not cancelled when the client
 	// disconnects.
@@ -180,14 +182,16 @@
 
 // bufferResponse reads a complete response.
 func (x *exchange) bufferResponse(end *event.DirectAttemptEnd, resp *upstream.Response) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
+	x.server.Memory.release(x.memory)
+	body, memory, err := x.server.Memory.readAll(resp.Body, maxResponseBytes)
+	x.memory = memory
 	switch {
+	case errors.Is(err, errBodyTooLarge), errors.Is(err, errNoMemory):
+		end.Status, end.Reason = event.DirectOutcomeUnknown, errors.Wrap(err, "read answer").Error()
+		return
 	case err != nil:
 		end.Status, end.ConnectionLost, end.Reason = event.DirectOutcomeUnknown, true, errors.Wrap(err, "answer cut off").Error()
 		return
-	case len(body) > maxResponseBytes:
-		end.Status, end.Reason = event.DirectOutcomeUnknown, "the answer is too large"
-		return
 	}
 	x.buffered = &bufferedResponse{status: resp.StatusCode, header: resp.Header, body: body}
 	end.Status, end.Reason = event.DirectAnswered, "status "+strconv.Itoa(resp.StatusCode)
--- a/internal/traffic/front/front_test.go
+++ b/internal/traffic/front/front_test.go
@@ -121,7 +121,7 @@
 
 func startServer(t *testing.T, streaming bool, endpoints ...*testEndpoint) *fakeControl {
 	c := &fakeControl{endpoints: endpoints, streaming: streaming, disconnected: make(chan table.ExchangeID, 16)}
-	c.server = &front.Server{Tracer: tracing.Noop(), Codec: platform.Headers{}, Pool: upstream.NewPool(), Log: zerolog.Nop(), Post: c.post}
+	c.server = &front.Server{Tracer: tracing.Noop(), Codec: platform.Headers{}, Pool: upstream.NewPool(), Log: zerolog.Nop(), Memory: front.NewMemory(0), Post: c.post}
 	httpServer := httptest.NewServer(c.server)
 	t.Cleanup(httpServer.Close)
 	c.url = httpServer.URL
--- a/internal/traffic/front/server.go
+++ b/internal/traffic/front/server.go
@@ -7,7 +7,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -15,6 +14,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
@@ -33,6 +33,9 @@
 	// bodyReadTimeout limits how long a slow client can occupy a connection while it
 	// sends a body. Clients wait a few seconds for the complete response.
 	bodyReadTimeout = 15 * time.Second
+	// memoryRetryAfter is the retry delay sent to clients whose request did not fit
+	// into the memory: most requests end within it.
+	memoryRetryAfter = time.Second
 	// defaultBodyLimit applies until the first configuration is loaded.
 	defaultBodyLimit = 4 << 20
 )
@@ -45,6 +48,8 @@
 	Codec Codec
 	Pool  *upstream.Pool
 	Log   zerolog.Logger
+	// Memory bounds the bodies that are buffered.
+	Memory *Memory
 	// Tracer creates a span for each request and each attempt.
 	Tracer trace.Tracer
 
@@ -67,18 +72,23 @@
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	body, status := s.readBody(w, r)
-	if status != 0 {
-		w.Header().Set("Connection", "close")
-		w.WriteHeader(status)
-		return
-	}
 	request := s.Codec.ParseRequest(r.Header)
 	if request.ID == "" {
 		http.Error(w, "the request has no id", http.StatusBadRequest)
 		return
 	}
+	body, memory, status := s.readBody(w, r)
+	defer s.Memory.release(memory)
+	if status != 0 {
+		if status == http.StatusServiceUnavailable {
+			s.Codec.SetRefusalHeader(w.Header(), request.ID, memoryRetryAfter)
+		}
+		w.Header().Set("Connection", "close")
+		w.WriteHeader(status)
+		return
+	}
 	x := s.addExchange(w, r, request, body)
+	defer func() { s.Memory.release(x.memory) }()
 	defer s.removeExchange(x)
 	var span trace.Span
 	// The context outlives the client's connection: attempts end only when the
@@ -91,37 +101,40 @@
 	x.serve()
 }
 
-// readBody returns the complete request body, or the HTTP status to refuse the
-// request with.
-func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, int) {
+// readBody returns the complete request body and the memory that it takes, or the
+// HTTP status to refuse the request with.
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request) (body []byte, memory int64, status int) {
 	limit := s.BodyLimit.Load()
 	if limit <= 0 {
 		limit = defaultBodyLimit
 	}
 	if r.ContentLength > limit {
-		return nil, http.StatusRequestEntityTooLarge
+		return nil, 0, http.StatusRequestEntityTooLarge
 	}
 	if r.Body == nil || r.ContentLength == 0 {
-		return nil, 0
+		return nil, 0, 0
 	}
 	rc := http.NewResponseController(w)
 	if err := rc.SetReadDeadline(time.Now().Add(bodyReadTimeout)); err != nil {
 		s.Log.Warn().Err(err).Msg("setting the read deadline for a request body failed")
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	body, memory, err := s.Memory.readAll(r.Body, limit)
 	if err == nil {
 		// The deadline covers the body only: the HTTP server keeps reading the
 		// connection to detect that the client disconnects.
 		if err := rc.SetReadDeadline(time.Time{}); err != nil {
 			s.Log.Warn().Err(err).Msg("clearing the read deadline of a connection failed")
 		}
-		return body, 0
+		return body, memory, 0
 	}
-	if _, tooLarge := err.(*http.MaxBytesError); tooLarge {
-		return nil, http.StatusRequestEntityTooLarge
+	s.Log.Info().Str("request", s.Codec.ParseRequest(r.Header).ID).Err(err).Msg("failed to read a request body")
+	switch {
+	case errors.Is(err, errBodyTooLarge):
+		return nil, memory, http.StatusRequestEntityTooLarge
+	case errors.Is(err, errNoMemory):
+		return nil, memory, http.StatusServiceUnavailable
 	}
-	s.Log.Debug().Err(err).Msg("reading a request body failed")
-	return nil, http.StatusBadRequest
+	return nil, memory, http.StatusBadRequest
 }
 
 func (s *Server) addExchange(w http.ResponseWriter, r *http.Request, request Request, body []byte) *exchange {
--- a/internal/traffic/front/stream.go
+++ b/internal/traffic/front/stream.go
@@ -16,8 +16,11 @@
 )
 
 const (
-	// maxEventBytes is the largest event of a stream.
-	maxEventBytes = 1 << 20
+	// maxEventBytes is the largest event of a stream. An event holds a few tokens.
+	maxEventBytes = 64 << 10
+	// maxExtraEvents is how many events a stream may have beyond one for each token
+	// that the request may be answered with.
+	maxExtraEvents = 8
 	// streamBufferBytes is the size of a stream's read buffer.
 	streamBufferBytes = 4 << 10
 )
@@ -42,6 +45,10 @@
 			started = true
 			x.server.Post(event.DirectAnswerStarted{Exchange: x.id, Attempt: c.Attempt, Report: end.Report})
 		}
+		if limit := x.request.MaxOutput; limit > 0 && x.eventsSent >= int64(limit)+maxExtraEvents {
+			end.Status, end.Reason = event.DirectOutcomeUnknown, "the stream has more events than the request may have tokens"
+			return
+		}
 		now := time.Now()
 		if !lastEventTime.IsZero() {
 			end.LongestGap = max(end.LongestGap, now.Sub(lastEventTime))
--- a/internal/traffic/upstream/exchange.go
+++ b/internal/traffic/upstream/exchange.go
@@ -101,7 +101,7 @@
 		go func() { r.sendResult <- r.writeRequest(req) }()
 	}
 	for range maxUnmatchedResponses + 1 {
-		httpResp, err := http.ReadResponse(r.conn.reader, &http.Request{Method: req.Method})
+		httpResp, err := r.conn.readHead(req.Method)
 		if err != nil {
 			return errors.Wrap(err, "read answer")
 		}
--- a/internal/traffic/upstream/pool.go
+++ b/internal/traffic/upstream/pool.go
@@ -36,11 +36,19 @@
 // conn is a connection to an endpoint, used by one request at a time.
 type conn struct {
 	net.Conn
+	// limit bounds the bytes of a head; reader reads through it.
+	limit  headLimit
 	reader *bufio.Reader
 	// expiresAt is the time from which the idle connection must not be reused.
 	expiresAt time.Time
 }
 
+func newConn(c net.Conn) *conn {
+	limited := &conn{Conn: c, limit: headLimit{source: c}}
+	limited.reader = bufio.NewReader(&limited.limit)
+	return limited
+}
+
 // Pool holds the idle connections by address.
 type Pool struct {
 	mu   sync.Mutex
@@ -117,5 +125,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: c, reader: bufio.NewReader(c)}, nil
+	return newConn(c), nil
 }
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -74,6 +74,9 @@
 	ShutdownGrace time.Duration
 	// PeerAddress is where other routers reach this one.
 	PeerAddress string
+	// ChangeBound is the time within which a change of the configuration or of the
+	// list of endpoints must be in force; 0 if unknown.
+	ChangeBound time.Duration
 }
 
 // Tables are the rows of all entities of the process.
