--- a/internal/traffic/front/exchange.go
+++ b/internal/traffic/front/exchange.go
@@ -29,12 +29,12 @@
 // exchange is the processing of one client request. Only its own goroutine uses
 // it, except for commands, stopAttempt and the fields below mu.
 type exchange struct {
-	server   *Server
-	id       table.ExchangeID
-	w        http.ResponseWriter
-	r        *http.Request
-	request  Request
-	body     []byte
+	server  *Server
+	id      table.ExchangeID
+	w       http.ResponseWriter
+	r       *http.Request
+	request Request
+	body    []byte
 	// memory is what the exchange has taken from the server's budget for responses.
 	memory   int64
 	commands chan exchangeCommand
