front: an attempt is checked again when its connection is open

Nobody looked again between the decision and the first byte, and bytes that waited for a full link were sent after the request had been given up, because a plain close sends them. Change: attempts whose endpoint left or whose time passed are not sent; the time that a connection took is not given to the endpoint; an attempt that is stopped resets its connection, which drops unsent bytes. TestRequestIsForwardedUnchanged keeps its exact deadline with a fixed clock.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -66,6 +66,7 @@
 
 	// The HTTP front and its direct endpoints.
 	EndpointCalls     []CallEndpoint
+	EndpointUses      []SetEndpointUse
 	StopAttempts      []StopAttempt
 	FinishExchanges   []FinishExchange
 	WriteLimitLedgers []WriteLimitLedger
--- a/internal/command/exchange.go
+++ b/internal/command/exchange.go
@@ -22,6 +22,13 @@
 	Priority int
 }
 
+// SetEndpointUse says whether requests may be sent to an endpoint. Attempts that wait
+// for their connection are bound by it too.
+type SetEndpointUse struct {
+	Endpoint table.EndpointID
+	Allowed  bool
+}
+
 // StopAttempt ends an attempt whose answer is no longer needed.
 type StopAttempt struct {
 	Exchange table.ExchangeID
--- a/internal/gateway/flush.go
+++ b/internal/gateway/flush.go
@@ -16,6 +16,9 @@
 // Flush implements control.Sink. It runs on the control thread and passes the
 // commands of a tick to traffic goroutines.
 func (g *Gateway) Flush(out *command.Outbox) {
+	for _, c := range out.EndpointUses {
+		g.front.SetEndpointUse(c)
+	}
 	for _, c := range out.StopAttempts {
 		g.front.StopAttempt(c)
 	}
--- a/internal/system/catalog/catalog.go
+++ b/internal/system/catalog/catalog.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"laburnumroad.dev/laburnumroad/internal/command"
 	"laburnumroad.dev/laburnumroad/internal/event"
 	"laburnumroad.dev/laburnumroad/internal/table"
 	"laburnumroad.dev/laburnumroad/internal/world"
@@ -127,13 +128,15 @@
 			ID: e.ID, Service: e.Service, Address: e.Address, Domain: e.Domain, Slots: e.Slots,
 			Leaving: e.Leaving, StartedUnixMilli: e.StartedUnixMilli, InFlight: inFlight, ReportedSlowdown: 1,
 		})
+		w.Out.EndpointUses = append(w.Out.EndpointUses, command.SetEndpointUse{Endpoint: e.ID, Allowed: !e.Leaving})
 		w.RecordStateChange("endpoint", string(e.ID), "", stateName(e.Leaving), "listed for "+string(e.Service)+" at "+e.Address)
 		return
 	}
 	if row.Leaving != e.Leaving || row.RemovedAt != 0 {
 		w.RecordStateChange("endpoint", string(e.ID), stateName(row.Leaving), stateName(e.Leaving), "entry changed")
 	}
-	row.Service, row.Domain, row.Slots, row.Leaving, row.RemovedAt = e.Service, e.Domain, e.Slots, e.Leaving, 0
+	setLeaving(w, row, e.Leaving)
+	row.Service, row.Domain, row.Slots, row.RemovedAt = e.Service, e.Domain, e.Slots, 0
 }
 
 func stateName(leaving bool) string {
@@ -159,7 +162,16 @@
 		return
 	}
 	w.RecordStateChange("endpoint", string(id), stateName(row.Leaving), "leaving", "entry removed")
-	row.Leaving = true
+	setLeaving(w, row, true)
+}
+
+// setLeaving sets whether an endpoint gets no new work, also from attempts that are
+// already on their way to it.
+func setLeaving(w *world.World, row *table.DirectEndpoint, leaving bool) {
+	if row.Leaving != leaving {
+		w.Out.EndpointUses = append(w.Out.EndpointUses, command.SetEndpointUse{Endpoint: row.ID, Allowed: !leaving})
+	}
+	row.Leaving = leaving
 }
 
 // deleteRemoved ends the grace period of lapsed entries, and deletes the rows of
@@ -174,13 +186,15 @@
 				w.WakeAt(max(graceEnd, w.Now.Add(relistGrace/4)))
 				return false
 			}
-			e.Leaving = true
+			setLeaving(w, e, true)
 			w.RecordStateChange("endpoint", string(id), "unlisted", "leaving", "entry did not come back")
 		}
 		if e.InFlight > 0 {
 			return false
 		}
 		deleteCachedParts(w, id)
+		// No attempt is left that the withdrawal binds.
+		w.Out.EndpointUses = append(w.Out.EndpointUses, command.SetEndpointUse{Endpoint: id, Allowed: true})
 		return true
 	})
 }
--- a/internal/traffic/front/exchange.go
+++ b/internal/traffic/front/exchange.go
@@ -131,9 +131,19 @@
 	if x.headerSent {
 		lastEventID = x.lastEventID
 	}
+	started := x.server.now()
 	resp, err := x.server.Pool.Do(ctx, &upstream.Request{
-		Address: c.Address, Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host,
-		Header: x.server.Codec.AttemptHeader(x.r.Header, c, lastEventID), Body: x.body,
+		Address: c.Address, Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host, Body: x.body,
+		Prepare: func() (http.Header, error) {
+			if x.server.isWithdrawn(c.Endpoint) {
+				return nil, errors.New("the endpoint left before the request was sent")
+			}
+			call := *c
+			if call.TimeLeft -= x.server.now().Sub(started); call.TimeLeft <= 0 {
+				return nil, errors.New("the time of the request passed before it was sent")
+			}
+			return x.server.Codec.AttemptHeader(x.r.Header, &call, lastEventID), nil
+		},
 		Matches: func(h http.Header) bool { return x.server.Codec.BelongsTo(h, x.request.ID) },
 	})
 	if err != nil {
--- a/internal/traffic/front/front_test.go
+++ b/internal/traffic/front/front_test.go
@@ -190,6 +190,7 @@
 func TestRequestIsForwardedUnchanged(t *testing.T) {
 	endpoint := startEndpoint(t, echo)
 	control := startServer(t, false, endpoint)
+	control.server.Now = func() time.Time { return time.Time{} }
 	header := http.Header{
 		"Key": {"secret"}, "Tenant": {"other"}, "Expect-Instance": {"other"}, "Hold": {"1"}, "Pin-Ms": {"5"},
 		"Kv-From": {"x"}, "Kv-Backup": {"x"}, "Connection": {"X-Hop"}, "X-Hop": {"1"}, "X-Kept": {"1"}, "Model": {"m"},
--- a/internal/traffic/front/server.go
+++ b/internal/traffic/front/server.go
@@ -48,6 +48,8 @@
 	Codec Codec
 	Pool  *upstream.Pool
 	Log   zerolog.Logger
+	// Now returns the time; nil means time.Now.
+	Now func() time.Time
 	// Memory bounds the bodies that are buffered.
 	Memory *Memory
 	// Tracer creates a span for each request and each attempt.
@@ -62,6 +64,8 @@
 	mu             sync.Mutex
 	lastExchangeID table.ExchangeID
 	exchanges      map[table.ExchangeID]*exchange
+	// withdrawn are the endpoints that get no more requests.
+	withdrawn map[table.EndpointID]bool
 }
 
 // exchangeCommand is a command for an exchange. Exactly one field is set.
@@ -172,6 +176,34 @@
 	}
 }
 
+func (s *Server) now() time.Time {
+	if s.Now == nil {
+		return time.Now()
+	}
+	return s.Now()
+}
+
+// SetEndpointUse sets whether requests may still be sent to an endpoint. It also
+// applies to attempts whose connection is not open yet.
+func (s *Server) SetEndpointUse(c command.SetEndpointUse) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c.Allowed {
+		delete(s.withdrawn, c.Endpoint)
+		return
+	}
+	if s.withdrawn == nil {
+		s.withdrawn = make(map[table.EndpointID]bool)
+	}
+	s.withdrawn[c.Endpoint] = true
+}
+
+func (s *Server) isWithdrawn(id table.EndpointID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.withdrawn[id]
+}
+
 // StopAttempt cancels an attempt. It does nothing if the exchange has ended.
 func (s *Server) StopAttempt(c command.StopAttempt) {
 	if x := s.lookup(c.Exchange); x != nil {
--- a/internal/traffic/upstream/exchange.go
+++ b/internal/traffic/upstream/exchange.go
@@ -32,8 +32,10 @@
 	// Target is the request target, that is the path and query as the client sent them.
 	Target string
 	Host   string
-	Header http.Header
-	Body   []byte
+	// Prepare returns the headers once the connection is open, just before the first
+	// byte is written. An error ends the request; nothing is written then.
+	Prepare func() (http.Header, error)
+	Body    []byte
 	// Matches reports whether a response with these headers belongs to this request.
 	Matches func(http.Header) bool
 }
@@ -69,11 +71,19 @@
 			return nil, notSentError{err}
 		}
 	}
+	header, err := req.Prepare()
+	if err == nil {
+		err = ctx.Err()
+	}
+	if err != nil {
+		conn.Close()
+		return nil, notSentError{err}
+	}
 	resp := &Response{pool: p, address: req.Address, conn: conn, sendResult: make(chan error, 1)}
-	resp.stopCancel = context.AfterFunc(ctx, func() { conn.Close() })
-	if err := resp.roundTrip(req); err != nil {
+	resp.stopCancel = context.AfterFunc(ctx, conn.abort)
+	if err := resp.roundTrip(req, header); err != nil {
 		resp.stopCancel()
-		conn.Close()
+		conn.abort()
 		if ctx.Err() != nil {
 			return nil, errors.Wrap(ctx.Err(), "stopped")
 		}
@@ -91,14 +101,14 @@
 func (e notSentError) Unwrap() error { return e.error }
 
 // roundTrip writes the request and reads responses until one belongs to it.
-func (r *Response) roundTrip(req *Request) error {
+func (r *Response) roundTrip(req *Request, header http.Header) error {
 	if len(req.Body) <= maxInlineBody {
-		if err := r.writeRequest(req); err != nil {
+		if err := r.writeRequest(req, header); err != nil {
 			return errors.Wrap(err, "send")
 		}
 		r.sendResult <- nil
 	} else {
-		go func() { r.sendResult <- r.writeRequest(req) }()
+		go func() { r.sendResult <- r.writeRequest(req, header) }()
 	}
 	for range maxUnmatchedResponses + 1 {
 		httpResp, err := r.conn.readHead(req.Method)
@@ -134,14 +144,14 @@
 	return errors.New("it is too long or broken")
 }
 
-func (r *Response) writeRequest(req *Request) error {
+func (r *Response) writeRequest(req *Request, header http.Header) error {
 	w := bufio.NewWriterSize(r.conn, 2<<10)
 	// bufio.Writer keeps its first error, and Flush returns it.
 	_, _ = w.WriteString(req.Method + " " + req.Target + " HTTP/1.1\r\nHost: " + req.Host + "\r\n")
 	if len(req.Body) > 0 || req.Method != http.MethodGet && req.Method != http.MethodHead {
 		_, _ = w.WriteString("Content-Length: " + strconv.Itoa(len(req.Body)) + "\r\n")
 	}
-	if err := req.Header.Write(w); err != nil {
+	if err := header.Write(w); err != nil {
 		return err
 	}
 	_, _ = w.WriteString("\r\n")
@@ -174,8 +184,11 @@
 func (r *Response) Close() {
 	cancelled := !r.stopCancel()
 	idleTimeout := r.idleTimeout()
-	if cancelled || idleTimeout <= 0 {
-		r.conn.Close()
+	if cancelled {
+		return
+	}
+	if idleTimeout <= 0 {
+		r.conn.abort()
 		return
 	}
 	r.pool.put(r.address, r.conn, idleTimeout)
