--- a/internal/system/allowance/fleet_test.go
+++ b/internal/system/allowance/fleet_test.go
@@ -98,7 +98,7 @@
 		f.routers = append(f.routers, r)
 		f.start(r)
 	}
-	f.run(300 * time.Millisecond)
+	f.run(time.Second)
 	return f
 }
 
--- a/internal/system/allowance/ledger.go
+++ b/internal/system/allowance/ledger.go
@@ -100,6 +100,9 @@
 		})
 		return
 	}
+	if w.LimitLedgerView.RegisteredAt == 0 {
+		w.LimitLedgerView.RegisteredAt = w.Now
+	}
 	for c, entry := range own.Entries {
 		a := ensureAccount(w, c)
 		if a.RecordedLimit != entry.Limit {
--- a/internal/system/allowance/limits.go
+++ b/internal/system/allowance/limits.go
@@ -14,6 +14,8 @@
 	// router keeps available for coming requests. It exceeds the usual partition
 	// from the store, which lasts eight seconds.
 	demandHorizon = 9 * time.Second
+	// connectTime is how long a router that started takes to connect with the others.
+	connectTime = 600 * time.Millisecond
 	// The margin of a router without demand is the total divided by
 	// minMarginDivisor, so that first requests need not wait for the ledger.
 	minMarginDivisor = 100
@@ -35,7 +37,7 @@
 // available: nothing if it is no holder of the customer.
 func targetMargin(w *world.World, a *table.Account, p *table.PrepaidCustomer) table.Tokens {
 	holders := delegate.For(w, string(a.Customer))
-	if !holders.IncludesSelf {
+	if !holders.IncludesSelf || !connectedWithFleet(w) {
 		return 0
 	}
 	a.DemandRate.Add(w.Now, 0, demandTimeConstant)
@@ -43,6 +45,13 @@
 	return min(margin, maxMargin(w, p, maxRemaining(w, a))/holderCount(w, holders))
 }
 
+// connectedWithFleet reports whether this router has had time to connect with the
+// others. Before that it would take itself for a holder of each customer.
+func connectedWithFleet(w *world.World) bool {
+	registeredAt := w.LimitLedgerView.RegisteredAt
+	return registeredAt != 0 && w.DueOrWake(registeredAt.Add(connectTime))
+}
+
 // holderCount returns the number of holders that share the margins of a total. It
 // counts those that this router expects but is not connected with.
 func holderCount(w *world.World, h *table.Delegates) table.Tokens {
--- a/internal/system/allowance/limits_test.go
+++ b/internal/system/allowance/limits_test.go
@@ -66,7 +66,8 @@
 	f.configure(r)
 	r.world.LimitLedgerView.WrittenAt = 0
 	f.tick(r)
-	f.run(time.Millisecond)
+	f.run(2 * writeTime)
+	require.True(t, r.world.LimitLedgerView.WriteOutcomeUnknown, "the write has to be delayed, not refused")
 	lowered := r.world.Accounts.Get(customer).Limit
 	require.Less(t, lowered, before)
 	f.storeUp = false
--- a/internal/table/account.go
+++ b/internal/table/account.go
@@ -250,6 +250,8 @@
 	// RetryAt is when the next call may be sent, after a delay of up to Backoff.
 	RetryAt Instant
 	Backoff time.Duration
+	// RegisteredAt is when this router first saw its entry in the ledger, or 0.
+	RegisteredAt Instant
 	// EntryCloseSent is true once this router, at its shutdown, sent a write that
 	// closes its entry. EntryClosed is true once the ledger no longer has that
 	// entry.
