watch: delegates pass configurations on

Change: the configuration is followed by delegates too, and passed on like the list of endpoints; all waits are those of a delegate.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -77,6 +77,7 @@
 	WatchCalls       []WatchObjects
 	WatchStops       []StopWatch
 	EndpointRelays   []RelayEndpointChanges
+	ManifestRelays   []RelayManifest
 	TransferRequests []SendTransferRequest
 	Transfers        []SendTransfer
 	LedgerChanges    []SendLedgerChange
--- a/internal/command/exchange.go
+++ b/internal/command/exchange.go
@@ -78,6 +78,12 @@
 	Changes event.EndpointChanges
 }
 
+// RelayManifest sends a configuration to other routers.
+type RelayManifest struct {
+	To       []table.Holder
+	Manifest event.ManifestReceived
+}
+
 // SendTransferRequest asks another router for part of its allowance.
 type SendTransferRequest struct {
 	To      table.Holder
--- a/internal/event/exchange.go
+++ b/internal/event/exchange.go
@@ -104,7 +104,13 @@
 }
 
 // ManifestReceived carries a configuration of the HTTP front.
-type ManifestReceived struct{ Manifest table.Manifest }
+type ManifestReceived struct {
+	Manifest table.Manifest
+	// Revision is the store's revision of its last change.
+	Revision uint64
+	// Relayed is true if another router sent it.
+	Relayed bool `msgpack:"-"`
+}
 
 // EndpointEntry is an endpoint's entry in the platform's list.
 type EndpointEntry struct {
--- a/internal/gateway/flush.go
+++ b/internal/gateway/flush.go
@@ -59,6 +59,9 @@
 	for i := range out.EndpointRelays {
 		g.sendToAll(out.EndpointRelays[i].To, wire.TypeEndpointChanges, &out.EndpointRelays[i].Changes)
 	}
+	for i := range out.ManifestRelays {
+		g.sendToAll(out.ManifestRelays[i].To, wire.TypeManifest, &out.ManifestRelays[i].Manifest)
+	}
 	for i := range out.Crashes {
 		g.broadcast(wire.TypeCrash, &out.Crashes[i].Crash)
 	}
@@ -128,6 +131,8 @@
 		return peering.PostDecoded(g.peers, f, func(e *event.LimitRequest) { e.From = s.Holder() })
 	case wire.TypeEndpointChanges:
 		return peering.PostDecoded(g.peers, f, func(e *event.EndpointChanges) { e.Relayed = true })
+	case wire.TypeManifest:
+		return peering.PostDecoded(g.peers, f, func(e *event.ManifestReceived) { e.Relayed = true })
 	case wire.TypeCrash:
 		return peering.PostDecoded(g.peers, f, func(*event.Crash) {})
 	}
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -96,7 +96,7 @@
 		g.log.Error().Err(err).Msg("failed to decode configuration; keeping the current one")
 		return
 	}
-	g.loop.Post(event.ManifestReceived{Manifest: m})
+	g.loop.Post(event.ManifestReceived{Manifest: m, Revision: o.Version})
 }
 
 // addEndpoints adds the last state of each stored entry to changes. An invalid entry
--- a/internal/system/watch/watch.go
+++ b/internal/system/watch/watch.go
@@ -1,11 +1,9 @@
 // Package watch decides which router asks the store for changes, and when.
 //
-// The calls of a fleet must not grow with its size: the delegates follow the list of
-// endpoints and pass changes on, and the others apply what they are sent. A router
-// that misses a change sees a later one in the report of another router and asks the
-// store itself. Each router follows the configuration, which changes rarely, with
-// calls that wait the longer the more routers there are: the first one that sees a
-// change tells it to the others in its report.
+// The calls of a fleet must not grow with its size: for each kind of objects, the
+// delegates follow the store and pass changes on, and the others apply what they are
+// sent. A router that misses a change sees a later one in the report of another router
+// and asks the store itself.
 package watch
 
 import (
@@ -20,12 +18,10 @@
 )
 
 const (
-	// minWait is how long a call of a single router or of a delegate waits for changes.
-	// A connection can stall without a reset; the end of the wait bounds how late a
-	// change is seen in that case. maxWait bounds the waits of larger fleets, below the
-	// 30 s that the store allows.
-	minWait = 2500 * time.Millisecond
-	maxWait = 25 * time.Second
+	// waitTime is how long a call of a delegate waits for changes. A connection can
+	// stall without a reset; the end of the wait bounds how late a change is seen in
+	// that case.
+	waitTime = 2500 * time.Millisecond
 	// After a call that returned changes, the next one is delayed by a part of the time
 	// within which changes must be in force, so that several changes within a short time
 	// cost a single call. The rest is left for slow calls. minBatchDelay applies if that
@@ -38,7 +34,7 @@
 	// stalledAfter is the least age of an open call that counts as stalled if it did not
 	// return a change which others know. A younger one may still be on its way over a
 	// slow link.
-	stalledAfter = minWait
+	stalledAfter = waitTime
 	// idlePollInterval is the longest time without a call to the store of a router
 	// that gets changes from others.
 	idlePollInterval = 20 * time.Second
@@ -50,13 +46,12 @@
 	maxBackoff = 400 * time.Millisecond
 )
 
-// endpointDuty is the duty of the routers that follow the list of endpoints for the
-// others.
-const endpointDuty = "endpoints"
-
 // Run applies the results of calls to the store, drops changes that this router has
 // already, and sends the next calls.
 func Run(w *world.World) {
+	for i := range w.In.Manifests {
+		onManifest(w, &w.In.Manifests[i])
+	}
 	w.In.EndpointChanges = slices.DeleteFunc(w.In.EndpointChanges, func(e event.EndpointChanges) bool { return !accept(w, &e) })
 	for i := range w.In.WatchResults {
 		onResult(w, &w.In.WatchResults[i])
@@ -68,6 +63,11 @@
 	planCall(w, table.WatchEndpoints)
 }
 
+// delegates returns the routers that follow a kind of objects for the others.
+func delegates(w *world.World, kind table.WatchKind) *table.Delegates {
+	return delegate.For(w, kind.String())
+}
+
 func watchOf(w *world.World, kind table.WatchKind) *table.Watch {
 	if row := w.Watches.Get(kind); row != nil {
 		return row
@@ -82,6 +82,22 @@
 	return changes
 }
 
+// onManifest records the revision of a configuration and passes it on if it is new. The
+// catalog never activates an older one.
+func onManifest(w *world.World, e *event.ManifestReceived) {
+	row := watchOf(w, table.WatchConfig)
+	if e.Revision <= row.LastChange {
+		return
+	}
+	row.LastChange = e.Revision
+	if e.Relayed && row.Listed {
+		row.Covered, row.BehindSince = max(row.Covered, e.Revision), 0
+	}
+	if to := recipients(w, table.WatchConfig, e.Relayed); len(to) > 0 {
+		w.Out.ManifestRelays = append(w.Out.ManifestRelays, command.RelayManifest{To: to, Manifest: *e})
+	}
+}
+
 // accept reports whether changes of the list of endpoints are new, and records that
 // this router has them. A batch must begin at or before the revision up to which this
 // router has all changes: a gap could hide a removal. A batch that overlaps with what
@@ -106,21 +122,28 @@
 	return true
 }
 
-// relay passes changes on. A delegate sends what the store returned to the other
-// delegates, and all new changes to the routers of its failure domain.
-func relay(w *world.World, row *table.Watch, e *event.EndpointChanges) {
-	duty := delegate.For(w, endpointDuty)
-	if e.Full || !duty.IncludesSelf {
-		return
+// recipients returns the routers that this one passes changes of a kind to, if it is a
+// delegate: the other delegates, unless one of them sent the changes, and the routers
+// of its failure domain.
+func recipients(w *world.World, kind table.WatchKind, relayed bool) []table.Holder {
+	duty := delegates(w, kind)
+	if !duty.IncludesSelf {
+		return nil
 	}
 	var to []table.Holder
 	w.RouterPeers.Each(func(_ table.ProcessID, p *table.RouterPeer) {
 		isDelegate := slices.Contains(duty.Routers, p.Holder)
-		if p.Connected && (isDelegate && !e.Relayed || !isDelegate && p.Domain == w.Params.Self.Domain) {
+		if p.Connected && (isDelegate && !relayed || !isDelegate && p.Domain == w.Params.Self.Domain) {
 			to = append(to, p.Holder)
 		}
 	})
-	if len(to) == 0 {
+	return to
+}
+
+// relay passes changes of the list of endpoints on.
+func relay(w *world.World, row *table.Watch, e *event.EndpointChanges) {
+	to := recipients(w, table.WatchEndpoints, e.Relayed)
+	if e.Full || len(to) == 0 {
 		return
 	}
 	changes := *e
@@ -184,8 +207,8 @@
 	if !w.DueOrWake(row.NextCallAt) {
 		return
 	}
-	wait := waitTime(w, kind)
-	if row.Listed && kind == table.WatchEndpoints && !delegate.For(w, endpointDuty).IncludesSelf {
+	wait := waitTime
+	if row.Listed && !delegates(w, kind).IncludesSelf {
 		if !behind && !w.DueOrWake(row.CallSentAt.Add(idlePollInterval)) {
 			return
 		}
@@ -199,19 +222,3 @@
 	w.Out.WatchCalls = append(w.Out.WatchCalls, call)
 	w.Count("watch.calls")
 }
-
-// waitTime returns how long a call waits for changes. All routers follow the
-// configuration, so the waits grow with the fleet beyond the number of delegates of a
-// small one.
-func waitTime(w *world.World, kind table.WatchKind) time.Duration {
-	if kind == table.WatchEndpoints {
-		return minWait
-	}
-	connected := 1
-	w.RouterPeers.Each(func(_ table.ProcessID, p *table.RouterPeer) {
-		if p.Connected && !p.StoreDown {
-			connected++
-		}
-	})
-	return min(max(minWait, minWait*time.Duration(connected)/delegate.MinCount), maxWait)
-}
--- a/internal/system/watch/watch_test.go
+++ b/internal/system/watch/watch_test.go
@@ -97,6 +97,7 @@
 	h := newHarness(103, 0.1)
 	h.list(10)
 	require.LessOrEqual(t, h.callsFor(50*time.Second, table.WatchEndpoints), 3)
+	require.LessOrEqual(t, h.callsFor(50*time.Second, table.WatchConfig), 3)
 }
 
 // Guards against a fleet in which no router follows the list of endpoints.
@@ -135,7 +136,7 @@
 // Guards against a router that applies nothing for the length of a wait because its
 // connection to the store went silent.
 func TestStalledCallIsReplacedWhenPeerKnowsLaterChange(t *testing.T) {
-	h := newHarness(103, 0.1)
+	h := newHarness(4, 0.8)
 	h.list(10)
 	h.now = h.now.Add(time.Second)
 	h.tick()
@@ -167,3 +168,21 @@
 	h.tick(event.EndpointChanges{Since: 12, Covered: 14, Relayed: true})
 	require.Len(t, h.out.EndpointRelays[0].To, 20, "a relayed change goes to the routers of the domain only")
 }
+
+// Guards against a configuration that routers get late or never because only the
+// delegates ask for it.
+func TestRelayedConfigurationIsKnown(t *testing.T) {
+	h := newHarness(103, 0.1)
+	h.list(10)
+	h.tick(event.RouterReport{LastChanges: map[table.WatchKind]uint64{table.WatchConfig: 14}})
+	h.tick(event.ManifestReceived{Revision: 14, Relayed: true})
+	require.Equal(t, uint64(14), h.world.Watches.Get(table.WatchConfig).Covered)
+	h.now = h.now.Add(5 * time.Second)
+	h.tick()
+	require.Empty(t, h.calls, "nothing is missing")
+	h.tick(event.RouterReport{LastChanges: map[table.WatchKind]uint64{table.WatchConfig: 16}})
+	h.now = h.now.Add(time.Second)
+	h.tick()
+	require.Len(t, h.calls, 1)
+	require.Equal(t, command.WatchObjects{Kind: table.WatchConfig, Call: h.calls[0].Call, Since: 14, Wait: time.Millisecond}, h.calls[0])
+}
--- a/internal/traffic/wire/message.go
+++ b/internal/traffic/wire/message.go
@@ -57,13 +57,14 @@
 	TypeLedgerChange
 	TypeLimitRequest
 	TypeEndpointChanges
+	TypeManifest
 )
 
 var typeNames = [...]string{
 	"", "Hello", "Heartbeat", "Dispatch", "Chunk", "End", "Cancel", "Lookup", "LookupResult",
 	"SliceRequest", "SliceGrant", "SliceReport", "KeyRecord", "KeyQuery", "KeyResult",
 	"Fence", "FenceResult", "ConfigRequest", "ConfigBody", "Crash", "Drain",
-	"RouterReport", "TransferRequest", "Transfer", "", "LedgerChange", "LimitRequest", "EndpointChanges",
+	"RouterReport", "TransferRequest", "Transfer", "", "LedgerChange", "LimitRequest", "EndpointChanges", "Manifest",
 }
 
 // String returns the name of the message type.
