--- a/internal/system/allowance/allowance.go
+++ b/internal/system/allowance/allowance.go
@@ -159,8 +159,11 @@
 		}, remaining)
 		return true
 	}
-	if outOfReach(w, a, cost-a.Available()) {
-		refuseUnreachable(w, x, a, remaining)
+	if allReserved(w, a, cost-a.Available()) {
+		refuse(w, x, a, table.Outcome{
+			Code: table.CodeBudgetExhausted, Reason: "the rest of the budget is reserved by requests in progress",
+			Ran: table.NotRun, RetryAfter: exhaustedRetryAfter,
+		}, remaining)
 		return true
 	}
 	waitEnd := x.ArrivedAt.Add(max(minBudgetWait, x.LatencyObjective/waitObjectiveDivisor))
@@ -168,29 +171,29 @@
 		w.WakeAt(waitEnd)
 		return false
 	}
-	refuseUnreachable(w, x, a, remaining)
+	refuse(w, x, a, table.Outcome{
+		Code: table.CodeBudgetUnreachable, Reason: "the rest of the budget is held by other routers or out of reach",
+		Ran: table.NotRun, RetryAfter: unreachableRetryAfter,
+	}, remaining)
 	return true
 }
 
-// outOfReach reports whether neither a holder nor the ledger can give the missing
-// tokens, so that waiting for them is in vain.
-func outOfReach(w *world.World, a *table.Account, missing table.Tokens) bool {
+// allReserved reports whether each holder has said that it has too little for a waiting
+// request, and the ledger has nothing left: requests in progress have reserved the
+// rest, so that waiting is in vain.
+func allReserved(w *world.World, a *table.Account, missing table.Tokens) bool {
 	s := &w.LimitLedgerView
-	if !s.ContentKnown || len(a.Denials) == 0 || transferPending(w, a) {
+	if !s.ContentKnown || transferPending(w, a) || s.ConfirmedAt.Add(ledgerStaleAfter) <= w.Now {
 		return false
 	}
-	if nextHolder(w, a) != nil {
-		return false
+	holders := delegate.For(w, string(a.Customer))
+	for _, h := range holders.Routers {
+		if h != w.Self() && !hasDenied(a, h) {
+			return false
+		}
 	}
 	p := w.PrepaidCustomers.Get(a.Customer)
-	return p != nil && p.Total-s.Sums[a.Customer].Allocated < missing && s.ConfirmedAt.Add(ledgerStaleAfter) > w.Now
-}
-
-func refuseUnreachable(w *world.World, x *table.Exchange, a *table.Account, remaining table.Tokens) {
-	refuse(w, x, a, table.Outcome{
-		Code: table.CodeBudgetUnreachable, Reason: "the rest of the budget is held by other routers or out of reach",
-		Ran: table.NotRun, RetryAfter: unreachableRetryAfter,
-	}, remaining)
+	return len(holders.Routers) > 1 && p != nil && p.Total-s.Sums[a.Customer].Allocated < missing
 }
 
 // maxRemaining returns an upper bound of what remains of a customer's total: the
--- a/internal/traffic/front/exchange.go
+++ b/internal/traffic/front/exchange.go
@@ -22,8 +22,10 @@
 	// maxResponseBytes is the largest response body that is buffered before it is
 	// sent to the client.
 	maxResponseBytes = 8 << 20
-	// clientWriteTimeout ends an exchange whose client does not read.
+	// clientWriteTimeout ends an exchange whose client does not read. For a body, a
+	// client has longer by its length at minClientPace, in bytes a second.
 	clientWriteTimeout = 5 * time.Second
+	minClientPace      = 64 << 10
 )
 
 // exchange is the processing of one client request. Only its own goroutine uses
@@ -231,8 +233,28 @@
 		h.Set("Content-Length", strconv.Itoa(len(x.buffered.body)))
 	}
 	x.w.WriteHeader(x.buffered.status)
-	if _, err := x.w.Write(x.buffered.body); err != nil {
-		x.server.Log.Debug().Str("request", x.request.ID).Err(err).Msg("writing the response to the client failed")
+	x.writeBody(x.buffered.body)
+}
+
+// writeBody sends a complete body to the client, in at most clientWriteTimeout and the
+// time that the body takes at minClientPace: a client that reads a byte now and then
+// would keep the memory of the body.
+func (x *exchange) writeBody(body []byte) {
+	rc := http.NewResponseController(x.w)
+	limit := clientWriteTimeout + time.Duration(len(body))*time.Second/minClientPace
+	err := rc.SetWriteDeadline(time.Now().Add(limit))
+	if err == nil {
+		_, err = x.w.Write(body)
+	}
+	if err == nil {
+		err = rc.Flush()
+	}
+	if err == nil {
+		// The deadline must not apply to later responses on the connection.
+		err = rc.SetWriteDeadline(time.Time{})
+	}
+	if err != nil {
+		x.server.Log.Info().Str("request", x.request.ID).Err(err).Msg("failed to write the response to the client")
 	}
 }
 
@@ -277,9 +299,7 @@
 	body := string(outcome.Code) + ": " + outcome.Reason + "\n"
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	x.w.WriteHeader(refusalStatus(outcome))
-	if _, err := io.WriteString(x.w, body); err != nil {
-		x.server.Log.Debug().Str("request", x.request.ID).Err(err).Msg("writing the refusal to the client failed")
-	}
+	x.writeBody([]byte(body))
 }
 
 // refusalStatus returns the HTTP status of a refusal. 429 and 503 guarantee that the
--- a/internal/traffic/front/late_test.go
+++ b/internal/traffic/front/late_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"syscall"
 	"testing"
@@ -84,3 +85,42 @@
 	require.Equal(t, event.DirectNotSent, control.attemptEnd(1).Status)
 	require.Len(t, endpoint.receivedRequests(), 1)
 }
+
+// deadlineRecorder is a response writer that records the write deadline in force at
+// each write and after the last one.
+type deadlineRecorder struct {
+	*httptest.ResponseRecorder
+	deadline time.Time
+	atWrite  []time.Time
+}
+
+func (d *deadlineRecorder) SetWriteDeadline(t time.Time) error {
+	d.deadline = t
+	return nil
+}
+
+func (d *deadlineRecorder) Write(p []byte) (int, error) {
+	d.atWrite = append(d.atWrite, d.deadline)
+	return d.ResponseRecorder.Write(p)
+}
+
+// Guards against a client that reads a byte now and then and so keeps the memory of
+// its answer for good, and against a deadline that cuts off a later answer.
+func TestBufferedAnswerHasWriteDeadline(t *testing.T) {
+	endpoint := startEndpoint(t, func(r *receivedRequest) bool {
+		r.readBody()
+		r.respond(r.requestID(), strings.Repeat("x", 1<<20))
+		return true
+	})
+	control := startServer(t, false, endpoint)
+	before := time.Now()
+	w := &deadlineRecorder{ResponseRecorder: httptest.NewRecorder()}
+	req := httptest.NewRequest(http.MethodPost, "/shop/", nil)
+	req.Header.Set("Attempt-Id", "r1")
+	control.server.ServeHTTP(w, req)
+	require.Equal(t, http.StatusOK, w.Code)
+	require.NotEmpty(t, w.atWrite)
+	// One megabyte at 64 KB a second takes 16 seconds.
+	require.True(t, w.atWrite[0].After(before.Add(20*time.Second)))
+	require.True(t, w.deadline.IsZero())
+}
