--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -83,6 +83,7 @@
 	Manifests            []ManifestReceived
 	EndpointChanges      []EndpointChanges
 	WatchResults         []WatchResult
+	ConnectTimes         []ConnectTime
 	LimitLedgerResults   []LimitLedgerResult
 
 	// Reports and allowances between routers.
--- a/internal/event/exchange.go
+++ b/internal/event/exchange.go
@@ -18,10 +18,12 @@
 	KeyHash table.KeyHash
 	// ClientTimeout is how long the client waits after the arrival; 0 if unknown.
 	ClientTimeout time.Duration
-	PromptTokens  table.Tokens
-	MaxOutput     table.Tokens
-	PromptParts   []table.PromptPart
-	Fingerprint   table.Fingerprint
+	// BodyBytes is the length of the body.
+	BodyBytes    int
+	PromptTokens table.Tokens
+	MaxOutput    table.Tokens
+	PromptParts  []table.PromptPart
+	Fingerprint  table.Fingerprint
 }
 
 // ClientDisconnect says that the client of an exchange closed its connection.
@@ -39,6 +41,9 @@
 	Slowdown float64
 }
 
+// ConnectTime is how long it took to open a connection to an endpoint, or to give up.
+type ConnectTime struct{ Duration time.Duration }
+
 // DirectAnswerStarted says that the first event of a stream arrived from a
 // direct endpoint.
 type DirectAnswerStarted struct {
@@ -263,5 +268,8 @@
 // AddTo implements Event.
 func (e WatchResult) AddTo(in *Inbox) { in.WatchResults = append(in.WatchResults, e) }
 
+// AddTo implements Event.
+func (e ConnectTime) AddTo(in *Inbox) { in.ConnectTimes = append(in.ConnectTimes, e) }
+
 // AddTo implements Event.
 func (e LimitLedgerResult) AddTo(in *Inbox) { in.LimitLedgerResults = append(in.LimitLedgerResults, e) }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -161,6 +161,7 @@
 		Front: world.FrontParams{
 			RetryRatio: g.settings.RetryRatio * retryBudgetShare, RetryBurst: g.settings.RetryBurst * retryBudgetShare,
 			ShutdownGrace: g.settings.ShutdownGrace, PeerAddress: peerAddress, ChangeBound: g.settings.ChangeBound,
+			LinkBytesPerSecond: g.settings.LinkBytesPerSecond,
 		},
 	}
 }
@@ -235,8 +236,8 @@
 // and log lines. It runs on the control thread after each tick.
 func (g *Gateway) publish(w *world.World, usage control.Usage) {
 	g.metrics.publish(w, usage)
-	g.ready.Store(w.Manifest.Version > 0 && w.DirectEndpoints.Len() > 0 && !w.Draining)
-	g.front.Draining.Store(w.Draining)
+	g.ready.Store(w.Manifest.Version > 0 && w.DirectEndpoints.Len() > 0 && !w.Draining && !w.Link.OutOfRotation)
+	g.front.CloseConnections.Store(w.Draining || w.Link.OutOfRotation)
 	g.front.BodyLimit.Store(w.Manifest.Limits.BodyBytes)
 	g.logDecisions(w.Decisions)
 }
--- a/internal/gateway/systems.go
+++ b/internal/gateway/systems.go
@@ -8,6 +8,7 @@
 	"laburnumroad.dev/laburnumroad/internal/system/explain"
 	"laburnumroad.dev/laburnumroad/internal/system/health"
 	"laburnumroad.dev/laburnumroad/internal/system/intake"
+	"laburnumroad.dev/laburnumroad/internal/system/link"
 	"laburnumroad.dev/laburnumroad/internal/system/peers"
 	"laburnumroad.dev/laburnumroad/internal/system/placement"
 	"laburnumroad.dev/laburnumroad/internal/system/quarantine"
@@ -22,6 +23,7 @@
 		world.SystemFunc(catalog.Run),
 		world.SystemFunc(health.Run),
 		world.SystemFunc(quarantine.RunGateway),
+		world.SystemFunc(link.Run),
 		world.SystemFunc(attempt.Run),
 		world.SystemFunc(intake.Run),
 		world.SystemFunc(peers.Run),
--- a/internal/system/intake/intake.go
+++ b/internal/system/intake/intake.go
@@ -11,6 +11,7 @@
 
 	"laburnumroad.dev/laburnumroad/internal/command"
 	"laburnumroad.dev/laburnumroad/internal/event"
+	"laburnumroad.dev/laburnumroad/internal/system/link"
 	"laburnumroad.dev/laburnumroad/internal/system/quarantine"
 	"laburnumroad.dev/laburnumroad/internal/table"
 	"laburnumroad.dev/laburnumroad/internal/world"
@@ -29,6 +30,9 @@
 	// drainingRetryAfter is the time until a router that shuts down is likely to
 	// be back, if no other router takes the request.
 	drainingRetryAfter = time.Second
+	// congestedRetryAfter is the retry delay while the link is congested: a retry goes
+	// to another router.
+	congestedRetryAfter = 50 * time.Millisecond
 	// maxCallTime bounds the duration of a plain call at an endpoint that is busy
 	// but not overloaded. The other three bound that of a stream, per request and
 	// per token. The usual times are half to two thirds of these bounds.
@@ -104,6 +108,9 @@
 	if until, quarantined := quarantine.Active(w, a.Fingerprint); quarantined {
 		return nil, &refusal{table.CodeQuarantined, "endpoints died while they ran this request", until.Sub(w.Now)}
 	}
+	if !link.Admit(w, a.BodyBytes) {
+		return nil, &refusal{table.CodeLinkCongested, "packets wait for the link of this router", congestedRetryAfter}
+	}
 	x := newExchange(w, a, route, customer)
 	if !acceptsWhileDraining(w, x) {
 		return nil, &refusal{table.CodeDraining, "the router shuts down before the request can end", drainingRetryAfter}
--- a/internal/table/request.go
+++ b/internal/table/request.go
@@ -68,6 +68,8 @@
 	CodeDeadline          Code = "DEADLINE"
 	CodeBudgetExhausted   Code = "BUDGET_EXHAUSTED"
 	CodeBudgetUnreachable Code = "BUDGET_UNREACHABLE"
+	// CodeLinkCongested refuses a request because packets wait for the router's link.
+	CodeLinkCongested Code = "LINK_CONGESTED"
 	// CodeBudgetReserved refuses a request because the rest of the budget is kept for
 	// more urgent ones.
 	CodeBudgetReserved   Code = "BUDGET_RESERVED"
--- a/internal/traffic/front/exchange.go
+++ b/internal/traffic/front/exchange.go
@@ -69,7 +69,7 @@
 func (x *exchange) arrivalEvent() event.HTTPArrival {
 	return event.HTTPArrival{
 		Exchange: x.id, Request: x.request.ID, Host: requestHost(x.r), Path: requestPath(x.r),
-		HasKey: x.request.HasKey, KeyHash: x.request.KeyHash, ClientTimeout: x.request.Timeout,
+		HasKey: x.request.HasKey, KeyHash: x.request.KeyHash, ClientTimeout: x.request.Timeout, BodyBytes: len(x.body),
 		PromptTokens: x.request.PromptTokens, MaxOutput: x.request.MaxOutput, PromptParts: x.request.PromptParts,
 		Fingerprint: fingerprint(x.r, x.request.KeyHash, x.body),
 	}
@@ -146,7 +146,8 @@
 			}
 			return x.server.Codec.AttemptHeader(x.r.Header, &call, lastEventID), nil
 		},
-		Matches: func(h http.Header) bool { return x.server.Codec.BelongsTo(h, x.request.ID) },
+		OnConnect: func(d time.Duration) { x.server.Post(event.ConnectTime{Duration: d}) },
+		Matches:   func(h http.Header) bool { return x.server.Codec.BelongsTo(h, x.request.ID) },
 	})
 	if err != nil {
 		return callFailure(err)
@@ -271,11 +272,11 @@
 		// A nil value keeps the HTTP server from detecting the type from the body.
 		dst["Content-Type"] = nil
 	}
-	x.closeConnectionIfDraining()
+	x.closeConnectionIfAsked()
 }
 
-func (x *exchange) closeConnectionIfDraining() {
-	if x.server.Draining.Load() {
+func (x *exchange) closeConnectionIfAsked() {
+	if x.server.CloseConnections.Load() {
 		x.w.Header().Set("Connection", "close")
 	}
 }
@@ -295,7 +296,7 @@
 	h := x.w.Header()
 	x.server.Codec.SetRefusalHeader(h, x.request.ID, outcome.RetryAfter)
 	h.Set("Content-Type", "text/plain; charset=utf-8")
-	x.closeConnectionIfDraining()
+	x.closeConnectionIfAsked()
 	body := string(outcome.Code) + ": " + outcome.Reason + "\n"
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	x.w.WriteHeader(refusalStatus(outcome))
--- a/internal/traffic/front/server.go
+++ b/internal/traffic/front/server.go
@@ -41,7 +41,7 @@
 )
 
 // Server is the HTTP handler for clients. Its fields must be set before the first
-// request, except BodyLimit and Draining, which may change at any time.
+// request, except BodyLimit and CloseConnections, which may change at any time.
 type Server struct {
 	// Post sends an event to the control thread.
 	Post  func(event.Event)
@@ -58,8 +58,9 @@
 	// BodyLimit is the maximum size of a request body in bytes; 0 means
 	// defaultBodyLimit.
 	BodyLimit atomic.Int64
-	// Draining makes responses ask clients to close their connections.
-	Draining atomic.Bool
+	// CloseConnections makes responses ask clients to close their connections, while
+	// the router drains or its link is congested.
+	CloseConnections atomic.Bool
 
 	mu             sync.Mutex
 	lastExchangeID table.ExchangeID
--- a/internal/traffic/upstream/exchange.go
+++ b/internal/traffic/upstream/exchange.go
@@ -36,6 +36,9 @@
 	// byte is written. An error ends the request; nothing is written then.
 	Prepare func() (http.Header, error)
 	Body    []byte
+	// OnConnect, if set, is called with the time that a new connection took, or that
+	// passed until it failed.
+	OnConnect func(time.Duration)
 	// Matches reports whether a response with these headers belongs to this request.
 	Matches func(http.Header) bool
 }
@@ -67,7 +70,12 @@
 	conn := p.get(req.Address)
 	if conn == nil {
 		var err error
-		if conn, err = p.dial(ctx, req.Address); err != nil {
+		started := time.Now()
+		conn, err = p.dial(ctx, req.Address)
+		if req.OnConnect != nil && ctx.Err() == nil {
+			req.OnConnect(time.Since(started))
+		}
+		if err != nil {
 			return nil, notSentError{err}
 		}
 	}
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -74,6 +74,8 @@
 	ShutdownGrace time.Duration
 	// PeerAddress is where other routers reach this one.
 	PeerAddress string
+	// LinkBytesPerSecond is the rate of the host's link; 0 if unknown.
+	LinkBytesPerSecond float64
 	// ChangeBound is the time within which a change of the configuration or of the
 	// list of endpoints must be in force; 0 if unknown.
 	ChangeBound time.Duration
