--- a/internal/event/exchange.go
+++ b/internal/event/exchange.go
@@ -198,8 +198,10 @@
 type TransferRequest struct {
 	From     table.Holder
 	Customer table.CustomerID
-	Need     table.Tokens
-	Want     table.Tokens
+	// Request is the request that the need is of.
+	Request table.RequestID
+	Need    table.Tokens
+	Want    table.Tokens
 }
 
 // Transfer gives another router part of what the sender may still spend. The
--- a/internal/system/allowance/allowance.go
+++ b/internal/system/allowance/allowance.go
@@ -9,6 +9,7 @@
 package allowance
 
 import (
+	"strings"
 	"time"
 
 	"laburnumroad.dev/laburnumroad/internal/system/delegate"
@@ -124,15 +125,15 @@
 	if refuseIfNotCovered(w, x, a, cost) {
 		return
 	}
-	addWaiting(a, cost)
+	addWaiting(a, x.Request, cost)
 }
 
 // addWaiting adds a request that the available tokens do not cover to those that
 // wait.
-func addWaiting(a *table.Account, cost table.Tokens) {
+func addWaiting(a *table.Account, id table.RequestID, cost table.Tokens) {
 	a.WaitingTokens += cost
 	if shortfall := cost - a.Available(); a.SmallestShortfall == 0 || shortfall < a.SmallestShortfall {
-		a.SmallestShortfall = shortfall
+		a.SmallestShortfall, a.ShortRequest = shortfall, id
 	}
 }
 
@@ -210,12 +211,23 @@
 	return p.Total - spent - a.NetSpent()
 }
 
+// deniedBy returns the names of the holders that recently had too little for a
+// transfer.
+func deniedBy(a *table.Account) string {
+	names := make([]string, 0, len(a.Denials))
+	for _, d := range a.Denials {
+		names = append(names, string(d.Holder.Process))
+	}
+	return strings.Join(names, " ")
+}
+
 // refuse ends a request and records the amounts behind the decision.
 func refuse(w *world.World, x *table.Exchange, a *table.Account, outcome table.Outcome, remaining table.Tokens) {
 	w.Count("allowance.refused." + string(outcome.Code))
 	w.RecordDecision(x.Request, System, "refused: "+outcome.Reason,
 		tokensInput("cost", x.MaxCost()), tokensInput("free", a.Available()), tokensInput("limit", a.Limit),
 		tokensInput("spent", a.Spent), tokensInput("reserved", a.Reserved), tokensInput("remaining_at_most", remaining),
+		table.Input{Name: "denied_by", Value: deniedBy(a)},
 		table.Input{Name: "ledger_age", Value: w.Now.Sub(w.LimitLedgerView.ConfirmedAt).Round(time.Millisecond).String()})
 	w.FinishExchange(x, false, outcome)
 }
--- a/internal/system/allowance/transfers.go
+++ b/internal/system/allowance/transfers.go
@@ -56,7 +56,7 @@
 		// Other holders keep a margin of their own for their demand.
 		a.DemandRate.Add(w.Now, float64(e.Need), demandTimeConstant)
 	}
-	request := table.PendingTransfer{From: e.From, Need: e.Need, Want: e.Want, ExpiresAt: w.Now.Add(pendingTransferTime)}
+	request := table.PendingTransfer{From: e.From, Request: e.Request, Need: e.Need, Want: e.Want, ExpiresAt: w.Now.Add(pendingTransferTime)}
 	if a.Available()-a.WaitingTokens < e.Need && canRaiseLimit(w, a, e.Need) {
 		w.PendingTransfers.Put(table.TransferKey{Process: e.From.Process, Customer: e.Customer}, request)
 		w.WakeAt(request.ExpiresAt)
@@ -85,7 +85,7 @@
 			transfer(w, a, r)
 			return true
 		}
-		addWaiting(a, r.Need)
+		addWaiting(a, r.Request, r.Need)
 		w.WakeAt(r.ExpiresAt)
 		return false
 	})
@@ -99,6 +99,12 @@
 	if excess := available - r.Need; excess > 0 {
 		amount += min(max(0, r.Want-r.Need), excess/2)
 	}
+	if amount < r.Need {
+		w.RecordDecision(r.Request, System, "too little for another router", table.Input{Name: "router", Value: string(r.From.Process)},
+			tokensInput("need", r.Need), tokensInput("given", amount), tokensInput("limit", a.Limit), tokensInput("spent", a.Spent),
+			tokensInput("reserved", a.Reserved), tokensInput("waiting", a.WaitingTokens),
+			tokensInput("allocated", w.LimitLedgerView.Sums[a.Customer].Allocated))
+	}
 	sendTransfer(w, a, r.From, amount)
 }
 
@@ -130,7 +136,9 @@
 	}
 	want := a.WaitingTokens - a.Available() + spareTokens(w, a)
 	w.Out.TransferRequests = append(w.Out.TransferRequests, command.SendTransferRequest{
-		To: holder.Holder, Request: event.TransferRequest{Customer: a.Customer, Need: a.SmallestShortfall, Want: max(want, a.SmallestShortfall)},
+		To: holder.Holder, Request: event.TransferRequest{
+			Customer: a.Customer, Request: a.ShortRequest, Need: a.SmallestShortfall, Want: max(want, a.SmallestShortfall),
+		},
 	})
 	w.Count("allowance.asked")
 	w.WakeAt(w.Now.Add(transferTimeout))
--- a/internal/table/account.go
+++ b/internal/table/account.go
@@ -33,9 +33,11 @@
 	DemandRate DecayingRate
 	// MeanReservation is a moving average of the size of reservations, in tokens.
 	MeanReservation float64
-	// SmallestShortfall is the least addition that lets a waiting request proceed;
-	// WaitingTokens is the sum of the reservations of all waiting requests.
+	// SmallestShortfall is the least addition that lets a waiting request proceed,
+	// which is ShortRequest; WaitingTokens is the sum of the reservations of all waiting
+	// requests.
 	SmallestShortfall Tokens
+	ShortRequest      RequestID
 	WaitingTokens     Tokens
 	// TransferRequestedFrom was asked for a transfer at TransferRequestedAt, which is
 	// 0 if no answer is awaited. TransferRequestedNeed is the least amount that was
@@ -358,7 +360,9 @@
 // PendingTransfer is another router's request for a transfer that waits until the
 // ledger raises this router's limit.
 type PendingTransfer struct {
-	From      Holder
+	From Holder
+	// Request is the client's request that waits for it.
+	Request   RequestID
 	Need      Tokens
 	Want      Tokens
 	ExpiresAt Instant
