--- a/internal/system/watch/watch.go
+++ b/internal/system/watch/watch.go
@@ -18,9 +18,9 @@
 )
 
 const (
-	// waitTime is how long a call of a delegate waits for changes. A connection can
-	// stall without a reset; the end of the wait bounds how late a change is seen in
-	// that case.
+	// waitTime is how long a call of one of four delegates waits for changes; with more
+	// of them each waits longer. A connection can stall without a reset; the end of a
+	// wait bounds how late the first delegate sees a change in that case.
 	waitTime = 2500 * time.Millisecond
 	// After a call that returned changes, the next one is delayed by a part of the time
 	// within which changes must be in force, so that several changes within a short time
@@ -207,8 +207,9 @@
 	if !w.DueOrWake(row.NextCallAt) {
 		return
 	}
-	wait := waitTime
-	if row.Listed && !delegates(w, kind).IncludesSelf {
+	duty := delegates(w, kind)
+	wait := waitTime * time.Duration(max(delegate.MinCount, len(duty.Routers))) / delegate.MinCount
+	if row.Listed && !duty.IncludesSelf {
 		if !behind && !w.DueOrWake(row.CallSentAt.Add(idlePollInterval)) {
 			return
 		}
