catalog, watch: a relayed removal is no lapse of one's own outage

Tests, all failed before: TestRelayedRemovalIsNoLapseOfOwnOutage, TestRelayedLapseIsKeptForGracePeriod, TestFollowerThatLostTheStoreAsksSoon.

--- a/internal/gateway/systems_test.go
+++ b/internal/gateway/systems_test.go
@@ -564,3 +564,30 @@
 	require.Equal(t, table.Tokens(1050+1000+100), spent())
 	require.Zero(t, h.world.Accounts.Get("workshop").Reserved)
 }
+
+// Guards against an endpoint that left and goes on getting requests from a router that
+// was turned away by the store until shortly before: it took the removal, which
+// another router had passed on, for a lapse of its own outage.
+func TestRelayedRemovalIsNoLapseOfOwnOutage(t *testing.T) {
+	h := newServingHarness(t)
+	h.step(event.PlatformState{Reachable: false})
+	h.step(event.EndpointChanges{Removed: []table.EndpointID{"d1"}, Relayed: true})
+	for range 10 {
+		require.Equal(t, table.EndpointID("d2"), h.sendRequest("/lookup/1").Endpoint)
+	}
+}
+
+// Guards against endpoints that are given up because their entries lapsed in an outage
+// which only the router saw that passed the removal on.
+func TestRelayedLapseIsKeptForGracePeriod(t *testing.T) {
+	h := newServingHarness(t)
+	h.step(event.EndpointChanges{Removed: []table.EndpointID{"d1", "d2"}, Relayed: true, MayHaveLapsed: true})
+	h.sendRequest("/lookup/1")
+	// The grace period ends although this router does not reach the store itself.
+	h.step(event.PlatformState{Reachable: false})
+	h.advance(4 * time.Second)
+	before := len(h.calls)
+	h.step(h.newArrival("/lookup/2"))
+	h.advance(time.Second)
+	require.Len(t, h.calls, before)
+}
--- a/internal/system/catalog/catalog.go
+++ b/internal/system/catalog/catalog.go
@@ -103,15 +103,20 @@
 		present[changes.Present[i].ID] = true
 		applyEndpoint(w, &changes.Present[i])
 	}
+	// Of relayed changes, only their sender knows whether an outage caused them.
+	mayHaveLapsed := w.RecentOutage()
+	if changes.Relayed {
+		mayHaveLapsed = changes.MayHaveLapsed
+	}
 	for _, id := range changes.Removed {
-		markRemoved(w, id, changes.MayHaveLapsed)
+		markRemoved(w, id, mayHaveLapsed, changes.Relayed)
 	}
 	if !changes.Full {
 		return
 	}
 	for i := range w.DirectEndpoints.Len() {
 		if id, _ := w.DirectEndpoints.At(i); !present[id] {
-			markRemoved(w, id, false)
+			markRemoved(w, id, mayHaveLapsed, false)
 		}
 	}
 }
@@ -148,15 +153,15 @@
 
 // markRemoved records that an entry is gone. Endpoints whose entries lapsed
 // around an outage stay live for a grace period. Others finish their open
-// requests and get no new ones. mayHaveLapsed is true if the router that reported the
-// removal saw an outage.
-func markRemoved(w *world.World, id table.EndpointID, mayHaveLapsed bool) {
+// requests and get no new ones. relayed is true if another router reported the
+// removal.
+func markRemoved(w *world.World, id table.EndpointID, mayHaveLapsed, relayed bool) {
 	row := w.DirectEndpoints.Get(id)
 	if row == nil || row.RemovedAt != 0 {
 		return
 	}
-	row.RemovedAt = w.Now
-	if (mayHaveLapsed || w.RecentOutage()) && !row.Leaving {
+	row.RemovedAt, row.RemovalRelayed = w.Now, relayed
+	if mayHaveLapsed && !row.Leaving {
 		w.RecordStateChange("endpoint", string(id), stateName(row.Leaving), "unlisted", "entry lapsed around an outage of the store")
 		w.WakeAt(w.Now.Add(relistGrace))
 		return
@@ -182,7 +187,7 @@
 			return false
 		}
 		if graceEnd := e.RemovedAt.Add(relistGrace); !e.Leaving {
-			if graceEnd > w.Now || !w.PlatformReachable {
+			if graceEnd > w.Now || !w.PlatformReachable && !e.RemovalRelayed {
 				w.WakeAt(max(graceEnd, w.Now.Add(relistGrace/4)))
 				return false
 			}
--- a/internal/system/watch/watch.go
+++ b/internal/system/watch/watch.go
@@ -210,7 +210,12 @@
 	duty := delegates(w, kind)
 	wait := waitTime * time.Duration(max(delegate.MinCount, len(duty.Routers))) / delegate.MinCount
 	if row.Listed && !duty.IncludesSelf {
-		if !behind && !w.DueOrWake(row.CallSentAt.Add(idlePollInterval)) {
+		interval := idlePollInterval
+		if !w.PlatformReachable {
+			// Only a call shows that the store is back, which the other routers have to know.
+			interval = waitTime
+		}
+		if !behind && !w.DueOrWake(row.CallSentAt.Add(interval)) {
 			return
 		}
 		wait = pollWait
--- a/internal/system/watch/watch_test.go
+++ b/internal/system/watch/watch_test.go
@@ -186,3 +186,13 @@
 	require.Len(t, h.calls, 1)
 	require.Equal(t, command.WatchObjects{Kind: table.WatchConfig, Call: h.calls[0].Call, Since: 14, Wait: time.Millisecond}, h.calls[0])
 }
+
+// Guards against a router that goes on telling the others that it does not reach the
+// store, because it makes no calls that would show it.
+func TestFollowerThatLostTheStoreAsksSoon(t *testing.T) {
+	h := newHarness(103, 0.1)
+	h.list(10)
+	h.callsFor(5*time.Second, table.WatchEndpoints)
+	h.world.PlatformReachable = false
+	require.GreaterOrEqual(t, h.callsFor(10*time.Second, table.WatchEndpoints), 2)
+}
