--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 
 	"laburnumroad.dev/laburnumroad/internal/control"
 	"laburnumroad.dev/laburnumroad/internal/event"
+	"laburnumroad.dev/laburnumroad/internal/system/peers"
 	"laburnumroad.dev/laburnumroad/internal/table"
 	"laburnumroad.dev/laburnumroad/internal/traffic/front"
 	"laburnumroad.dev/laburnumroad/internal/traffic/peering"
@@ -69,10 +70,9 @@
 	// storeTimeout bounds a call to the store. A slow store takes a few hundred
 	// milliseconds.
 	storeTimeout = 1500 * time.Millisecond
-	// peerHandshakeTimeout and peerIdleTimeout end sessions with routers that no
-	// longer respond. A live router sends a report twice a second.
+	// peerHandshakeTimeout ends the opening of a session with a router that does not
+	// respond.
 	peerHandshakeTimeout = time.Second
-	peerIdleTimeout      = 2500 * time.Millisecond
 )
 
 // Gateway is one router process on the platform.
@@ -87,6 +87,9 @@
 	pool     *upstream.Pool
 	peers    *peering.Peers
 	node     *wire.Node
+	// peerIdleTimeout is how long a session is kept on which nothing arrives, in
+	// nanoseconds. The control thread sets it.
+	peerIdleTimeout atomic.Int64
 
 	// watches are the open calls that follow objects of the store. Only the control
 	// thread uses it.
@@ -182,11 +185,12 @@
 // servePeers accepts sessions of other routers until the gateway closes.
 func (g *Gateway) servePeers(l net.Listener) {
 	g.peers = peering.New(g.loop.Post)
+	g.peerIdleTimeout.Store(int64(peers.MinIdleTimeout))
 	g.peers.HandleFrame = g.receive
 	g.peers.OnDialError = func(id table.ProcessID, err error) {
 		g.log.Debug().Str("router", string(id)).Err(err).Msg("failed to connect to router")
 	}
-	g.node = &wire.Node{Hello: g.hello, Handler: g.peers, HandshakeTimeout: peerHandshakeTimeout, IdleTimeout: peerIdleTimeout}
+	g.node = &wire.Node{Hello: g.hello, Handler: g.peers, HandshakeTimeout: peerHandshakeTimeout, IdleTimeout: func() time.Duration { return time.Duration(g.peerIdleTimeout.Load()) }}
 	go func() {
 		if err := g.node.Serve(l); !errors.Is(err, net.ErrClosed) {
 			g.log.Error().Err(err).Msg("router listener stopped")
@@ -238,6 +242,7 @@
 	g.metrics.publish(w, usage)
 	g.ready.Store(w.Manifest.Version > 0 && w.DirectEndpoints.Len() > 0 && !w.Draining && !w.Link.OutOfRotation)
 	g.front.CloseConnections.Store(w.Draining || w.Link.OutOfRotation)
+	g.peerIdleTimeout.Store(int64(peers.IdleTimeout(w)))
 	g.front.BodyLimit.Store(w.Manifest.Limits.BodyBytes)
 	g.logDecisions(w.Decisions)
 }
--- a/internal/system/delegate/delegate.go
+++ b/internal/system/delegate/delegate.go
@@ -8,8 +8,6 @@
 import (
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
-
 	"laburnumroad.dev/laburnumroad/internal/table"
 	"laburnumroad.dev/laburnumroad/internal/world"
 )
@@ -56,14 +54,14 @@
 // it returns all.
 func candidates(w *world.World, duty string) []candidate {
 	self := w.Params.Self
-	found := []candidate{{self.Holder, self.Domain, self.Cores, rank(duty, self.Process)}}
+	found := []candidate{{self.Holder, self.Domain, self.Cores, table.RendezvousRank(duty, string(self.Process))}}
 	anyReachesStore := false
 	w.RouterPeers.Each(func(_ table.ProcessID, p *table.RouterPeer) {
 		anyReachesStore = anyReachesStore || isCandidate(w, p) && !p.StoreDown
 	})
 	w.RouterPeers.Each(func(_ table.ProcessID, p *table.RouterPeer) {
 		if isCandidate(w, p) && !(anyReachesStore && p.StoreDown) {
-			found = append(found, candidate{p.Holder, p.Domain, p.Cores, rank(duty, p.Process)})
+			found = append(found, candidate{p.Holder, p.Domain, p.Cores, table.RendezvousRank(duty, string(p.Process))})
 		}
 	})
 	slices.SortFunc(found, func(a, b candidate) int {
@@ -103,16 +101,6 @@
 	return append(chosen, others[:min(len(others), max(0, MinCount-len(chosen)))]...)
 }
 
-// rank ranks a router for a duty by rendezvous hashing.
-func rank(duty string, p table.ProcessID) uint64 {
-	digest := xxhash.New()
-	// Writing to a digest does not fail.
-	_, _ = digest.WriteString(duty)
-	_, _ = digest.WriteString("\x00")
-	_, _ = digest.WriteString(string(p))
-	return digest.Sum64()
-}
-
 // compareBool returns -1 if only first is true, 1 if only second is, and 0
 // otherwise.
 func compareBool(first, second bool) int {
--- a/internal/system/peers/peers.go
+++ b/internal/system/peers/peers.go
@@ -20,6 +20,10 @@
 	reportIntervalPerRouter = 20 * time.Millisecond
 	minReportInterval       = 500 * time.Millisecond
 	maxReportInterval       = 2 * time.Second
+	// A session on which nothing arrives ends after the time of missedReports reports, or
+	// MinIdleTimeout if that is longer: it may have gone silent without a reset.
+	missedReports  = 3
+	MinIdleTimeout = 2500 * time.Millisecond
 	// dialYieldDelay is how long the router with the greater name waits before it
 	// dials.
 	dialYieldDelay = 400 * time.Millisecond
@@ -132,3 +136,8 @@
 func ReportInterval(w *world.World) time.Duration {
 	return min(max(reportIntervalPerRouter*time.Duration(w.LimitLedgerView.RouterCount), minReportInterval), maxReportInterval)
 }
+
+// IdleTimeout returns how long a session is kept on which nothing arrives.
+func IdleTimeout(w *world.World) time.Duration {
+	return max(MinIdleTimeout, missedReports*ReportInterval(w))
+}
--- a/internal/system/placement/cost.go
+++ b/internal/system/placement/cost.go
@@ -70,7 +70,7 @@
 	var home *table.DirectEndpoint
 	var maxHash uint64
 	for _, e := range candidates {
-		if hash := rendezvousHash(key, e.ID); home == nil || hash > maxHash {
+		if hash := table.RendezvousRank(key, string(e.ID)); home == nil || hash > maxHash {
 			home, maxHash = e, hash
 		}
 	}
--- a/internal/system/placement/placement.go
+++ b/internal/system/placement/placement.go
@@ -11,8 +11,6 @@
 	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"laburnumroad.dev/laburnumroad/internal/command"
 	"laburnumroad.dev/laburnumroad/internal/table"
 	"laburnumroad.dev/laburnumroad/internal/world"
@@ -126,13 +124,3 @@
 	}
 	w.RecordAttemptDecision(x, System, "sent", inputs...)
 }
-
-// rendezvousHash ranks endpoints for a prompt part identically at all routers.
-func rendezvousHash(part string, id table.EndpointID) uint64 {
-	digest := xxhash.New()
-	// Writing to a digest does not fail.
-	_, _ = digest.WriteString(part)
-	_, _ = digest.WriteString("\x00")
-	_, _ = digest.WriteString(string(id))
-	return digest.Sum64()
-}
--- a/internal/traffic/wire/session.go
+++ b/internal/traffic/wire/session.go
@@ -177,10 +177,11 @@
 	ClientTLS func() *tls.Config
 	// CountBytes, if set, is called with the numbers of bytes read and written.
 	CountBytes func(in, out int)
-	// HandshakeTimeout and IdleTimeout override the defaults if not zero. Shorter values detect
-	// a lost peer sooner.
+	// HandshakeTimeout overrides the default if not zero.
 	HandshakeTimeout time.Duration
-	IdleTimeout      time.Duration
+	// IdleTimeout, if set, returns how long a session is kept on which nothing arrives, instead
+	// of the default. A shorter time detects a lost peer sooner.
+	IdleTimeout func() time.Duration
 
 	mu            sync.Mutex
 	lastSessionID uint64
@@ -307,7 +308,12 @@
 	return cmp.Or(n.HandshakeTimeout, defaultHandshakeTimeout)
 }
 
-func (n *Node) idleTimeout() time.Duration { return cmp.Or(n.IdleTimeout, defaultIdleTimeout) }
+func (n *Node) idleTimeout() time.Duration {
+	if n.IdleTimeout == nil {
+		return defaultIdleTimeout
+	}
+	return n.IdleTimeout()
+}
 
 // register assigns an id to a session. It returns false if the node is closed.
 func (n *Node) register(s *Session) bool {
