front: the write deadline is cleared after each answer, also one without a body

Found in the read-through: an answer to HEAD failed with 'body not allowed' before the deadline was cleared, which would have cut off a later answer.

--- a/internal/traffic/front/exchange.go
+++ b/internal/traffic/front/exchange.go
@@ -244,15 +244,15 @@
 	rc := http.NewResponseController(x.w)
 	limit := clientWriteTimeout + time.Duration(len(body))*time.Second/minClientPace
 	err := rc.SetWriteDeadline(time.Now().Add(limit))
-	if err == nil {
+	if err == nil && x.r.Method != http.MethodHead {
 		_, err = x.w.Write(body)
 	}
 	if err == nil {
 		err = rc.Flush()
 	}
-	if err == nil {
-		// The deadline must not apply to later responses on the connection.
-		err = rc.SetWriteDeadline(time.Time{})
+	// The deadline must not apply to later responses on the connection.
+	if clearErr := rc.SetWriteDeadline(time.Time{}); err == nil {
+		err = clearErr
 	}
 	if err != nil {
 		x.server.Log.Info().Str("request", x.request.ID).Err(err).Msg("failed to write the response to the client")
--- a/internal/traffic/front/late_test.go
+++ b/internal/traffic/front/late_test.go
@@ -124,3 +124,20 @@
 	require.True(t, w.atWrite[0].After(before.Add(20*time.Second)))
 	require.True(t, w.deadline.IsZero())
 }
+
+// Guards against a deadline that outlives an answer without a body: it would cut off
+// the next answer on the connection.
+func TestDeadlineIsClearedAfterAnswerToHead(t *testing.T) {
+	endpoint := startEndpoint(t, func(r *receivedRequest) bool {
+		r.respond(r.requestID(), "")
+		return true
+	})
+	control := startServer(t, false, endpoint)
+	w := &deadlineRecorder{ResponseRecorder: httptest.NewRecorder()}
+	req := httptest.NewRequest(http.MethodHead, "/shop/", nil)
+	req.Header.Set("Attempt-Id", "r1")
+	control.server.ServeHTTP(w, req)
+	require.Equal(t, http.StatusOK, w.Code)
+	require.Empty(t, w.atWrite)
+	require.True(t, w.deadline.IsZero())
+}
