delegate: the only router that reaches the store does the duties itself

Four of five routers were cut from the store from 23.0 s on and said so; the fifth, no delegate, took 'none of the others reaches the store' for an outage of all, and left the configuration to the four. Test, failed before: TestOnlyRouterThatReachesStoreFollowsIt.

--- a/internal/system/delegate/delegate.go
+++ b/internal/system/delegate/delegate.go
@@ -50,12 +50,12 @@
 }
 
 // candidates returns this router and the connected ones that have an entry in the
-// limit ledger and reach the store, by rank. If none of the others reaches the store,
-// it returns all.
+// limit ledger and reach the store, by rank. If no router reaches the store, it
+// returns all.
 func candidates(w *world.World, duty string) []candidate {
 	self := w.Params.Self
 	found := []candidate{{self.Holder, self.Domain, self.Cores, table.RendezvousRank(duty, string(self.Process))}}
-	anyReachesStore := false
+	anyReachesStore := w.PlatformReachable && w.LimitLedgerView.Backoff == 0
 	w.RouterPeers.Each(func(_ table.ProcessID, p *table.RouterPeer) {
 		anyReachesStore = anyReachesStore || isCandidate(w, p) && !p.StoreDown
 	})
--- a/internal/system/watch/watch_test.go
+++ b/internal/system/watch/watch_test.go
@@ -196,3 +196,15 @@
 	h.world.PlatformReachable = false
 	require.GreaterOrEqual(t, h.callsFor(10*time.Second, table.WatchEndpoints), 2)
 }
+
+// Guards against a list that nobody follows because the only router that reaches the
+// store leaves it to delegates which do not.
+func TestOnlyRouterThatReachesStoreFollowsIt(t *testing.T) {
+	for _, routers := range []int{5, 30, 103} {
+		h := newHarness(routers, 0.1)
+		h.list(10)
+		h.world.RouterPeers.Each(func(_ table.ProcessID, p *table.RouterPeer) { p.StoreDown = true })
+		h.world.FleetGeneration++
+		require.GreaterOrEqual(t, h.callsFor(10*time.Second, table.WatchConfig), 3, "%d routers", routers)
+	}
+}
