--- a/internal/gateway/systems_test.go
+++ b/internal/gateway/systems_test.go
@@ -9,6 +9,7 @@
 
 	"laburnumroad.dev/laburnumroad/internal/command"
 	"laburnumroad.dev/laburnumroad/internal/event"
+	"laburnumroad.dev/laburnumroad/internal/system/delegate"
 	"laburnumroad.dev/laburnumroad/internal/table"
 	"laburnumroad.dev/laburnumroad/internal/world"
 )
@@ -591,3 +592,19 @@
 	h.advance(time.Second)
 	require.Len(t, h.calls, before)
 }
+
+// Guards against a router that takes up no duty when the store is back for it alone,
+// because it chose the delegates while the store was out of reach for all.
+func TestRouterThatReachesStoreAgainIsDelegate(t *testing.T) {
+	h := newServingHarness(t)
+	for i := range 8 {
+		peer := table.Holder{Process: table.ProcessID(fmt.Sprintf("edge-big-%d", i)), Incarnation: 1}
+		h.world.LimitLedgerView.Registered[peer] = true
+		h.step(event.SessionOpened{Session: uint64(i + 1), Process: table.Process{Holder: peer, Domain: "a", Cores: 0.8}},
+			event.RouterReport{From: peer, StoreDown: true})
+	}
+	h.step(event.PlatformState{Reachable: false})
+	h.step(event.PlatformState{Reachable: true})
+	duty := delegate.For(h.world, table.WatchConfig.String())
+	require.Equal(t, []table.Holder{h.world.Self()}, duty.Routers)
+}
--- a/internal/system/catalog/catalog.go
+++ b/internal/system/catalog/catalog.go
@@ -48,6 +48,8 @@
 		w.PlatformRestoredAt = w.Now
 	}
 	w.PlatformReachable, w.PlatformStateSince = reachable, max(w.Now, 1)
+	// This router may do duties for others now, or no longer.
+	w.FleetGeneration++
 }
 
 // applyManifest activates a manifest if its version is higher than that of the
--- a/internal/system/delegate/delegate.go
+++ b/internal/system/delegate/delegate.go
@@ -55,7 +55,7 @@
 func candidates(w *world.World, duty string) []candidate {
 	self := w.Params.Self
 	found := []candidate{{self.Holder, self.Domain, self.Cores, table.RendezvousRank(duty, string(self.Process))}}
-	anyReachesStore := w.PlatformReachable && w.LimitLedgerView.Backoff == 0
+	anyReachesStore := w.PlatformReachable
 	w.RouterPeers.Each(func(_ table.ProcessID, p *table.RouterPeer) {
 		anyReachesStore = anyReachesStore || isCandidate(w, p) && !p.StoreDown
 	})
