gateway, delegate, table: read-through, no change of behaviour

An open watch keeps its cancel function only, its number was never read; the order of delegates uses cmp; RecordedSpent had no caller since the sums of the ledger are kept.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -91,9 +91,9 @@
 	// nanoseconds. The control thread sets it.
 	peerIdleTimeout atomic.Int64
 
-	// watches are the open calls that follow objects of the store. Only the control
+	// watches end the open calls that follow objects of the store. Only the control
 	// thread uses it.
-	watches map[table.WatchKind]watchCall
+	watches map[table.WatchKind]context.CancelFunc
 
 	metrics *metrics
 	// shutdownTracing flushes and closes the span exporter.
@@ -113,7 +113,7 @@
 	g := &Gateway{
 		settings: s, log: log, clock: control.MonotonicClock(), pool: upstream.NewPool(),
 		store: platform.New("http://"+s.StoreAddress, platform.Options{Timeout: storeTimeout}), exitRequested: make(chan struct{}),
-		metrics: newMetrics(), watches: make(map[table.WatchKind]watchCall),
+		metrics: newMetrics(), watches: make(map[table.WatchKind]context.CancelFunc),
 	}
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	incarnation, err := wire.NewIncarnation()
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -11,16 +11,10 @@
 	"laburnumroad.dev/laburnumroad/platform"
 )
 
-// watchCall is an open call that follows a kind of objects in the store.
-type watchCall struct {
-	number uint64
-	cancel context.CancelFunc
-}
-
 // startWatch carries out a call in the background. It runs on the control thread.
 func (g *Gateway) startWatch(c command.WatchObjects) {
 	ctx, cancel := context.WithCancel(g.ctx)
-	g.watches[c.Kind] = watchCall{c.Call, cancel}
+	g.watches[c.Kind] = cancel
 	go func() {
 		defer cancel()
 		g.followObjects(ctx, c)
@@ -29,8 +23,8 @@
 
 // stopWatch ends the open call of a kind.
 func (g *Gateway) stopWatch(c command.StopWatch) {
-	if call, open := g.watches[c.Kind]; open {
-		call.cancel()
+	if cancel, open := g.watches[c.Kind]; open {
+		cancel()
 	}
 }
 
--- a/internal/system/delegate/delegate.go
+++ b/internal/system/delegate/delegate.go
@@ -6,6 +6,7 @@
 package delegate
 
 import (
+	"cmp"
 	"slices"
 
 	"laburnumroad.dev/laburnumroad/internal/table"
@@ -65,10 +66,7 @@
 		}
 	})
 	slices.SortFunc(found, func(a, b candidate) int {
-		if a.rank != b.rank {
-			return compareBool(a.rank > b.rank, b.rank > a.rank)
-		}
-		return compareBool(a.holder.Process < b.holder.Process, b.holder.Process < a.holder.Process)
+		return cmp.Or(cmp.Compare(b.rank, a.rank), cmp.Compare(a.holder.Process, b.holder.Process))
 	})
 	return found
 }
--- a/internal/table/limitledger.go
+++ b/internal/table/limitledger.go
@@ -127,16 +127,6 @@
 	return sum
 }
 
-// RecordedSpent returns the tokens of a customer's total that are recorded as
-// spent or closed.
-func (l *LimitLedger) RecordedSpent(c CustomerID) Tokens {
-	sum := l.ClosedTokens[c]
-	for i := range l.Holders {
-		sum += l.Holders[i].Entries[c].Spent
-	}
-	return sum
-}
-
 // LimitLedgerView is this router's copy of the limit ledger and the state of
 // its calls to it.
 type LimitLedgerView struct {
@@ -191,8 +181,8 @@
 	EntryClosed    bool
 }
 
-// LedgerSum holds the sums over a customer's entries in the limit ledger, as
-// LimitLedger.Allocated and LimitLedger.RecordedSpent return them.
+// LedgerSum holds the sums over a customer's entries in the limit ledger: the tokens
+// that are closed or part of a limit, and those that are closed or recorded as spent.
 type LedgerSum struct {
 	Allocated Tokens
 	Spent     Tokens
