drain: name the requests that the end of a drain cuts off

A request that was accepted too late could not be told from one that had run since before the shutdown.

--- a/internal/system/drain/drain.go
+++ b/internal/system/drain/drain.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"strconv"
 	"time"
 
 	"laburnumroad.dev/laburnumroad/internal/command"
@@ -11,6 +12,9 @@
 	"laburnumroad.dev/laburnumroad/internal/world"
 )
 
+// systemName is the name of this system in recorded decisions.
+const systemName = "drain"
+
 // defaultGrantReturnTimeout bounds how long an idle router waits for the platform to
 // take back its unused grants if Params.GrantReturnTimeout is not set. The recovery
 // system returns grants that are left after that.
@@ -61,6 +65,7 @@
 func (s *System) advance(w *world.World) {
 	deadline := s.startedAt.Add(w.Params.DrainTimeout)
 	if w.Now >= deadline {
+		s.recordAborted(w)
 		s.exit(w, "drain_timeout passed with work in progress")
 		return
 	}
@@ -116,6 +121,20 @@
 	return held
 }
 
+// recordAborted records the requests that the end of the process cuts off.
+// accepted_after is negative for those that arrived before the shutdown request.
+func (s *System) recordAborted(w *world.World) {
+	w.Exchanges.Each(func(_ table.ExchangeID, x *table.Exchange) {
+		if x.State == table.ExchangeStopping || x.State == table.ExchangeEnded {
+			return
+		}
+		w.Count("drain.aborted")
+		w.RecordAttemptDecision(x, systemName, "aborted: the drain timeout passed",
+			table.Input{Name: "accepted_after", Value: x.ArrivedAt.Sub(s.startedAt).Round(time.Millisecond).String()},
+			table.Input{Name: "events", Value: strconv.FormatInt(x.DeliveredEvents, 10)})
+	})
+}
+
 func (s *System) exit(w *world.World, reason string) {
 	s.exited = true
 	w.RecordStateChange("process", string(w.Self().Process), "draining", "stopped", reason)
