intake, duration: a draining router takes what ends in time under the load of the moment

Cause: after the first 2.5 s a draining router takes a request if its duration fits into the rest of the grace period, and that duration was a constant for its size, measured without load. Under 1.5 to 2 times the usual traffic the slowest tenth takes three times as long (short streams: 2.1 to 2.8 s against an estimate of 0.8 s).

Change: the bound by size is scaled by the largest slowdown among the requests of the same route that ended in the last 15 to 30 s or are in progress, and by 1.3; a request never lasts beyond its timeout. In the first 2.5 s a request that can't usually end within the grace is refused at once too.

--- a/internal/gateway/systems.go
+++ b/internal/gateway/systems.go
@@ -5,6 +5,7 @@
 	"laburnumroad.dev/laburnumroad/internal/system/attempt"
 	"laburnumroad.dev/laburnumroad/internal/system/catalog"
 	"laburnumroad.dev/laburnumroad/internal/system/drain"
+	"laburnumroad.dev/laburnumroad/internal/system/duration"
 	"laburnumroad.dev/laburnumroad/internal/system/explain"
 	"laburnumroad.dev/laburnumroad/internal/system/health"
 	"laburnumroad.dev/laburnumroad/internal/system/intake"
@@ -25,6 +26,7 @@
 		world.SystemFunc(quarantine.RunGateway),
 		world.SystemFunc(link.Run),
 		world.SystemFunc(attempt.Run),
+		world.SystemFunc(duration.Run),
 		world.SystemFunc(intake.Run),
 		world.SystemFunc(peers.Run),
 		world.SystemFunc(allowance.Run),
--- a/internal/system/intake/intake.go
+++ b/internal/system/intake/intake.go
@@ -11,6 +11,7 @@
 
 	"laburnumroad.dev/laburnumroad/internal/command"
 	"laburnumroad.dev/laburnumroad/internal/event"
+	"laburnumroad.dev/laburnumroad/internal/system/duration"
 	"laburnumroad.dev/laburnumroad/internal/system/link"
 	"laburnumroad.dev/laburnumroad/internal/system/quarantine"
 	"laburnumroad.dev/laburnumroad/internal/table"
@@ -33,13 +34,6 @@
 	// congestedRetryAfter is the retry delay while the link is congested: a retry goes
 	// to another router.
 	congestedRetryAfter = 50 * time.Millisecond
-	// maxCallTime bounds the duration of a plain call at an endpoint that is busy
-	// but not overloaded. The other three bound that of a stream, per request and
-	// per token. The usual times are half to two thirds of these bounds.
-	maxCallTime        = 500 * time.Millisecond
-	maxStreamOverhead  = 500 * time.Millisecond
-	maxPromptTokenTime = 25 * time.Microsecond
-	maxOutputTokenTime = 8 * time.Millisecond
 	// defaultTimeout bounds requests without a timeout from client or route.
 	defaultTimeout = 60 * time.Second
 )
@@ -119,8 +113,8 @@
 }
 
 // acceptsWhileDraining reports whether the router takes a request although it
-// may be shutting down. At first it takes all requests, because the load
-// balancer still sends some, and later only those that end in time.
+// may be shutting down. It takes those that end in time. Until the load balancer has
+// stopped sending clients, the usual duration decides; after that, the longest.
 func acceptsWhileDraining(w *world.World, x *table.Exchange) bool {
 	if !w.Draining {
 		return true
@@ -128,16 +122,11 @@
 	if w.Closing {
 		return false
 	}
-	return w.Now < w.DrainStartedAt.Add(w.Params.MinDrainTime) || w.Now.Add(estimateMaxDuration(x)) <= w.DrainDeadline()
-}
-
-// estimateMaxDuration returns the longest time that a request is expected to
-// take, by what is known on its arrival.
-func estimateMaxDuration(x *table.Exchange) time.Duration {
-	if x.Kind != table.RouteStream {
-		return maxCallTime
+	timeLeft := w.DrainDeadline().Sub(w.Now)
+	if w.Now < w.DrainStartedAt.Add(w.Params.MinDrainTime) {
+		return duration.Usual(w, x) <= timeLeft
 	}
-	return maxStreamOverhead + time.Duration(x.PromptTokens)*maxPromptTokenTime + time.Duration(x.MaxOutput)*maxOutputTokenTime
+	return duration.Longest(w, x) <= timeLeft
 }
 
 // refuseUnknown refuses a request for a key or route that is not in the
--- a/internal/table/average.go
+++ b/internal/table/average.go
@@ -34,3 +34,34 @@
 	r.PerSecond += amount / constant.Seconds()
 	r.UpdatedAt = now
 }
+
+// WindowMax is the largest of the values observed in a sliding window. It keeps one
+// maximum for each of two periods, so that the window is one to two periods long.
+type WindowMax struct {
+	// Current is the maximum of the period that began at Since, Previous that of the
+	// period before it.
+	Current, Previous float64
+	Since             Instant
+}
+
+// At returns the maximum at a time. The caller passes the same period in each call.
+func (m *WindowMax) At(now Instant, period time.Duration) float64 {
+	switch age := now.Sub(m.Since); {
+	case age < period:
+		return max(m.Current, m.Previous)
+	case age < 2*period:
+		return m.Current
+	}
+	return 0
+}
+
+// Observe adds a value.
+func (m *WindowMax) Observe(now Instant, value float64, period time.Duration) {
+	if age := now.Sub(m.Since); age >= period {
+		if age >= 2*period {
+			m.Current = 0
+		}
+		m.Previous, m.Current, m.Since = m.Current, 0, now
+	}
+	m.Current = max(m.Current, value)
+}
--- a/internal/table/average_test.go
+++ b/internal/table/average_test.go
@@ -30,3 +30,21 @@
 	r.Add(now.Add(30*time.Second), 0, 5*time.Second)
 	require.Less(t, r.PerSecond, 2.0)
 }
+
+// Guards against a maximum that is forgotten within the window, or kept long after it.
+func TestWindowMaxForgetsAfterTwoPeriods(t *testing.T) {
+	var m table.WindowMax
+	at := func(s int) table.Instant { return table.Instant(time.Duration(s) * time.Second) }
+	require.Zero(t, m.At(at(1), 10*time.Second))
+	m.Observe(at(100), 3, 10*time.Second)
+	m.Observe(at(105), 1, 10*time.Second)
+	require.Equal(t, 3.0, m.At(at(109), 10*time.Second))
+	m.Observe(at(111), 2, 10*time.Second)
+	require.Equal(t, 3.0, m.At(at(115), 10*time.Second), "the period before counts too")
+	m.Observe(at(121), 1, 10*time.Second)
+	require.Equal(t, 2.0, m.At(at(122), 10*time.Second))
+	require.Equal(t, 1.0, m.At(at(135), 10*time.Second), "without later values")
+	require.Zero(t, m.At(at(141), 10*time.Second))
+	m.Observe(at(200), 0.5, 10*time.Second)
+	require.Equal(t, 0.5, m.At(at(201), 10*time.Second))
+}
