front: a stream without length or chunks is complete between two events

Callers of an endpoint that answers with neither a length nor chunks never got a complete stream: a stream that can't be resumed was cut off at its end, and a resumable one was sent to a second endpoint, which used a retry and an endpoint's work, and was cut off as well when that endpoint answered in the same way.

Cause: classifyStreamEnd took each stream that ends with its connection for a truncated one.

Such a stream is complete now if the connection was closed in order, nothing follows the last complete event, and it had an event with data.

Two faults of the old path go with it. An attempt whose unframed stream ended inside an event, or without one, was not reported as a lost connection, so a request that crashes endpoints was not counted. And a second answer, or other bytes, behind an unframed stream reached the client as an event without an id; a line that is no field of an event now ends the attempt.

--- a/internal/traffic/front/stream.go
+++ b/internal/traffic/front/stream.go
@@ -33,14 +33,22 @@
 // after the last one.
 func (x *exchange) relayStream(end *event.DirectAttemptEnd, c *command.CallEndpoint, resp *upstream.Response) {
 	r := bufio.NewReaderSize(resp.Body, streamBufferBytes)
-	started := false
+	started, hasData := false, false
 	lastEventTime := time.Time{}
 	for {
 		text, err := readEvent(r)
 		if err != nil {
-			x.classifyStreamEnd(end, resp, text, err)
+			x.classifyStreamEnd(end, resp, hasData, text, err)
 			return
 		}
+		if resp.CloseDelimited() {
+			fields := parseFields(text)
+			if !fields.valid {
+				end.Status, end.Reason = event.DirectOutcomeUnknown, "a stream without a length has bytes that are not an event"
+				return
+			}
+			hasData = hasData || fields.hasData
+		}
 		if !started {
 			started = true
 			x.server.Post(event.DirectAnswerStarted{Exchange: x.id, Attempt: c.Attempt, Report: end.Report})
@@ -62,16 +70,21 @@
 }
 
 // classifyStreamEnd sets the result of an attempt whose stream ended, and
-// distinguishes a complete stream from a truncated one. partialEvent holds the
-// bytes read after the last complete event.
-func (x *exchange) classifyStreamEnd(end *event.DirectAttemptEnd, resp *upstream.Response, partialEvent []byte, err error) {
+// distinguishes a complete stream from a truncated one. partialEvent holds the bytes
+// read after the last complete event.
+//
+// A stream with neither a length nor chunks is complete if its connection was closed,
+// not reset, between two events. hasData reports whether it had a complete event with
+// data; without one, nothing shows that the endpoint began to answer.
+func (x *exchange) classifyStreamEnd(end *event.DirectAttemptEnd, resp *upstream.Response, hasData bool, partialEvent []byte, err error) {
+	if err == io.EOF && resp.CloseDelimited() && (len(partialEvent) > 0 || !hasData) {
+		err = io.ErrUnexpectedEOF
+	}
 	switch {
 	case err != io.EOF:
 		end.Status, end.ConnectionLost, end.Reason = event.DirectOutcomeUnknown, true, errors.Wrap(err, "stream cut off").Error()
 	case len(partialEvent) > 0:
 		end.Status, end.Reason = event.DirectOutcomeUnknown, "the stream ends in the middle of an event"
-	case resp.CloseDelimited():
-		end.Status, end.Reason = event.DirectOutcomeUnknown, "the stream ended without an end mark"
 	default:
 		x.sendHeader(resp)
 		end.Status, end.Reason = event.DirectAnswered, "whole stream"
@@ -145,6 +158,30 @@
 	return ""
 }
 
+// eventFields describes the fields of an event.
+type eventFields struct {
+	// valid is true if each line is a comment or a field of a server-sent event.
+	// Clients ignore other fields, but where neither a length nor chunks delimit a
+	// stream, such a line may also be the start of something else.
+	valid   bool
+	hasData bool
+}
+
+func parseFields(text []byte) eventFields {
+	f := eventFields{valid: true}
+	for line := range bytes.Lines(text) {
+		name, _, _ := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(":"))
+		switch string(name) {
+		case "data":
+			f.hasData = true
+		case "", "id", "event", "retry":
+		default:
+			f.valid = false
+		}
+	}
+	return f
+}
+
 // isNextEventID reports whether id is the successor of last. Any number may be the
 // first id of a stream.
 func isNextEventID(id, last string) bool {
--- /dev/null
+++ b/internal/traffic/front/unframed_test.go
@@ -0,0 +1,134 @@
+package front_test
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"laburnumroad.dev/laburnumroad/internal/event"
+)
+
+// unframed is the head of an answer with neither a length nor chunks.
+const unframed = responseHead + "\r\n"
+
+// respondUnframed returns a handler that sends a response and then closes the
+// connection, or resets it.
+func respondUnframed(t *testing.T, response string, reset bool) func(r *receivedRequest) bool {
+	return func(r *receivedRequest) bool {
+		r.readBody()
+		_, err := io.WriteString(r.Conn, response)
+		require.NoError(t, err)
+		if reset {
+			require.NoError(t, r.Conn.(*net.TCPConn).SetLinger(0))
+		}
+		return false
+	}
+}
+
+// Guards against a whole stream that is cut off at the client, or sent to a second
+// endpoint, because it has neither a length nor chunks.
+func TestUnframedStreamIsCompleteBetweenEvents(t *testing.T) {
+	for name, stream := range map[string]string{
+		"HTTP/1.1":         unframed + sseEvents(3),
+		"HTTP/1.0":         "HTTP/1.0 200 OK\r\nAttempt-Id: r1\r\nServer-Seal: s\r\n\r\n" + sseEvents(3),
+		"Connection close": responseHead + "Connection: close\r\n\r\n" + sseEvents(3),
+		"keep-alive":       responseHead + "Connection: keep-alive\r\nKeep-Alive: timeout=60\r\n\r\n" + sseEvents(3),
+		"carriage returns": unframed + "id: 1\r\ndata: token 1\r\n\r\n",
+		"all fields":       unframed + ": comment\n\nevent: token\nretry: 5\nid: 1\ndata: a\ndata\n\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			first := startEndpoint(t, respondUnframed(t, stream, false))
+			second := startEndpoint(t, func(r *receivedRequest) bool { return writeStream(r, 4, 4, true, "") })
+			control := startServer(t, true, first, second)
+			resp, body, err := control.send(t, "r1", "prompt", nil)
+			require.NoError(t, err)
+			require.Equal(t, stream[len(stream)-len(body):], body)
+			require.NotEmpty(t, body)
+			require.Equal(t, []string{"chunked"}, resp.TransferEncoding)
+			require.Equal(t, event.DirectAnswered, control.attemptEnd(0).Status)
+			require.False(t, control.attemptEnd(0).ConnectionLost)
+			require.Empty(t, second.receivedRequests())
+		})
+	}
+}
+
+// Guards against a truncated stream without framing that looks complete to the client,
+// and against a crash that is not counted because the connection was closed in order.
+func TestTruncatedUnframedStreamIsNotComplete(t *testing.T) {
+	for name, c := range map[string]struct {
+		stream string
+		reset  bool
+		events int
+	}{
+		"after the id":            {sseEvents(2) + "id: 3", false, 2},
+		"after the id line":       {sseEvents(2) + "id: 3\n", false, 2},
+		"after the data":          {sseEvents(2) + "id: 3\ndata: token 3", false, 2},
+		"after the data line":     {sseEvents(2) + "id: 3\ndata: token 3\n", false, 2},
+		"in the blank line":       {sseEvents(2) + "id: 3\r\ndata: token 3\r\n\r", false, 2},
+		"reset between events":    {sseEvents(2), true, 2},
+		"reset in an event":       {sseEvents(2) + "id: 3\nda", true, 2},
+		"in the first event":      {"id: 1\nda", false, 0},
+		"no events":               {"", false, 0},
+		"reset without events":    {"", true, 0},
+		"a comment and no events": {": waiting\n\n", false, 0},
+		"a blank line":            {"\n", false, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			endpoint := startEndpoint(t, respondUnframed(t, unframed+c.stream, c.reset))
+			control := startServer(t, true, endpoint)
+			resp, body, err := control.send(t, "r1", "prompt", nil)
+			end := control.attemptEnd(0)
+			require.Equal(t, event.DirectOutcomeUnknown, end.Status)
+			require.True(t, end.ConnectionLost)
+			if !end.HeaderDelivered {
+				require.NoError(t, err)
+				require.Equal(t, http.StatusBadGateway, resp.StatusCode)
+				require.Zero(t, c.events)
+				return
+			}
+			require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+			if c.events > 0 {
+				require.Equal(t, sseEvents(c.events), body)
+			}
+		})
+	}
+}
+
+// Guards against a truncated stream without framing that another endpoint does not
+// continue after the last complete event.
+func TestTruncatedUnframedStreamResumes(t *testing.T) {
+	for name, reset := range map[string]bool{"closed": false, "reset": true} {
+		t.Run(name, func(t *testing.T) {
+			first := startEndpoint(t, respondUnframed(t, unframed+sseEvents(3)+"id: 4\ndata: hal", reset))
+			second := startEndpoint(t, respondUnframed(t, unframed+sseEvent(4)+sseEvent(5), false))
+			control := startServer(t, true, first, second)
+			_, body, err := control.send(t, "r1", "prompt", nil)
+			require.NoError(t, err)
+			require.Equal(t, sseEvents(5), body)
+			require.Equal(t, "3", second.receivedRequests()[0].Header.Get("Last-Event-Id"))
+		})
+	}
+}
+
+// Guards against bytes after a stream without framing that reach the client as a part
+// of it: a second answer, or bytes of a faulty endpoint.
+func TestUnframedStreamWithOtherBytesIsNotComplete(t *testing.T) {
+	for name, extra := range map[string]string{
+		"second answer": unframed + sseEvents(2),
+		"other bytes":   "\x00\x01\x02\r\n\r\n",
+		"repeated":      sseEvents(2),
+		"skipped":       sseEvent(4),
+	} {
+		t.Run(name, func(t *testing.T) {
+			endpoint := startEndpoint(t, respondUnframed(t, unframed+sseEvents(2)+extra, false))
+			control := startServer(t, true, endpoint)
+			_, body, err := control.send(t, "r1", "prompt", nil)
+			require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+			require.Equal(t, sseEvents(2), body)
+			require.Equal(t, event.DirectOutcomeUnknown, control.attemptEnd(0).Status)
+		})
+	}
+}
--- a/internal/traffic/upstream/exchange.go
+++ b/internal/traffic/upstream/exchange.go
@@ -168,7 +168,7 @@
 }
 
 // CloseDelimited reports whether the body ends when the connection closes. A truncated
-// response may then look complete.
+// response may then look complete, unless the connection was reset.
 func (r *Response) CloseDelimited() bool {
 	return r.ContentLength < 0 && len(r.TransferEncoding) == 0
 }
