soak: endpoints that answer with neither a length nor chunks

The soak test had no such answers. An endpoint now also ends whole answers with its connection, and resets such answers in the middle. The proxy passed a reset on as an orderly close, which would make such an answer complete; it resets now.

--- a/internal/soak/endpoint_test.go
+++ b/internal/soak/endpoint_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -30,6 +31,10 @@
 	behaviorDropConnection
 	// behaviorSlow delays each response by slowDelay.
 	behaviorSlow
+	// behaviorUnframed sends responses with neither a length nor chunks.
+	behaviorUnframed
+	// behaviorUnframedReset resets such responses in the middle.
+	behaviorUnframedReset
 	behaviorCount
 )
 
@@ -137,20 +142,38 @@
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
+	if b == behaviorUnframed || b == behaviorUnframedReset {
+		w.Header().Set("Transfer-Encoding", "identity")
+	}
 	if e.service == "model" {
 		e.stream(w, r, id, b)
 		return
 	}
 	body := "done " + id
 	e.history.update(id, func(rec *requestRecord) { rec.fullBody = body })
-	if b == behaviorTruncate {
+	switch b {
+	case behaviorTruncate:
 		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 		body = body[:len(body)/2]
+	case behaviorUnframedReset:
+		body = body[:len(body)/2]
 	}
 	fmt.Fprint(w, body)
-	if b == behaviorTruncate {
+	abort(w, b)
+}
+
+// abort ends a response early if the behavior says so.
+func abort(w http.ResponseWriter, b behavior) {
+	switch b {
+	case behaviorTruncate:
 		http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
+	case behaviorUnframedReset:
+		http.NewResponseController(w).Flush()
+		if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
+			conn.(*net.TCPConn).SetLinger(0)
+			conn.Close()
+		}
 	}
 }
 
@@ -167,8 +190,9 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	lastEventID, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	for n := lastEventID + 1; n <= events; n++ {
-		if b == behaviorTruncate && n > events/2 {
-			panic(http.ErrAbortHandler)
+		if n > events/2 && (b == behaviorTruncate || b == behaviorUnframedReset) {
+			abort(w, b)
+			return
 		}
 		if _, err := fmt.Fprint(w, eventText(id, n)); err != nil {
 			return
--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -107,7 +107,13 @@
 	wg.Add(2)
 	copyDirection := func(dst, src *net.TCPConn, stallMode proxyMode) {
 		defer wg.Done()
-		p.copyBytes(dst, src, stallMode)
+		if err := p.copyBytes(dst, src, stallMode); err != nil {
+			// A reset must not become a graceful shutdown, which ends a response
+			// without a length.
+			dst.SetLinger(0)
+			dst.Close()
+			return
+		}
 		dst.CloseWrite()
 	}
 	go copyDirection(server.(*net.TCPConn), client, proxyStallUpstream)
@@ -137,23 +143,24 @@
 	}
 }
 
-// copyBytes copies from src to dst until either is closed. stallMode is the mode that
-// holds back this direction.
-func (p *faultProxy) copyBytes(dst, src *net.TCPConn, stallMode proxyMode) {
+// copyBytes copies from src to dst until either is closed, and returns an error unless
+// src was shut down gracefully. stallMode is the mode that holds back this direction.
+func (p *faultProxy) copyBytes(dst, src *net.TCPConn, stallMode proxyMode) error {
 	buf := make([]byte, 16<<10)
 	for {
 		n, err := src.Read(buf)
 		if n > 0 {
 			p.applyMode(stallMode)
 			if _, err := dst.Write(buf[:n]); err != nil {
-				return
+				return err
 			}
 		}
+		if errors.Is(err, io.EOF) {
+			p.applyMode(stallMode)
+			return nil
+		}
 		if err != nil {
-			if errors.Is(err, io.EOF) {
-				p.applyMode(stallMode)
-			}
-			return
+			return err
 		}
 	}
 }
