upstream: an unframed answer that is reset while its request is written isn't complete

Callers that sent a long body could get the beginning of an answer as the whole one, with the endpoint's seal and a length of the router's own: the endpoint had answered with neither a length nor chunks before it had read the body, and its connection was reset on the way. A stream of that kind ended at the client like a complete one.

Cause: the system reports the reset of a connection once, to the first call that asks. Bodies of more than 4 KB are written by a goroutine of their own while the answer is read. When that write receives the error, the next read returns the end of the connection, as after an orderly close.

At the end of an answer that has no other end, the router now ends the write, if it is still waiting, with a deadline in the past, and takes its result: a write that was done, or that ends by the deadline, has not received a reset, so the close was in order; with any other error the answer counts as cut off. No time is waited, and the connection is not used again in any of these cases.

--- a/internal/traffic/front/unframed_test.go
+++ b/internal/traffic/front/unframed_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -132,3 +133,56 @@
 		})
 	}
 }
+
+// unreadBody is a request body that the socket buffers of a connection can't hold.
+var unreadBody = strings.Repeat("x", 12<<20)
+
+// Guards against an answer without framing that counts as complete although its
+// connection was reset: the error of a reset is reported once, and a request that is
+// still being written may be what receives it. The answer then ends like one that was
+// closed in order.
+func TestResetOfUnframedAnswerIsDetectedWhileRequestIsWritten(t *testing.T) {
+	for name, stream := range map[string]bool{"plain": false, "stream": true} {
+		t.Run(name, func(t *testing.T) {
+			endpoint := startEndpoint(t, func(r *receivedRequest) bool {
+				_, err := io.WriteString(r.Conn, unframed+sseEvents(2))
+				require.NoError(t, err)
+				require.NoError(t, r.Conn.(*net.TCPConn).SetLinger(0))
+				return false
+			})
+			control := startServer(t, stream, endpoint)
+			control.server.BodyLimit.Store(int64(len(unreadBody)))
+			for i := range 5 {
+				resp, _, err := control.send(t, "r1", unreadBody, nil)
+				end := control.attemptEnd(i)
+				require.Equal(t, event.DirectOutcomeUnknown, end.Status)
+				require.True(t, end.ConnectionLost)
+				if end.HeaderDelivered {
+					require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+				} else {
+					require.Equal(t, http.StatusBadGateway, resp.StatusCode)
+				}
+			}
+		})
+	}
+}
+
+// Guards against an answer without framing that is discarded, or held back, because the
+// endpoint sent it before it has read the whole request.
+func TestUnframedAnswerBeforeEndOfRequestIsComplete(t *testing.T) {
+	answered := make(chan struct{})
+	defer close(answered)
+	endpoint := startEndpoint(t, func(r *receivedRequest) bool {
+		_, err := io.WriteString(r.Conn, unframed+"early")
+		require.NoError(t, err)
+		require.NoError(t, r.Conn.(*net.TCPConn).CloseWrite())
+		<-answered
+		return false
+	})
+	control := startServer(t, false, endpoint)
+	control.server.BodyLimit.Store(int64(len(unreadBody)))
+	resp, body, err := control.send(t, "r1", unreadBody, nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	require.Equal(t, "early", body)
+}
--- a/internal/traffic/upstream/exchange.go
+++ b/internal/traffic/upstream/exchange.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -182,11 +183,28 @@
 func (b *trackedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if err == io.EOF {
+		if b.response.CloseDelimited() && !b.response.closedInOrder() {
+			return n, errors.New("the connection was reset while the request was written")
+		}
 		b.response.bodyComplete = true
 	}
 	return n, err
 }
 
+// closedInOrder reports whether a connection at whose end a body ends was closed, not
+// reset. The system reports a reset once: if the goroutine that writes the request
+// receives it, the body seems to end with an orderly close.
+func (r *Response) closedInOrder() bool {
+	// The endpoint has answered. A write that still waits for it ends here, without
+	// having received a reset.
+	if err := r.conn.SetWriteDeadline(time.Unix(1, 0)); err != nil {
+		return false
+	}
+	err := <-r.sendResult
+	r.sendResult <- err
+	return err == nil || errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // Close releases the connection. It goes back to the pool if both the request and the
 // response are complete, and is closed otherwise.
 func (r *Response) Close() {
