upstream: an answer to HEAD without a length doesn't end with its connection

An endpoint that answers HEAD without a length lost the connection after each answer, and an answer to another HEAD request before the own one failed the attempt as if it had a body without an end. Cause: CloseDelimited looked at the length and the chunks only, and an answer to HEAD has neither a body nor, often, a length. It now asks for the method as well. The test failed before for HEAD; it states the same for 204 and 304, where it passed.

--- a/internal/traffic/front/unframed_test.go
+++ b/internal/traffic/front/unframed_test.go
@@ -250,6 +250,32 @@
 	}
 }
 
+// Guards against an answer that has no body by its status or method but is read until
+// its connection ends: the request would wait, and the connection could not be reused.
+func TestAnswerWithoutBodyKeepsConnection(t *testing.T) {
+	for name, c := range map[string]struct {
+		method, status string
+	}{
+		"HEAD": {http.MethodHead, "200 OK"},
+		"204":  {http.MethodGet, "204 No Content"},
+		"304":  {http.MethodGet, "304 Not Modified"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			endpoint := startEndpoint(t, func(r *receivedRequest) bool {
+				_, err := io.WriteString(r.Conn, "HTTP/1.1 "+c.status+"\r\nAttempt-Id: r1\r\nServer-Seal: s\r\n\r\n")
+				return err == nil
+			})
+			control := startServer(t, false, endpoint)
+			for range 2 {
+				resp, body := control.sendMethod(t, c.method)
+				require.Equal(t, c.status, resp.Status)
+				require.Empty(t, body)
+			}
+			require.Equal(t, 1, endpoint.receivedRequests()[1].connNumber)
+		})
+	}
+}
+
 // Guards against the late answer to another request that has no end of its own: all
 // that follows, the own answer too, belongs to it.
 func TestUnframedAnswerToAnotherRequestEndsAttempt(t *testing.T) {
--- a/internal/traffic/upstream/exchange.go
+++ b/internal/traffic/upstream/exchange.go
@@ -143,7 +143,7 @@
 // discardBody skips the body of a response to another request. Without a length or
 // chunked framing it can't be separated from the next response.
 func discardBody(resp *http.Response) error {
-	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+	if closeDelimited(resp) {
 		return errors.New("it has no length")
 	}
 	_, err := io.CopyN(io.Discard, resp.Body, maxUnmatchedBody)
@@ -170,8 +170,10 @@
 
 // CloseDelimited reports whether the body ends when the connection closes. A truncated
 // response may then look complete, unless the connection was reset.
-func (r *Response) CloseDelimited() bool {
-	return r.ContentLength < 0 && len(r.TransferEncoding) == 0
+func (r *Response) CloseDelimited() bool { return closeDelimited(r.Response) }
+
+func closeDelimited(r *http.Response) bool {
+	return r.ContentLength < 0 && len(r.TransferEncoding) == 0 && r.Request.Method != http.MethodHead
 }
 
 // trackedBody records when the complete body was read.
