front: a truncated stream is reset for clients without chunks

A client of HTTP/1.0 got a stream that broke off midway as a complete one. Such a client gets the stream with neither a length nor chunks, and its connection was closed in order, which is the end of the answer to it. Its connection is reset now.

The test failed before for the truncated stream: the client read three events and the end of the connection. A process that is killed midway still ends such a client's stream in order: the kernel closes the connection.

--- a/internal/traffic/front/exchange.go
+++ b/internal/traffic/front/exchange.go
@@ -15,6 +15,7 @@
 	"laburnumroad.dev/laburnumroad/internal/command"
 	"laburnumroad.dev/laburnumroad/internal/event"
 	"laburnumroad.dev/laburnumroad/internal/table"
+	"laburnumroad.dev/laburnumroad/internal/traffic/tcp"
 	"laburnumroad.dev/laburnumroad/internal/traffic/upstream"
 )
 
@@ -216,8 +217,7 @@
 	case x.headerSent && f.Deliver:
 		// The HTTP server ends the stream when the handler returns.
 	case x.headerSent:
-		// Aborting the connection shows the client that the response is incomplete.
-		panic(http.ErrAbortHandler)
+		x.abortResponse()
 	case f.Deliver && x.buffered != nil:
 		x.writeBuffered()
 	case f.Outcome.Code == table.CodeCancelled:
@@ -227,6 +227,17 @@
 	}
 }
 
+// abortResponse ends a response so that the client sees that it is incomplete. Chunks
+// show it when the connection is closed; without them, only a reset does.
+func (x *exchange) abortResponse() {
+	if !x.r.ProtoAtLeast(1, 1) {
+		if c, _, err := http.NewResponseController(x.w).Hijack(); err == nil {
+			tcp.Reset(c)
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
 func (x *exchange) writeBuffered() {
 	x.copyHeader(x.buffered.header)
 	h := x.w.Header()
--- a/internal/traffic/front/unframed_test.go
+++ b/internal/traffic/front/unframed_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -290,3 +291,26 @@
 	require.Equal(t, http.StatusBadGateway, resp.StatusCode)
 	require.NotContains(t, body, "own")
 }
+
+// Guards against a truncated answer that looks complete to a client whose protocol
+// has no chunks: to it, an orderly close is the end of the answer.
+func TestTruncatedStreamIsResetWithoutChunks(t *testing.T) {
+	for name, complete := range map[string]bool{"complete": true, "truncated": false} {
+		t.Run(name, func(t *testing.T) {
+			endpoint := startEndpoint(t, func(r *receivedRequest) bool { return writeStream(r, 1, 3, complete, "") })
+			control := startServer(t, true, endpoint)
+			conn, err := net.Dial("tcp", strings.TrimPrefix(control.url, "http://"))
+			require.NoError(t, err)
+			defer conn.Close()
+			_, err = io.WriteString(conn, "POST / HTTP/1.0\r\nHost: x\r\nAttempt-Id: r1\r\nContent-Length: 0\r\n\r\n")
+			require.NoError(t, err)
+			data, err := io.ReadAll(conn)
+			if !complete {
+				require.ErrorIs(t, err, syscall.ECONNRESET)
+				return
+			}
+			require.NoError(t, err)
+			require.True(t, strings.HasSuffix(string(data), "\r\n\r\n"+sseEvents(3)))
+		})
+	}
+}
--- a/internal/traffic/tcp/dialer.go
+++ b/internal/traffic/tcp/dialer.go
@@ -1,4 +1,4 @@
-// Package tcp opens TCP connections that detect dead peers.
+// Package tcp opens TCP connections that detect dead peers, and resets connections.
 package tcp
 
 import (
@@ -42,3 +42,13 @@
 	}
 	return sockoptErr
 }
+
+// Reset closes a connection with a reset, which drops what it has not sent yet. The
+// peer does not take it for the end of what was sent.
+func Reset(c net.Conn) {
+	if l, ok := c.(interface{ SetLinger(sec int) error }); ok {
+		// Without the option, the bytes are sent after the close, and an orderly end.
+		_ = l.SetLinger(0)
+	}
+	c.Close()
+}
--- a/internal/traffic/upstream/pool.go
+++ b/internal/traffic/upstream/pool.go
@@ -51,13 +51,7 @@
 
 // abort closes the connection and drops what it has not sent yet: a request that waits
 // for a full link must not reach the endpoint after it was given up.
-func (c *conn) abort() {
-	if l, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
-		// Without the option, the bytes are sent after the close.
-		_ = l.SetLinger(0)
-	}
-	c.Close()
-}
+func (c *conn) abort() { tcp.Reset(c.Conn) }
 
 // Pool holds the idle connections by address.
 type Pool struct {
