soak: read the output of processes under its lock

With SOAK_LOGS set, the race detector failed each run: the test read the buffers of processes that were still writing.

--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -65,6 +65,13 @@
 	return o.buf.Write(p)
 }
 
+// text returns a copy of the output so far.
+func (o *outputBuffer) text() []byte {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return bytes.Clone(o.buf.Bytes())
+}
+
 func freePort(t *testing.T, host string) int {
 	l, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
 	require.NoError(t, err)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -296,7 +296,7 @@
 	for _, p := range s.processes {
 		// The output is needed to find the cause of a violation.
 		if dir := os.Getenv("SOAK_LOGS"); dir != "" {
-			require.NoError(s.t, os.WriteFile(dir+"/"+p.name+".log", p.output.buf.Bytes(), 0o600))
+			require.NoError(s.t, os.WriteFile(dir+"/"+p.name+".log", p.output.text(), 0o600))
 		}
 	}
 	s.history.mu.Lock()
