--- a/internal/traffic/upstream/exchange.go
+++ b/internal/traffic/upstream/exchange.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -142,7 +143,7 @@
 // discardBody skips the body of a response to another request. Without a length or
 // chunked framing it can't be separated from the next response.
 func discardBody(resp *http.Response) error {
-	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+	if closeDelimited(resp) {
 		return errors.New("it has no length")
 	}
 	_, err := io.CopyN(io.Discard, resp.Body, maxUnmatchedBody)
@@ -168,9 +169,11 @@
 }
 
 // CloseDelimited reports whether the body ends when the connection closes. A truncated
-// response may then look complete.
-func (r *Response) CloseDelimited() bool {
-	return r.ContentLength < 0 && len(r.TransferEncoding) == 0
+// response may then look complete, unless the connection was reset.
+func (r *Response) CloseDelimited() bool { return closeDelimited(r.Response) }
+
+func closeDelimited(r *http.Response) bool {
+	return r.ContentLength < 0 && len(r.TransferEncoding) == 0 && r.Request.Method != http.MethodHead
 }
 
 // trackedBody records when the complete body was read.
@@ -182,11 +185,28 @@
 func (b *trackedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if err == io.EOF {
+		if b.response.CloseDelimited() && !b.response.closedInOrder() {
+			return n, errors.New("the connection was reset while the request was written")
+		}
 		b.response.bodyComplete = true
 	}
 	return n, err
 }
 
+// closedInOrder reports whether a connection at whose end a body ends was closed, not
+// reset. The system reports a reset once: if the goroutine that writes the request
+// receives it, the body seems to end with an orderly close.
+func (r *Response) closedInOrder() bool {
+	// The endpoint has answered. A write that still waits for it ends here, without
+	// having received a reset.
+	if err := r.conn.SetWriteDeadline(time.Unix(1, 0)); err != nil {
+		return false
+	}
+	err := <-r.sendResult
+	r.sendResult <- err
+	return err == nil || errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // Close releases the connection. It goes back to the pool if both the request and the
 // response are complete, and is closed otherwise.
 func (r *Response) Close() {
