front: an unframed stream may carry an event with a field of the endpoint's own

Names of lower-case letters and hyphens are fields now; the status line and the headers of another response still end the stream. The new case of TestUnframedStreamIsCompleteBetweenEvents failed before.

--- a/internal/traffic/front/stream.go
+++ b/internal/traffic/front/stream.go
@@ -160,9 +160,9 @@
 
 // eventFields describes the fields of an event.
 type eventFields struct {
-	// valid is true if each line is a comment or a field of a server-sent event.
-	// Clients ignore other fields, but where neither a length nor chunks delimit a
-	// stream, such a line may also be the start of something else.
+	// valid is true if each line is a comment or may be a field of a server-sent event.
+	// Where neither a length nor chunks delimit a stream, another line may be the start
+	// of something else.
 	valid   bool
 	hasData bool
 }
@@ -170,18 +170,25 @@
 func parseFields(text []byte) eventFields {
 	f := eventFields{valid: true}
 	for line := range bytes.Lines(text) {
-		name, _, _ := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(":"))
+		name, _, isField := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(":"))
 		switch string(name) {
 		case "data":
 			f.hasData = true
 		case "", "id", "event", "retry":
 		default:
-			f.valid = false
+			// Endpoints add fields of their own. The status line and the headers of
+			// another response are no such lines.
+			f.valid = f.valid && isField && isFieldName(name)
 		}
 	}
 	return f
 }
 
+// isFieldName reports whether a name has only lower-case letters and hyphens.
+func isFieldName(name []byte) bool {
+	return !bytes.ContainsFunc(name, func(r rune) bool { return (r < 'a' || r > 'z') && r != '-' })
+}
+
 // isNextEventID reports whether id is the successor of last. Any number may be the
 // first id of a stream.
 func isNextEventID(id, last string) bool {
--- a/internal/traffic/front/unframed_test.go
+++ b/internal/traffic/front/unframed_test.go
@@ -39,6 +39,7 @@
 		"Connection close": responseHead + "Connection: close\r\n\r\n" + sseEvents(3),
 		"keep-alive":       responseHead + "Connection: keep-alive\r\nKeep-Alive: timeout=60\r\n\r\n" + sseEvents(3),
 		"carriage returns": unframed + "id: 1\r\ndata: token 1\r\n\r\n",
+		"field of its own": unframed + "weights-changed: 3\nid: 1\ndata: a\n\n",
 		"all fields":       unframed + ": comment\n\nevent: token\nretry: 5\nid: 1\ndata: a\ndata\n\n",
 	} {
 		t.Run(name, func(t *testing.T) {
