gateway, drain: a process that stops waits for clients that read an answer

Callers saw an answer end in the middle ("unexpected EOF") although most of the grace period was left: the row of an exchange ends when its answer is ready, so the drain counted no work while a slow client still read the answer. The process then gave its servers 100 ms and closed their connections. A request whose body was half read had no row either and was cut in the same way.

The order to exit now carries the rest of the drain's time, which the drain system decides, and the servers wait for connections in use that long. They answer what arrives meanwhile with a refusal, because the control thread still runs. Connections on which no request was read are closed after 100 ms as before, so that a client which connects in advance does not delay an exit.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -378,6 +378,9 @@
 // Exit ends the process after its last stream.
 type Exit struct {
 	Reason string
+	// CloseTimeout bounds how long the servers wait for clients that still send a
+	// request or read an answer.
+	CloseTimeout time.Duration
 	// GrantsReturned is true if no grant of this process is left in the ledger.
 	GrantsReturned bool
 }
--- a/internal/gateway/flush.go
+++ b/internal/gateway/flush.go
@@ -45,7 +45,7 @@
 	}
 	for _, c := range out.Exits {
 		g.log.Info().Str("reason", c.Reason).Msg("drained")
-		g.requestExit()
+		g.requestExit(c.CloseTimeout)
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -43,7 +43,8 @@
 	// waits for that.
 	closingPeriod      = 600 * time.Millisecond
 	grantReturnTimeout = 500 * time.Millisecond
-	// serverCloseTimeout bounds the shutdown of the servers after the last request.
+	// serverCloseTimeout bounds the shutdown of what has no work left, and of all
+	// servers if the drain has used up its time.
 	serverCloseTimeout = 100 * time.Millisecond
 	// readHeaderTimeout and idleTimeout bound how long a client may take to send the
 	// headers and keep an idle connection open. They exceed the limits that the
@@ -99,12 +100,15 @@
 	// shutdownTracing flushes and closes the span exporter.
 	shutdownTracing func(context.Context)
 	servers         []*http.Server
-	ready           atomic.Bool
-	ctx             context.Context
-	cancel          context.CancelFunc
-	wg              sync.WaitGroup
-	exitRequested   chan struct{}
-	exitOnce        sync.Once
+	// unused are the connections that servers need not wait for when they close.
+	unused front.UnusedConns
+	ready  atomic.Bool
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+	// exitRequested receives the time that the servers have for closing.
+	exitRequested chan time.Duration
+	exitOnce      sync.Once
 }
 
 // New opens the gateway's listeners and starts its servers; Run starts the control
@@ -112,7 +116,7 @@
 func New(s *platform.Settings, log zerolog.Logger, traceOutput string) (*Gateway, error) {
 	g := &Gateway{
 		settings: s, log: log, clock: control.MonotonicClock(), pool: upstream.NewPool(),
-		store: platform.New("http://"+s.StoreAddress, platform.Options{Timeout: storeTimeout}), exitRequested: make(chan struct{}),
+		store: platform.New("http://"+s.StoreAddress, platform.Options{Timeout: storeTimeout}), exitRequested: make(chan time.Duration, 1),
 		metrics: newMetrics(), watches: make(map[table.WatchKind]context.CancelFunc),
 	}
 	g.ctx, g.cancel = context.WithCancel(context.Background())
@@ -216,7 +220,7 @@
 	}
 	srv := &http.Server{
 		Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: newHTTPErrorLog(g.log),
+		ErrorLog: newHTTPErrorLog(g.log), ConnState: g.unused.Track,
 	}
 	g.servers = append(g.servers, srv)
 	go func() {
@@ -258,8 +262,7 @@
 		defer close(loopDone)
 		g.loop.Run(stopLoop)
 	}()
-	<-g.exitRequested
-	g.close()
+	g.close(<-g.exitRequested)
 	close(stopLoop)
 	<-loopDone
 	g.log.Info().Msg("stopped")
@@ -287,19 +290,32 @@
 	g.log.Info().Bool("changed", *s != *g.settings).Msg("settings file re-read; changes take effect after a restart")
 }
 
-func (g *Gateway) requestExit() { g.exitOnce.Do(func() { close(g.exitRequested) }) }
+func (g *Gateway) requestExit(closeTimeout time.Duration) {
+	g.exitOnce.Do(func() { g.exitRequested <- closeTimeout })
+}
 
-func (g *Gateway) close() {
+func (g *Gateway) close(timeout time.Duration) {
+	g.closeServers(timeout)
 	ctx, cancel := context.WithTimeout(context.Background(), serverCloseTimeout)
 	defer cancel()
+	g.node.Close(ctx)
+	g.shutdownTracing(ctx)
+	g.cancel()
+	g.wg.Wait()
+}
+
+// closeServers closes the servers when no client sends a request or reads an answer any
+// more, and at the latest after the timeout.
+func (g *Gateway) closeServers(timeout time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), max(timeout, serverCloseTimeout))
+	defer cancel()
+	// A request on a connection may be about to be read.
+	defer time.AfterFunc(serverCloseTimeout, g.unused.Close).Stop()
 	for _, s := range g.servers {
-		if s.Shutdown(ctx) != nil {
+		if err := s.Shutdown(ctx); err != nil {
+			g.log.Info().Err(err).Str("timeout", timeout.String()).Msg("closed connections in use")
 			// Requests that exceed the grace period are aborted; the process exits anyway.
 			_ = s.Close()
 		}
 	}
-	g.node.Close(ctx)
-	g.shutdownTracing(ctx)
-	g.cancel()
-	g.wg.Wait()
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -89,11 +89,16 @@
 type logCapture struct {
 	mu  sync.Mutex
 	buf bytes.Buffer
+	// drained is closed when the control thread has ordered the process to exit.
+	drained chan struct{}
 }
 
 func (l *logCapture) Write(p []byte) (int, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if bytes.Contains(p, []byte(`"message":"drained"`)) {
+		close(l.drained)
+	}
 	return l.buf.Write(p)
 }
 
@@ -119,18 +124,22 @@
 }
 
 func (c *testCluster) startGateway(name string) *testGateway {
+	return c.startGatewayWithGrace(name, 4*time.Second)
+}
+
+func (c *testCluster) startGatewayWithGrace(name string, grace time.Duration) *testGateway {
 	port := freePort(c.t)
 	s := &platform.Settings{
-		Name: name, IP: "127.0.0.1", Domain: "a", Region: "r", ShutdownGrace: 4 * time.Second, RetryRatio: 0.2, RetryBurst: 10,
+		Name: name, IP: "127.0.0.1", Domain: "a", Region: "r", ShutdownGrace: grace, RetryRatio: 0.2, RetryBurst: 10,
 		ClientAddress: fmt.Sprintf("127.0.0.1:%d", freePort(c.t)), ReadinessAddress: fmt.Sprintf("127.0.0.1:%d", freePort(c.t)),
 		FirstPeerPort: port, LastPeerPort: port, StoreAddress: strings.TrimPrefix(c.storeURL, "http://"),
 	}
-	capture := &logCapture{}
+	capture := &logCapture{drained: make(chan struct{})}
 	g, err := New(s, zerolog.New(capture), c.traceOutput)
 	require.NoError(c.t, err)
 	gw := &testGateway{Gateway: g, t: c.t, logs: capture, exited: make(chan error, 1)}
 	go func() { gw.exited <- g.Run() }()
-	c.t.Cleanup(g.requestExit)
+	c.t.Cleanup(func() { g.requestExit(0) })
 	return gw
 }
 
--- a/internal/system/drain/drain.go
+++ b/internal/system/drain/drain.go
@@ -119,5 +119,9 @@
 func (s *System) exit(w *world.World, reason string) {
 	s.exited = true
 	w.RecordStateChange("process", string(w.Self().Process), "draining", "stopped", reason)
-	w.Out.Exits = append(w.Out.Exits, command.Exit{Reason: reason, GrantsReturned: !fenced(w) && !holdsGrants(w)})
+	// A request that is being read and an answer that is being written have no row:
+	// their clients get the rest of the time.
+	w.Out.Exits = append(w.Out.Exits, command.Exit{
+		Reason: reason, GrantsReturned: !fenced(w) && !holdsGrants(w), CloseTimeout: max(0, w.DrainDeadline().Sub(w.Now)),
+	})
 }
--- a/internal/system/drain/drain_test.go
+++ b/internal/system/drain/drain_test.go
@@ -83,3 +83,29 @@
 	w.Requests.Remove("c/k")
 	require.True(t, tick(w, systems, time.Hour+2*time.Second))
 }
+
+// Guards against an exit that leaves clients less than the rest of the drain for reading
+// their answers, and against one that gives them time beyond its end.
+func TestExitLeavesRestOfDrainToClients(t *testing.T) {
+	for _, test := range []struct{ endedAt, want time.Duration }{{time.Second, drainTimeout - time.Second}, {drainTimeout, 0}, {drainTimeout + time.Second, 0}} {
+		w, systems := newWorld(table.RoleRouter)
+		w.Requests.Insert(table.Request{ID: "c/k"}, table.RequestRunning)
+		w.In.Shutdowns = []event.Shutdown{{}}
+		tick(w, systems, 0)
+		w.Requests.Remove("c/k")
+		w.Tick(table.Instant(test.endedAt), systems)
+		require.Len(t, w.Out.Exits, 1)
+		require.Equal(t, test.want, w.Out.Exits[0].CloseTimeout)
+	}
+}
+
+// Guards against a repeated order to stop that moves the end of the drain.
+func TestRepeatedShutdownDoesNotMoveDeadline(t *testing.T) {
+	w, systems := newWorld(table.RoleRouter)
+	w.Requests.Insert(table.Request{ID: "c/k"}, table.RequestRunning)
+	for at := time.Duration(0); at < drainTimeout; at += drainTimeout / 4 {
+		w.In.Shutdowns = []event.Shutdown{{}}
+		require.False(t, tick(w, systems, at))
+	}
+	require.True(t, tick(w, systems, drainTimeout))
+}
