drain, front: a request whose body is incomplete at the end of a drain is refused

A client that had sent half of a request lost its connection without an answer when the process closed: a body that is being read had no bound but 15 s, and at the end of the drain its connection was cut. A rest that arrived in the last moments was read whole and cut as well.

When the process takes no more work, the drain system now orders a limit for bodies that are being read; the front answers 503 with a time to come back when it passes. Such a request would be refused anyway once it is whole, and it was never passed on, so the refusal is true. The limit ends 0.2 s before the drain, which leaves time for the answers.

TestRequestHalfReadForeverDoesNotOutlastGrace failed before this change ("unexpected EOF") and passes with it.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -69,6 +69,7 @@
 	EndpointUses      []SetEndpointUse
 	StopAttempts      []StopAttempt
 	FinishExchanges   []FinishExchange
+	BodyReadLimits    []LimitBodyReads
 	WriteLimitLedgers []WriteLimitLedger
 
 	// Reports and allowances between routers.
--- a/internal/command/exchange.go
+++ b/internal/command/exchange.go
@@ -105,3 +105,9 @@
 	To      table.Holder
 	Request event.LimitRequest
 }
+
+// LimitBodyReads says that requests whose body is not complete within a time are
+// refused. It applies to bodies that are being read and to later ones.
+type LimitBodyReads struct {
+	Within time.Duration
+}
--- a/internal/gateway/flush.go
+++ b/internal/gateway/flush.go
@@ -19,6 +19,9 @@
 	for _, c := range out.EndpointUses {
 		g.front.SetEndpointUse(c)
 	}
+	for _, c := range out.BodyReadLimits {
+		g.front.LimitBodyReads(c)
+	}
 	for _, c := range out.StopAttempts {
 		g.front.StopAttempt(c)
 	}
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -159,6 +159,20 @@
 	require.False(t, d.received("r-1"))
 }
 
+// Guards against a process that waits beyond its grace period for a body that never
+// arrives, and against a caller that gets no answer then.
+func TestRequestHalfReadForeverDoesNotOutlastGrace(t *testing.T) {
+	d := newDesk()
+	gw := startStoppableGateway(t, d, 4*time.Second)
+	client := gw.connect()
+	firstHalf, _ := bookingRequest("r-1")
+	client.send(firstHalf)
+	gw.startShutdown()
+	client.requireRefused()
+	require.NoError(t, <-gw.exited)
+	require.False(t, d.received("r-1"))
+}
+
 // Guards against an exit that is delayed until the end of the grace period by a
 // connection without a request.
 func TestUnusedConnectionDoesNotDelayExit(t *testing.T) {
--- a/internal/system/drain/drain.go
+++ b/internal/system/drain/drain.go
@@ -16,6 +16,10 @@
 // system returns grants that are left after that.
 const defaultGrantReturnTimeout = 5 * time.Second
 
+// bodyRefusalMargin is the part of the closing period that is left for refusing requests
+// whose body is not complete.
+const bodyRefusalMargin = 200 * time.Millisecond
+
 // System holds the state of one shutdown.
 type System struct {
 	draining  bool
@@ -73,7 +77,10 @@
 		w.WakeAt(closingAt)
 		return
 	}
-	w.Closing = true
+	if !w.Closing {
+		w.Closing = true
+		w.Out.BodyReadLimits = append(w.Out.BodyReadLimits, command.LimitBodyReads{Within: max(0, w.Params.ClosingPeriod-bodyRefusalMargin)})
+	}
 	if hasWork(w) {
 		s.idleSince = 0
 		return
--- a/internal/system/drain/drain_test.go
+++ b/internal/system/drain/drain_test.go
@@ -109,3 +109,23 @@
 	}
 	require.True(t, tick(w, systems, drainTimeout))
 }
+
+// Guards against incomplete requests that are cut at the end of the drain, because they
+// are not refused before it, and against a refusal while the process still takes work.
+func TestIncompleteRequestsAreRefusedBeforeDrainEnds(t *testing.T) {
+	w, systems := newWorld(table.RoleRouter)
+	w.Params.ClosingPeriod = time.Second
+	w.Requests.Insert(table.Request{ID: "c/k"}, table.RequestRunning)
+	w.In.Shutdowns = []event.Shutdown{{}}
+	limits := 0
+	for _, at := range []time.Duration{0, drainTimeout - time.Second - 1, drainTimeout - time.Second, drainTimeout - 1} {
+		w.Tick(table.Instant(at), systems)
+		for _, limit := range w.Out.BodyReadLimits {
+			limits++
+			require.Equal(t, drainTimeout-time.Second, at)
+			require.Less(t, at+limit.Within, drainTimeout)
+		}
+		w.ClearOutbox()
+	}
+	require.Equal(t, 1, limits)
+}
--- a/internal/traffic/front/server.go
+++ b/internal/traffic/front/server.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -33,9 +34,10 @@
 	// bodyReadTimeout limits how long a slow client can occupy a connection while it
 	// sends a body. Clients wait a few seconds for the complete response.
 	bodyReadTimeout = 15 * time.Second
-	// memoryRetryAfter is the retry delay sent to clients whose request did not fit
-	// into the memory: most requests end within it.
-	memoryRetryAfter = time.Second
+	// bodyRetryAfter is the retry delay sent to clients whose request did not fit into
+	// the memory or was not complete when the process closed: most requests end within
+	// it, and a restart takes about as long.
+	bodyRetryAfter = time.Second
 	// defaultBodyLimit applies until the first configuration is loaded.
 	defaultBodyLimit = 4 << 20
 )
@@ -67,6 +69,10 @@
 	exchanges      map[table.ExchangeID]*exchange
 	// withdrawn are the endpoints that get no more requests.
 	withdrawn map[table.EndpointID]bool
+	// bodyReads are the requests whose body is being read, and bodyReadsEnd is when
+	// they are refused; zero means not before bodyReadTimeout.
+	bodyReads    map[*http.ResponseController]struct{}
+	bodyReadsEnd time.Time
 }
 
 // exchangeCommand is a command for an exchange. Exactly one field is set.
@@ -86,7 +92,7 @@
 	defer s.Memory.release(memory)
 	if status != 0 {
 		if status == http.StatusServiceUnavailable {
-			s.Codec.SetRefusalHeader(w.Header(), request.ID, memoryRetryAfter)
+			s.Codec.SetRefusalHeader(w.Header(), request.ID, bodyRetryAfter)
 		}
 		w.Header().Set("Connection", "close")
 		w.WriteHeader(status)
@@ -120,10 +126,9 @@
 		return nil, 0, 0
 	}
 	rc := http.NewResponseController(w)
-	if err := rc.SetReadDeadline(time.Now().Add(bodyReadTimeout)); err != nil {
-		s.Log.Warn().Err(err).Msg("setting the read deadline for a request body failed")
-	}
+	s.startBodyRead(rc)
 	body, memory, err := s.Memory.readAll(r.Body, limit)
+	limited := s.endBodyRead(rc)
 	if err == nil {
 		// The deadline covers the body only: the HTTP server keeps reading the
 		// connection to detect that the client disconnects.
@@ -136,12 +141,50 @@
 	switch {
 	case errors.Is(err, errBodyTooLarge):
 		return nil, memory, http.StatusRequestEntityTooLarge
-	case errors.Is(err, errNoMemory):
+	case errors.Is(err, errNoMemory), limited && errors.Is(err, os.ErrDeadlineExceeded):
 		return nil, memory, http.StatusServiceUnavailable
 	}
 	return nil, memory, http.StatusBadRequest
 }
 
+func (s *Server) startBodyRead(rc *http.ResponseController) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.bodyReads == nil {
+		s.bodyReads = make(map[*http.ResponseController]struct{})
+	}
+	s.bodyReads[rc] = struct{}{}
+	deadline := time.Now().Add(bodyReadTimeout)
+	if !s.bodyReadsEnd.IsZero() && s.bodyReadsEnd.Before(deadline) {
+		deadline = s.bodyReadsEnd
+	}
+	s.setBodyDeadline(rc, deadline)
+}
+
+// endBodyRead reports whether LimitBodyReads applies to the body.
+func (s *Server) endBodyRead(rc *http.ResponseController) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.bodyReads, rc)
+	return !s.bodyReadsEnd.IsZero()
+}
+
+// LimitBodyReads refuses requests whose body is not complete in time.
+func (s *Server) LimitBodyReads(c command.LimitBodyReads) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.bodyReadsEnd = time.Now().Add(c.Within)
+	for rc := range s.bodyReads {
+		s.setBodyDeadline(rc, s.bodyReadsEnd)
+	}
+}
+
+func (s *Server) setBodyDeadline(rc *http.ResponseController, deadline time.Time) {
+	if err := rc.SetReadDeadline(deadline); err != nil {
+		s.Log.Warn().Err(err).Msg("setting the read deadline for a request body failed")
+	}
+}
+
 func (s *Server) addExchange(w http.ResponseWriter, r *http.Request, request Request, body []byte) *exchange {
 	s.mu.Lock()
 	defer s.mu.Unlock()
