drain: a process takes no more requests before it exits, however short its drain

With a grace period under 3.4 s callers saw requests run and end without an answer at the exit. The least duration of a drain (2.5 s) then passes the beginning of the closing period, and the process went on taking requests until its time was used up; limits were not returned either. The same happened to a process that was frozen over its closing period.

The closing period now begins before the least duration has passed if the drain is too short for both, and an exit always ends the taking of requests.

--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -62,6 +63,11 @@
 	return resp, string(body), err
 }
 
+func (c *rawClient) isServed() bool {
+	resp, _, err := c.receive()
+	return err == nil && resp.StatusCode == http.StatusOK
+}
+
 func (c *rawClient) requireServed(want string) *http.Response {
 	resp, body, err := c.receive()
 	require.NoError(c.t, err)
@@ -82,6 +88,8 @@
 	mu   sync.Mutex
 	ids  map[string]bool
 	body string
+	// delay is how long a request takes.
+	delay atomic.Int64
 	// arrived receives a value for each request that waits for hold to be closed.
 	arrived, hold chan struct{}
 }
@@ -101,6 +109,7 @@
 		d.arrived <- struct{}{}
 		<-d.hold
 	}
+	time.Sleep(time.Duration(d.delay.Load()))
 	_, _ = io.WriteString(w, d.body)
 }
 
@@ -205,23 +214,41 @@
 // Guards against a request on an open connection that reaches an endpoint but gets no
 // answer, or is refused although it ran, because the process exits at that moment.
 func TestRequestsAtExitAreAnsweredOrNotRun(t *testing.T) {
+	t.Parallel()
+	t.Run("work finished", func(t *testing.T) { testRequestsAtExit(t, minDrainTime, longGrace) })
+	t.Run("time used up", func(t *testing.T) {
+		// The grace period is too short for minDrainTime.
+		const grace = 2 * time.Second
+		testRequestsAtExit(t, grace-shutdownMargin, grace)
+	})
+}
+
+// testRequestsAtExit sends requests around the end of a drain, which is expected
+// drainTime after its begin.
+func testRequestsAtExit(t *testing.T, drainTime, grace time.Duration) {
 	const connections = 200
 	d := newDesk()
-	gw := startStoppableGateway(t, d, longGrace)
+	gw := startStoppableGateway(t, d, grace)
 	rng := rand.New(rand.NewPCG(1, 1))
-	var wg sync.WaitGroup
+	var ready, wg sync.WaitGroup
 	started := make(chan struct{})
 	for n := range connections {
 		client := gw.connect()
 		client.send(wholeBookingRequest(fmt.Sprintf("r-%d-first", n)))
-		client.requireServed("booked")
-		// Half of the requests come shortly before and after the least duration of the
-		// drain, the others just after the order to exit.
-		trigger, delay := (<-chan struct{})(started), minDrainTime-50*time.Millisecond+time.Duration(rng.Int64N(int64(100*time.Millisecond)))
+		ready.Add(1)
+		// Half of the requests come about at the end of the drain, the others just after
+		// the order to exit.
+		trigger, delay := (<-chan struct{})(started), drainTime-50*time.Millisecond+time.Duration(rng.Int64N(int64(100*time.Millisecond)))
 		if n%2 == 0 {
 			trigger, delay = gw.logs.drained, time.Duration(rng.Int64N(int64(3*time.Millisecond)))
 		}
 		wg.Go(func() {
+			served := client.isServed()
+			ready.Done()
+			if !served {
+				t.Errorf("the first request on connection %d failed", n)
+				return
+			}
 			<-trigger
 			time.Sleep(delay)
 			id := fmt.Sprintf("r-%d", n)
@@ -242,6 +269,8 @@
 			}
 		})
 	}
+	ready.Wait()
+	d.delay.Store(int64(afterCloseTimeout))
 	gw.startShutdown()
 	close(started)
 	require.NoError(t, <-gw.exited)
--- a/internal/system/drain/drain.go
+++ b/internal/system/drain/drain.go
@@ -69,11 +69,12 @@
 		return
 	}
 	w.WakeAt(deadline)
-	if earliestEnd := s.startedAt.Add(w.Params.MinDrainTime); w.Now < earliestEnd {
+	closingAt := deadline.Add(-w.Params.ClosingPeriod)
+	if earliestEnd := min(closingAt, s.startedAt.Add(w.Params.MinDrainTime)); w.Now < earliestEnd {
 		w.WakeAt(earliestEnd)
 		return
 	}
-	if closingAt := deadline.Add(-w.Params.ClosingPeriod); w.Now < closingAt && hasWork(w) {
+	if w.Now < closingAt && hasWork(w) {
 		w.WakeAt(closingAt)
 		return
 	}
@@ -124,7 +125,8 @@
 }
 
 func (s *System) exit(w *world.World, reason string) {
-	s.exited = true
+	// A process that was frozen may come here without a closing period.
+	s.exited, w.Closing = true, true
 	w.RecordStateChange("process", string(w.Self().Process), "draining", "stopped", reason)
 	// A request that is being read and an answer that is being written have no row:
 	// their clients get the rest of the time.
--- a/internal/system/drain/drain_test.go
+++ b/internal/system/drain/drain_test.go
@@ -129,3 +129,19 @@
 	}
 	require.Equal(t, 1, limits)
 }
+
+// Guards against a process that takes requests until it exits, because its drain is
+// shorter than the least duration of a drain or because it was frozen meanwhile.
+func TestProcessIsClosingBeforeExit(t *testing.T) {
+	for _, times := range [][]time.Duration{{0, 1100 * time.Millisecond, 1700 * time.Millisecond}, {0, time.Minute}} {
+		w, systems := newWorld(table.RoleRouter)
+		w.Params.DrainTimeout, w.Params.MinDrainTime, w.Params.ClosingPeriod = 1700*time.Millisecond, 2500*time.Millisecond, 600*time.Millisecond
+		w.Requests.Insert(table.Request{ID: "c/k"}, table.RequestRunning)
+		w.In.Shutdowns = []event.Shutdown{{}}
+		for _, at := range times {
+			exits := tick(w, systems, at)
+			require.Equal(t, at > 0, w.Closing, at)
+			require.Equal(t, at >= w.Params.DrainTimeout, exits, at)
+		}
+	}
+}
