laburnumroadd: signals that arrive during the start of a gateway are handled

A SIGHUP killed a gateway that was starting, and a SIGTERM killed one that listened already and could have read requests: the signals were registered after the servers had started, and until then they have their default action. They are registered first now. Stop and reload have a channel each, because a signal that finds its channel full is lost, and several SIGHUPs could displace a SIGTERM.

--- a/cmd/laburnumroadd/gateway.go
+++ b/cmd/laburnumroadd/gateway.go
@@ -29,6 +29,11 @@
 }
 
 func (c *gatewayCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	// Until signals are registered, they end the process, also a SIGHUP. One of each kind
+	// is kept until the gateway handles it.
+	stop, reload := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(stop, os.Interrupt, syscall.SIGTERM)
+	signal.Notify(reload, syscall.SIGHUP)
 	s, err := platform.ReadSettings(c.settingsFile)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -39,7 +44,7 @@
 	zerolog.TimeFieldFormat = time.RFC3339Nano
 	log, flush := gateway.NewLog(os.Stdout)
 	status := subcommands.ExitSuccess
-	if err := c.runGateway(s, log); err != nil {
+	if err := c.runGateway(s, log, stop, reload); err != nil {
 		log.Error().Err(err).Msg("gateway stopped with an error")
 		status = subcommands.ExitFailure
 	}
@@ -49,19 +54,18 @@
 	return status
 }
 
-func (c *gatewayCommand) runGateway(s *platform.Settings, log zerolog.Logger) error {
+func (c *gatewayCommand) runGateway(s *platform.Settings, log zerolog.Logger, stop, reload <-chan os.Signal) error {
 	g, err := gateway.New(s, log, c.traceOutput)
 	if err != nil {
 		return err
 	}
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
 	go func() {
-		for sig := range signals {
-			if sig != syscall.SIGHUP {
-				g.Shutdown()
-				continue
-			}
+		for range stop {
+			g.Shutdown()
+		}
+	}()
+	go func() {
+		for range reload {
 			reloaded, err := platform.ReadSettings(c.settingsFile)
 			if err != nil {
 				log.Error().Err(err).Msg("rejected invalid settings on reload")
--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -80,7 +80,8 @@
 	return binary
 }
 
-func newProcess(t *testing.T, binary, storeAddress string, index int) *process {
+// newProcess returns a process that is not started. Its grace period is in seconds.
+func newProcess(t *testing.T, binary, storeAddress string, index, grace int) *process {
 	host := fmt.Sprintf("127.0.0.%d", 10+index)
 	p := &process{
 		name: fmt.Sprintf("edge-%d", index), binary: binary, storeProxy: newFaultProxy(t, storeAddress), state: processDown, output: &outputBuffer{},
@@ -90,7 +91,7 @@
 	settings, err := json.Marshal(map[string]any{
 		"node_name": p.name, "ip": host, "zone": "a", "region": "r",
 		"listen": map[string]any{"front": p.clientAddress, "readiness": p.readinessAddress}, "port_range": []int{port, port},
-		"bounds":   map[string]any{"grace_s": 2, "retry_ratio": 0.2, "retry_allowance": 50},
+		"bounds":   map[string]any{"grace_s": grace, "retry_ratio": 0.2, "retry_allowance": 50},
 		"platform": map[string]any{"address": p.storeProxy.address},
 	})
 	require.NoError(t, err)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -99,7 +99,7 @@
 	s.createObject("config", "main", s.nextConfig())
 	binary := buildGateway(t)
 	for n := range processCount {
-		p := newProcess(t, binary, strings.TrimPrefix(server.URL, "http://"), n)
+		p := newProcess(t, binary, strings.TrimPrefix(server.URL, "http://"), n, 2)
 		s.processes = append(s.processes, p)
 		p.start(t)
 	}
