tcp, gateway: an answer is not lost because its client has sent more

The end of an answer was lost ("connection reset by peer") when a draining gateway closed the connection behind it and the client had sent another request in the meantime: the kernel resets a connection that is closed with unread input, and drops what the client has not acknowledged. The same can happen to a refusal that is sent before the body has arrived.

A gateway that exits waits for them within its drain. Input is not read any more, so a request that crosses the close stays unread.

TestAnswerSurvivesUnreadRequestBehindIt failed before this change and passes with it.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"laburnumroad.dev/laburnumroad/internal/table"
 	"laburnumroad.dev/laburnumroad/internal/traffic/front"
 	"laburnumroad.dev/laburnumroad/internal/traffic/peering"
+	"laburnumroad.dev/laburnumroad/internal/traffic/tcp"
 	"laburnumroad.dev/laburnumroad/internal/traffic/tracing"
 	"laburnumroad.dev/laburnumroad/internal/traffic/upstream"
 	"laburnumroad.dev/laburnumroad/internal/traffic/wire"
@@ -100,6 +101,7 @@
 	// shutdownTracing flushes and closes the span exporter.
 	shutdownTracing func(context.Context)
 	servers         []*http.Server
+	listeners       []*tcp.Listener
 	// unused are the connections that servers need not wait for when they close.
 	unused front.UnusedConns
 	ready  atomic.Bool
@@ -214,10 +216,11 @@
 
 // serveHTTP serves an HTTP handler on an address until the gateway closes.
 func (g *Gateway) serveHTTP(address string, h http.Handler) error {
-	l, err := net.Listen("tcp", address)
+	l, err := tcp.Listen(address)
 	if err != nil {
 		return err
 	}
+	g.listeners = append(g.listeners, l)
 	srv := &http.Server{
 		Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: newHTTPErrorLog(g.log), ConnState: g.unused.Track,
@@ -318,4 +321,7 @@
 			_ = s.Close()
 		}
 	}
+	for _, l := range g.listeners {
+		l.Wait(ctx)
+	}
 }
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -312,6 +312,24 @@
 	require.False(t, d.received("r-1") || d.received("r-2"))
 }
 
+// Guards against an answer whose end is discarded because the client has sent another
+// request that is not read any more.
+func TestAnswerSurvivesUnreadRequestBehindIt(t *testing.T) {
+	d := newHoldingDesk(strings.Repeat("x", 1<<20))
+	gw := startStoppableGateway(t, d, longGrace)
+	client := gw.connect()
+	require.NoError(t, client.SetReadBuffer(64<<10))
+	client.send(wholeBookingRequest("r-1"))
+	<-d.arrived
+	gw.startShutdown()
+	client.send(wholeBookingRequest("r-2"))
+	close(d.hold)
+	<-gw.logs.drained
+	client.requireServed(d.body)
+	require.NoError(t, <-gw.exited)
+	require.False(t, d.received("r-2"))
+}
+
 // Guards against a repeated order to stop that cuts work in progress or begins the drain
 // anew.
 func TestRepeatedShutdownChangesNothing(t *testing.T) {
--- a/internal/traffic/tcp/dialer.go
+++ b/internal/traffic/tcp/dialer.go
@@ -1,4 +1,5 @@
-// Package tcp opens TCP connections that detect dead peers.
+// Package tcp opens TCP connections that detect dead peers, and accepts connections that
+// lose no sent data when they are closed.
 package tcp
 
 import (
