soak: requests in two parts, and a second SIGTERM during a drain

Clients send one in ten requests in two parts with a pause of up to a second, and a process that drains gets a second SIGTERM after a while. The checks are the same as before; that a request which ran gets an answer is not among them.

--- a/internal/soak/client_test.go
+++ b/internal/soak/client_test.go
@@ -21,6 +21,10 @@
 	maxTimeout = 2 * time.Second
 	// maxThinkTime is the longest pause between two requests of a client.
 	maxThinkTime = 20 * time.Millisecond
+	// maxBodyPause is the longest pause between the two parts of a body.
+	maxBodyPause = time.Second
+	// maxBufferedBytes is more than the HTTP transport buffers before it sends.
+	maxBufferedBytes = 16 << 10
 )
 
 // requestKinds are the kinds of requests, named after the path prefixes of their
@@ -38,6 +42,14 @@
 	requestCount int
 }
 
+// pause is the empty part of a body that takes a time to be sent.
+type pause time.Duration
+
+func (p pause) Read([]byte) (int, error) {
+	time.Sleep(time.Duration(p))
+	return 0, io.EOF
+}
+
 func (c *client) run(stop <-chan struct{}, wg *sync.WaitGroup) {
 	defer wg.Done()
 	for {
@@ -63,11 +75,19 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+target+"/"+kind+"/x", strings.NewReader("body of "+id))
+	body, inParts := "body of "+id, c.rng.IntN(10) == 0
+	if inParts {
+		body = strings.Repeat(body, maxBufferedBytes/len(body)*2)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+target+"/"+kind+"/x", strings.NewReader(body))
 	if err != nil {
 		c.history.addViolation("%s: %v", id, err)
 		return false
 	}
+	if inParts {
+		half := len(body) / 2
+		req.Body = io.NopCloser(io.MultiReader(strings.NewReader(body[:half]), pause(c.rng.Int64N(int64(maxBodyPause))), strings.NewReader(body[half:])))
+	}
 	// Keeps the HTTP transport from retrying the request.
 	req.GetBody = nil
 	req.Host = hostname
@@ -88,16 +108,16 @@
 	if err != nil {
 		return false
 	}
-	body, err := io.ReadAll(resp.Body)
+	answer, err := io.ReadAll(resp.Body)
 	resp.Body.Close()
 	c.history.update(id, func(rec *requestRecord) {
 		if streaming {
-			rec.receivedEvents = strings.Count(string(body), "\n\n")
+			rec.receivedEvents = strings.Count(string(answer), "\n\n")
 		}
 		rec.reportedNotRun = resp.StatusCode == http.StatusTooManyRequests || resp.StatusCode == http.StatusServiceUnavailable
 	})
 	if resp.StatusCode >= 200 && resp.StatusCode < 300 {
-		return c.checkResponse(id, resp, string(body), err)
+		return c.checkResponse(id, resp, string(answer), err)
 	}
 	if resp.StatusCode == http.StatusUnauthorized || resp.StatusCode == http.StatusNotFound {
 		c.history.addViolation("%s was rejected with status %d", id, resp.StatusCode)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -197,6 +197,11 @@
 	case 1:
 		if p.state == processRunning {
 			p.signal(syscall.SIGTERM, processTerminating)
+			addFault("second SIGTERM to "+p.name, func() {
+				if p.state == processTerminating {
+					p.signal(syscall.SIGTERM, processTerminating)
+				}
+			})
 		}
 	case 2:
 		if p.state == processRunning {
