--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -69,6 +69,7 @@
 	EndpointUses      []SetEndpointUse
 	StopAttempts      []StopAttempt
 	FinishExchanges   []FinishExchange
+	BodyReadLimits    []LimitBodyReads
 	WriteLimitLedgers []WriteLimitLedger
 
 	// Reports and allowances between routers.
@@ -378,6 +379,9 @@
 // Exit ends the process after its last stream.
 type Exit struct {
 	Reason string
+	// CloseTimeout bounds how long the servers wait for clients that still send a
+	// request or read an answer.
+	CloseTimeout time.Duration
 	// GrantsReturned is true if no grant of this process is left in the ledger.
 	GrantsReturned bool
 }
--- a/internal/gateway/flush.go
+++ b/internal/gateway/flush.go
@@ -19,6 +19,9 @@
 	for _, c := range out.EndpointUses {
 		g.front.SetEndpointUse(c)
 	}
+	for _, c := range out.BodyReadLimits {
+		g.front.LimitBodyReads(c)
+	}
 	for _, c := range out.StopAttempts {
 		g.front.StopAttempt(c)
 	}
@@ -45,7 +48,7 @@
 	}
 	for _, c := range out.Exits {
 		g.log.Info().Str("reason", c.Reason).Msg("drained")
-		g.requestExit()
+		g.requestExit(c.CloseTimeout)
 	}
 }
 
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -99,7 +99,7 @@
 	s.createObject("config", "main", s.nextConfig())
 	binary := buildGateway(t)
 	for n := range processCount {
-		p := newProcess(t, binary, strings.TrimPrefix(server.URL, "http://"), n)
+		p := newProcess(t, binary, strings.TrimPrefix(server.URL, "http://"), n, 2)
 		s.processes = append(s.processes, p)
 		p.start(t)
 	}
@@ -197,6 +197,11 @@
 	case 1:
 		if p.state == processRunning {
 			p.signal(syscall.SIGTERM, processTerminating)
+			addFault("second SIGTERM to "+p.name, func() {
+				if p.state == processTerminating {
+					p.signal(syscall.SIGTERM, processTerminating)
+				}
+			})
 		}
 	case 2:
 		if p.state == processRunning {
--- a/internal/system/drain/drain.go
+++ b/internal/system/drain/drain.go
@@ -20,6 +20,10 @@
 // system returns grants that are left after that.
 const defaultGrantReturnTimeout = 5 * time.Second
 
+// bodyRefusalMargin is the part of the closing period that is left for refusing requests
+// whose body is not complete.
+const bodyRefusalMargin = 200 * time.Millisecond
+
 // System holds the state of one shutdown.
 type System struct {
 	draining  bool
@@ -70,15 +74,19 @@
 		return
 	}
 	w.WakeAt(deadline)
-	if earliestEnd := s.startedAt.Add(w.Params.MinDrainTime); w.Now < earliestEnd {
+	closingAt := deadline.Add(-w.Params.ClosingPeriod)
+	if earliestEnd := min(closingAt, s.startedAt.Add(w.Params.MinDrainTime)); w.Now < earliestEnd {
 		w.WakeAt(earliestEnd)
 		return
 	}
-	if closingAt := deadline.Add(-w.Params.ClosingPeriod); w.Now < closingAt && hasWork(w) {
+	if w.Now < closingAt && hasWork(w) {
 		w.WakeAt(closingAt)
 		return
 	}
-	w.Closing = true
+	if !w.Closing {
+		w.Closing = true
+		w.Out.BodyReadLimits = append(w.Out.BodyReadLimits, command.LimitBodyReads{Within: max(0, w.Params.ClosingPeriod-bodyRefusalMargin)})
+	}
 	if hasWork(w) {
 		s.idleSince = 0
 		return
@@ -136,7 +144,12 @@
 }
 
 func (s *System) exit(w *world.World, reason string) {
-	s.exited = true
+	// A process that was frozen may come here without a closing period.
+	s.exited, w.Closing = true, true
 	w.RecordStateChange("process", string(w.Self().Process), "draining", "stopped", reason)
-	w.Out.Exits = append(w.Out.Exits, command.Exit{Reason: reason, GrantsReturned: !fenced(w) && !holdsGrants(w)})
+	// A request that is being read and an answer that is being written have no row:
+	// their clients get the rest of the time.
+	w.Out.Exits = append(w.Out.Exits, command.Exit{
+		Reason: reason, GrantsReturned: !fenced(w) && !holdsGrants(w), CloseTimeout: max(0, w.DrainDeadline().Sub(w.Now)),
+	})
 }
--- a/internal/system/drain/drain_test.go
+++ b/internal/system/drain/drain_test.go
@@ -83,3 +83,65 @@
 	w.Requests.Remove("c/k")
 	require.True(t, tick(w, systems, time.Hour+2*time.Second))
 }
+
+// Guards against an exit that leaves clients less than the rest of the drain for reading
+// their answers, and against one that gives them time beyond its end.
+func TestExitLeavesRestOfDrainToClients(t *testing.T) {
+	for _, test := range []struct{ endedAt, want time.Duration }{{time.Second, drainTimeout - time.Second}, {drainTimeout, 0}, {drainTimeout + time.Second, 0}} {
+		w, systems := newWorld(table.RoleRouter)
+		w.Requests.Insert(table.Request{ID: "c/k"}, table.RequestRunning)
+		w.In.Shutdowns = []event.Shutdown{{}}
+		tick(w, systems, 0)
+		w.Requests.Remove("c/k")
+		w.Tick(table.Instant(test.endedAt), systems)
+		require.Len(t, w.Out.Exits, 1)
+		require.Equal(t, test.want, w.Out.Exits[0].CloseTimeout)
+	}
+}
+
+// Guards against a repeated order to stop that moves the end of the drain.
+func TestRepeatedShutdownDoesNotMoveDeadline(t *testing.T) {
+	w, systems := newWorld(table.RoleRouter)
+	w.Requests.Insert(table.Request{ID: "c/k"}, table.RequestRunning)
+	for at := time.Duration(0); at < drainTimeout; at += drainTimeout / 4 {
+		w.In.Shutdowns = []event.Shutdown{{}}
+		require.False(t, tick(w, systems, at))
+	}
+	require.True(t, tick(w, systems, drainTimeout))
+}
+
+// Guards against incomplete requests that are cut at the end of the drain, because they
+// are not refused before it, and against a refusal while the process still takes work.
+func TestIncompleteRequestsAreRefusedBeforeDrainEnds(t *testing.T) {
+	w, systems := newWorld(table.RoleRouter)
+	w.Params.ClosingPeriod = time.Second
+	w.Requests.Insert(table.Request{ID: "c/k"}, table.RequestRunning)
+	w.In.Shutdowns = []event.Shutdown{{}}
+	limits := 0
+	for _, at := range []time.Duration{0, drainTimeout - time.Second - 1, drainTimeout - time.Second, drainTimeout - 1} {
+		w.Tick(table.Instant(at), systems)
+		for _, limit := range w.Out.BodyReadLimits {
+			limits++
+			require.Equal(t, drainTimeout-time.Second, at)
+			require.Less(t, at+limit.Within, drainTimeout)
+		}
+		w.ClearOutbox()
+	}
+	require.Equal(t, 1, limits)
+}
+
+// Guards against a process that takes requests until it exits, because its drain is
+// shorter than the least duration of a drain or because it was frozen meanwhile.
+func TestProcessIsClosingBeforeExit(t *testing.T) {
+	for _, times := range [][]time.Duration{{0, 1100 * time.Millisecond, 1700 * time.Millisecond}, {0, time.Minute}} {
+		w, systems := newWorld(table.RoleRouter)
+		w.Params.DrainTimeout, w.Params.MinDrainTime, w.Params.ClosingPeriod = 1700*time.Millisecond, 2500*time.Millisecond, 600*time.Millisecond
+		w.Requests.Insert(table.Request{ID: "c/k"}, table.RequestRunning)
+		w.In.Shutdowns = []event.Shutdown{{}}
+		for _, at := range times {
+			exits := tick(w, systems, at)
+			require.Equal(t, at > 0, w.Closing, at)
+			require.Equal(t, at >= w.Params.DrainTimeout, exits, at)
+		}
+	}
+}
--- a/internal/traffic/tcp/dialer.go
+++ b/internal/traffic/tcp/dialer.go
@@ -1,4 +1,5 @@
-// Package tcp opens TCP connections that detect dead peers, and resets connections.
+// Package tcp opens TCP connections that detect dead peers, accepts connections that lose
+// no sent data when they are closed, and resets connections.
 package tcp
 
 import (
