watch: a lapse that only another router's outage suggests is a removal

Callers saw nothing: the endpoint still served. Senders were routers that the store answered all the time. Cause: the store turned away edge-ikeja-a-2 and edge-lekki-a-1 until 24.5 to 24.9 s and served the others. The endpoint's entry was removed at 24.81 s, without a notice of draining before. When one of the two came back and was the first to see the removal, it passed it on as a possible lapse, since its own outage was less than 2 s past. All routers then kept the endpoint as "unlisted" for the 2 s in which lapsed entries come back, counted from the news: acknowledgement + up to 0.5 s of batching + 2 s exceeds drain_ms. Their own watches could not correct it, because the change was known by then. Change: a delegate that the store answered all the while, with an answer no older than a call takes, denies the lapse, for itself and for the routers it passes the change on to. An outage that it did not see was the sender's alone. If its last answer is older, its connection may be silent, and the sender's word stands. Tests: TestLapseSeenByAnotherRouterIsRemovalIfStoreAnswered and TestDelegatePassesRemovalOnWithoutLapseOfAnotherRouter failed before. TestLapseSeenByAnotherRouterIsKeptIfStoreIsSilent passed before; it bounds the change.

--- a/internal/event/exchange.go
+++ b/internal/event/exchange.go
@@ -141,7 +141,8 @@
 	Present    []EndpointEntry
 	Removed    []table.EndpointID
 	// Relayed is true if another router sent the changes. MayHaveLapsed is true if an
-	// outage of the store at that router may have caused the removals.
+	// outage of the store at that router may have caused the removals, as far as this
+	// router knows.
 	Relayed       bool `msgpack:"-"`
 	MayHaveLapsed bool
 }
--- a/internal/gateway/systems_test.go
+++ b/internal/gateway/systems_test.go
@@ -593,6 +593,40 @@
 	require.Len(t, h.calls, before)
 }
 
+// answerWatches answers the open calls for the store's lists without changes.
+func (h *harness) answerWatches() {
+	var results []event.Event
+	h.world.Watches.Each(func(kind table.WatchKind, row *table.Watch) {
+		if row.Call != 0 {
+			results = append(results, event.WatchResult{Kind: kind, Call: row.Call, Status: event.WatchOK, Covered: row.Covered})
+		}
+	})
+	h.step(append(results, event.PlatformState{Reachable: true})...)
+}
+
+// Guards against an endpoint that left and goes on getting requests from a router that
+// the store answers all the time: another router had been out of the store's reach
+// alone, and passed the removal on as a possible lapse.
+func TestLapseSeenByAnotherRouterIsRemovalIfStoreAnswered(t *testing.T) {
+	h := newServingHarness(t)
+	h.answerWatches()
+	h.advance(2 * time.Second)
+	h.step(event.EndpointChanges{Removed: []table.EndpointID{"d1"}, Relayed: true, MayHaveLapsed: true})
+	for range 10 {
+		require.Equal(t, table.EndpointID("d2"), h.sendRequest("/lookup/1").Endpoint)
+	}
+}
+
+// Guards against endpoints that are given up after an outage of the store because a
+// router waits for an answer of the store and has not noticed the outage yet.
+func TestLapseSeenByAnotherRouterIsKeptIfStoreIsSilent(t *testing.T) {
+	h := newServingHarness(t)
+	h.answerWatches()
+	h.advance(5 * time.Second)
+	h.step(event.EndpointChanges{Removed: []table.EndpointID{"d1", "d2"}, Relayed: true, MayHaveLapsed: true})
+	require.NotEmpty(t, h.sendRequest("/lookup/1").Endpoint)
+}
+
 // Guards against a router that takes up no duty when the store is back for it alone,
 // because it chose the delegates while the store was out of reach for all.
 func TestRouterThatReachesStoreAgainIsDelegate(t *testing.T) {
--- a/internal/system/watch/watch.go
+++ b/internal/system/watch/watch.go
@@ -52,6 +52,9 @@
 	for i := range w.In.Manifests {
 		onManifest(w, &w.In.Manifests[i])
 	}
+	for i := range w.In.EndpointChanges {
+		judgeLapse(w, &w.In.EndpointChanges[i])
+	}
 	w.In.EndpointChanges = slices.DeleteFunc(w.In.EndpointChanges, func(e event.EndpointChanges) bool { return !accept(w, &e) })
 	for i := range w.In.WatchResults {
 		onResult(w, &w.In.WatchResults[i])
@@ -98,6 +101,25 @@
 	}
 }
 
+// judgeLapse withdraws another router's word that an outage of the store may have
+// caused removals, if the store has answered this router all the while. Then the outage
+// was the other router's alone, and let no entries lapse.
+func judgeLapse(w *world.World, e *event.EndpointChanges) {
+	if e.Relayed && e.MayHaveLapsed && followsEndpoints(w) {
+		e.MayHaveLapsed = false
+		w.Count("watch.lapses_denied")
+	}
+}
+
+// followsEndpoints reports whether this router follows the list of endpoints itself
+// and the store answers it: it had no outage of late, and the last answer is not older
+// than a call takes.
+func followsEndpoints(w *world.World) bool {
+	row, duty := watchOf(w, table.WatchEndpoints), delegates(w, table.WatchEndpoints)
+	maxAge := batchDelay(w) + delegateWait(duty) + relayDelay
+	return duty.IncludesSelf && row.AnsweredAt != 0 && w.Now.Sub(row.AnsweredAt) <= maxAge && !w.RecentOutage()
+}
+
 // accept reports whether changes of the list of endpoints are new, and records that
 // this router has them. A batch must begin at or before the revision up to which this
 // router has all changes: a gap could hide a removal. A batch that overlaps with what
@@ -163,11 +185,11 @@
 	row.Call = 0
 	switch e.Status {
 	case event.WatchOK:
-		row.Listed, row.Backoff, row.BehindSince = true, 0, 0
+		row.Listed, row.Backoff, row.BehindSince, row.AnsweredAt = true, 0, 0, w.Now
 		row.Covered, row.LastChange = max(row.Covered, e.Covered), max(row.LastChange, e.LastChange)
 		row.NextCallAt = w.Now
 		if e.LastChange > 0 {
-			row.NextCallAt = w.Now.Add(max(minBatchDelay, w.Params.Front.ChangeBound/batchDelayDivisor))
+			row.NextCallAt = w.Now.Add(batchDelay(w))
 		}
 	case event.WatchCompacted:
 		row.Listed = false
@@ -178,6 +200,16 @@
 	}
 }
 
+// batchDelay returns the delay of the next call after one that returned changes.
+func batchDelay(w *world.World) time.Duration {
+	return max(minBatchDelay, w.Params.Front.ChangeBound/batchDelayDivisor)
+}
+
+// delegateWait returns how long a delegate's call waits for changes.
+func delegateWait(duty *table.Delegates) time.Duration {
+	return waitTime * time.Duration(max(delegate.MinCount, len(duty.Routers))) / delegate.MinCount
+}
+
 func onReport(w *world.World, e *event.RouterReport) {
 	for kind, revision := range e.LastChanges {
 		if row := w.Watches.Get(kind); row != nil && row.Listed && revision > row.Covered {
@@ -208,7 +240,7 @@
 		return
 	}
 	duty := delegates(w, kind)
-	wait := waitTime * time.Duration(max(delegate.MinCount, len(duty.Routers))) / delegate.MinCount
+	wait := delegateWait(duty)
 	if row.Listed && !duty.IncludesSelf {
 		interval := idlePollInterval
 		if !w.PlatformReachable {
--- a/internal/system/watch/watch_test.go
+++ b/internal/system/watch/watch_test.go
@@ -169,6 +169,26 @@
 	require.Len(t, h.out.EndpointRelays[0].To, 20, "a relayed change goes to the routers of the domain only")
 }
 
+// Guards against an endpoint that left and goes on getting requests from the routers of
+// a failure domain whose delegate the store answers all the time: another delegate had
+// been out of the store's reach alone.
+func TestDelegatePassesRemovalOnWithoutLapseOfAnotherRouter(t *testing.T) {
+	passedOn := func(sinceAnswer time.Duration) bool {
+		h := newHarness(4, 0.8)
+		peer := table.RouterPeer{Holder: table.Holder{Process: "small", Incarnation: 1}, Domain: "d0", Cores: 0.1, Connected: true}
+		h.world.RouterPeers.Put(peer.Process, peer)
+		h.world.LimitLedgerView.Registered[peer.Holder] = true
+		h.world.FleetGeneration++
+		h.list(10)
+		h.now = h.now.Add(sinceAnswer)
+		h.tick(event.EndpointChanges{Since: 10, Covered: 12, Removed: []table.EndpointID{"m1"}, Relayed: true, MayHaveLapsed: true})
+		require.Len(t, h.out.EndpointRelays, 1)
+		return h.out.EndpointRelays[0].Changes.MayHaveLapsed
+	}
+	require.False(t, passedOn(time.Second))
+	require.True(t, passedOn(5*time.Second), "the store may be out of reach for this router too")
+}
+
 // Guards against a configuration that routers get late or never because only the
 // delegates ask for it.
 func TestRelayedConfigurationIsKnown(t *testing.T) {
--- a/internal/table/watch.go
+++ b/internal/table/watch.go
@@ -31,6 +31,8 @@
 	// Call is the number of the open call, or 0. CallSentAt is when it was sent.
 	Call       uint64
 	CallSentAt Instant
+	// AnsweredAt is when the store last answered a call, or 0.
+	AnsweredAt Instant
 	// NextCallAt is when the next call may be sent, and Backoff the delay after the
 	// last failed one.
 	NextCallAt Instant
