catalog, watch: the time for lapsed entries counts from the end of the outage

Cause: a removal that a router sees within 2 s after an outage of the store may be a lapse, and it kept the endpoint for 2 s more, counted from the news: 4 s after the outage at most, while it is in touch again after 3 s. Routers that took the news from it counted 2 s of their own. Change: lapsed entries are back within two seconds after the outage, and known after the delay of a batch, so the time ends there. Routers tell each other how much of it is left (EndpointChanges.LapseGrace; 2 s for releases that do not say it). Tests, all failed before: TestTimeForLapsedEntriesCountsFromEndOfOutage, TestTimeForRelayedLapseIsWhatSenderHasLeft, TestRelayedLapseCarriesTimeLeft.

--- a/internal/event/exchange.go
+++ b/internal/event/exchange.go
@@ -145,6 +145,9 @@
 	// router knows.
 	Relayed       bool `msgpack:"-"`
 	MayHaveLapsed bool
+	// LapseGrace is how long lapsed entries may take to come back, if another router
+	// said that there may be any. It is 0 from releases that don't say it.
+	LapseGrace time.Duration
 }
 
 // WatchStatus is how a call that follows a kind of objects ended.
--- a/internal/gateway/systems_test.go
+++ b/internal/gateway/systems_test.go
@@ -593,6 +593,33 @@
 	require.Len(t, h.calls, before)
 }
 
+// Guards against an endpoint that left after an outage and goes on getting requests
+// long after lapsed entries are back: the time for these counts from the end of the
+// outage, not from the news of the removal.
+func TestTimeForLapsedEntriesCountsFromEndOfOutage(t *testing.T) {
+	h := newServingHarness(t)
+	h.step(event.PlatformState{Reachable: false})
+	h.advance(3 * time.Second)
+	h.step(event.PlatformState{Reachable: true})
+	h.advance(1900 * time.Millisecond)
+	h.step(event.EndpointChanges{Removed: []table.EndpointID{"d1"}})
+	h.advance(700 * time.Millisecond)
+	for range 10 {
+		require.Equal(t, table.EndpointID("d2"), h.sendRequest("/lookup/1").Endpoint)
+	}
+}
+
+// Guards against an endpoint that left and gets requests from a router that counts the
+// time for lapsed entries from the news of another router.
+func TestTimeForRelayedLapseIsWhatSenderHasLeft(t *testing.T) {
+	h := newServingHarness(t)
+	h.step(event.EndpointChanges{Removed: []table.EndpointID{"d1"}, Relayed: true, MayHaveLapsed: true, LapseGrace: 100 * time.Millisecond})
+	h.advance(200 * time.Millisecond)
+	for range 10 {
+		require.Equal(t, table.EndpointID("d2"), h.sendRequest("/lookup/1").Endpoint)
+	}
+}
+
 // answerWatches answers the open calls for the store's lists without changes.
 func (h *harness) answerWatches() {
 	var results []event.Event
--- a/internal/system/catalog/catalog.go
+++ b/internal/system/catalog/catalog.go
@@ -10,15 +10,18 @@
 
 	"laburnumroad.dev/laburnumroad/internal/command"
 	"laburnumroad.dev/laburnumroad/internal/event"
+	"laburnumroad.dev/laburnumroad/internal/system/watch"
 	"laburnumroad.dev/laburnumroad/internal/table"
 	"laburnumroad.dev/laburnumroad/internal/world"
 )
 
 const (
-	// relistGrace is how long entries may be missing from the list after an
-	// outage of the store: endpoints that still run are listed again within two
-	// seconds.
-	relistGrace = 2 * time.Second
+	// defaultLapseGrace is how long entries that lapsed may take to come back, if the
+	// router that reported them did not say it.
+	defaultLapseGrace = 2 * time.Second
+	// outagePollInterval is how often a router without the store looks whether it is
+	// back, while lapsed entries are kept.
+	outagePollInterval = 500 * time.Millisecond
 )
 
 // Run applies the manifests and the endpoint changes of this tick.
@@ -110,15 +113,19 @@
 	if changes.Relayed {
 		mayHaveLapsed = changes.MayHaveLapsed
 	}
+	var graceEnd table.Instant
+	if changes.Relayed {
+		graceEnd = w.Now.Add(cmp.Or(changes.LapseGrace, defaultLapseGrace))
+	}
 	for _, id := range changes.Removed {
-		markRemoved(w, id, mayHaveLapsed, changes.Relayed)
+		markRemoved(w, id, mayHaveLapsed, graceEnd)
 	}
 	if !changes.Full {
 		return
 	}
 	for i := range w.DirectEndpoints.Len() {
 		if id, _ := w.DirectEndpoints.At(i); !present[id] {
-			markRemoved(w, id, mayHaveLapsed, false)
+			markRemoved(w, id, mayHaveLapsed, 0)
 		}
 	}
 }
@@ -155,17 +162,16 @@
 
 // markRemoved records that an entry is gone. Endpoints whose entries lapsed
 // around an outage stay live for a grace period. Others finish their open
-// requests and get no new ones. relayed is true if another router reported the
-// removal.
-func markRemoved(w *world.World, id table.EndpointID, mayHaveLapsed, relayed bool) {
+// requests and get no new ones. graceEnd is the end of that period if another router
+// reported the removal, and 0 otherwise.
+func markRemoved(w *world.World, id table.EndpointID, mayHaveLapsed bool, graceEnd table.Instant) {
 	row := w.DirectEndpoints.Get(id)
 	if row == nil || row.RemovedAt != 0 {
 		return
 	}
-	row.RemovedAt, row.RemovalRelayed = w.Now, relayed
+	row.RemovedAt, row.LapseGraceEnd = w.Now, graceEnd
 	if mayHaveLapsed && !row.Leaving {
 		w.RecordStateChange("endpoint", string(id), stateName(row.Leaving), "unlisted", "entry lapsed around an outage of the store")
-		w.WakeAt(w.Now.Add(relistGrace))
 		return
 	}
 	w.RecordStateChange("endpoint", string(id), stateName(row.Leaving), "leaving", "entry removed")
@@ -188,9 +194,8 @@
 		if e.RemovedAt == 0 {
 			return false
 		}
-		if graceEnd := e.RemovedAt.Add(relistGrace); !e.Leaving {
-			if graceEnd > w.Now || !w.PlatformReachable && !e.RemovalRelayed {
-				w.WakeAt(max(graceEnd, w.Now.Add(relistGrace/4)))
+		if !e.Leaving {
+			if !graceEnded(w, e) {
 				return false
 			}
 			setLeaving(w, e, true)
@@ -206,6 +211,20 @@
 	})
 }
 
+// graceEnded reports whether the time is over in which a lapsed entry may come back,
+// and requests a tick at its end otherwise. Without the store, only another router can
+// tell that.
+func graceEnded(w *world.World, e *table.DirectEndpoint) bool {
+	switch {
+	case e.LapseGraceEnd != 0:
+		return w.DueOrWake(e.LapseGraceEnd)
+	case !w.PlatformReachable:
+		w.WakeAt(w.Now.Add(outagePollInterval))
+		return false
+	}
+	return w.DueOrWake(watch.LapseGraceEnd(w))
+}
+
 func deleteCachedParts(w *world.World, id table.EndpointID) {
 	w.CachedParts.DeleteIf(func(k table.CachedPart, _ *table.Instant) bool { return k.Endpoint == id })
 }
--- a/internal/system/watch/watch.go
+++ b/internal/system/watch/watch.go
@@ -28,6 +28,9 @@
 	// time is not known.
 	batchDelayDivisor = 4
 	minBatchDelay     = 500 * time.Millisecond
+	// relistTime is how long after an outage of the store endpoints that still run may
+	// take to be listed again.
+	relistTime = 2 * time.Second
 	// relayDelay is how long changes that another router reported may take to arrive
 	// by other ways, before this router asks the store for them.
 	relayDelay = 300 * time.Millisecond
@@ -120,6 +123,17 @@
 	return duty.IncludesSelf && row.AnsweredAt != 0 && w.Now.Sub(row.AnsweredAt) <= maxAge && !w.RecentOutage()
 }
 
+// LapseGraceEnd returns until when entries that lapsed in this router's last outage may
+// come back: they are listed again soon after the outage, and the change is known after
+// the delay of a batch at most.
+func LapseGraceEnd(w *world.World) table.Instant {
+	restoredAt := w.PlatformRestoredAt
+	if !w.PlatformReachable {
+		restoredAt = w.Now
+	}
+	return restoredAt.Add(relistTime + batchDelay(w))
+}
+
 // accept reports whether changes of the list of endpoints are new, and records that
 // this router has them. A batch must begin at or before the revision up to which this
 // router has all changes: a gap could hide a removal. A batch that overlaps with what
@@ -173,6 +187,9 @@
 		// No change came between the last list or batch and the call's revision.
 		changes.Since = min(e.Since, row.BatchSince)
 		changes.MayHaveLapsed = w.RecentOutage()
+		if changes.MayHaveLapsed {
+			changes.LapseGrace = LapseGraceEnd(w).Sub(w.Now)
+		}
 	}
 	w.Out.EndpointRelays = append(w.Out.EndpointRelays, command.RelayEndpointChanges{To: to, Changes: changes})
 }
--- a/internal/system/watch/watch_test.go
+++ b/internal/system/watch/watch_test.go
@@ -189,6 +189,21 @@
 	require.True(t, passedOn(5*time.Second), "the store may be out of reach for this router too")
 }
 
+// Guards against routers that keep an endpoint which left for longer than the router
+// that saw an outage: it tells them how much of the time for lapsed entries is left.
+func TestRelayedLapseCarriesTimeLeft(t *testing.T) {
+	h := newHarness(4, 0.8)
+	h.list(10)
+	h.world.PlatformRestoredAt = h.now
+	h.now = h.now.Add(1900 * time.Millisecond)
+	h.tick(event.EndpointChanges{Since: 10, Covered: 12, Removed: []table.EndpointID{"m1"}})
+	require.Len(t, h.out.EndpointRelays, 1)
+	changes := h.out.EndpointRelays[0].Changes
+	require.True(t, changes.MayHaveLapsed)
+	require.Positive(t, changes.LapseGrace)
+	require.LessOrEqual(t, changes.LapseGrace, 700*time.Millisecond)
+}
+
 // Guards against a configuration that routers get late or never because only the
 // delegates ask for it.
 func TestRelayedConfigurationIsKnown(t *testing.T) {
--- a/internal/table/route.go
+++ b/internal/table/route.go
@@ -104,9 +104,9 @@
 	Leaving bool
 	// RemovedAt is when the entry was removed from the platform's list, or 0.
 	RemovedAt Instant
-	// RemovalRelayed is true if another router reported the removal, which follows the
-	// list although this one may not reach the store.
-	RemovalRelayed bool
+	// LapseGraceEnd is until when the entry may come back, if another router reported
+	// that it may have lapsed; 0 if this router's own outage decides that.
+	LapseGraceEnd Instant
 	// StartedUnixMilli is the endpoint's start in milliseconds of Unix time. A
 	// later one under the same id is a new process that has no state of the old
 	// one.
