watch: an outage in which the store served another router lapses no entries

Cause: a router that the store had turned away told the routers of its failure domain that a removal may be a lapse. Those which follow no list themselves have no answers of the store to judge that by, and kept the endpoint until 2.5 s after the outage: for a removal that was acknowledged in the first half second after it, or before, that exceeds drain_ms. Change: reports say for how long the sender has followed the list without a failed or late answer. A router in an outage that has lasted for longer than an answer takes knows from a report that goes back to before its outage that the store served another router; then the outage does not count as one in which entries lapse. Not covered: an outage of less than about 3 s, after which the other routers' last answers may be older than it; and an outage of one router that turns into one of the store, silent and shorter than about 5 s, whose lapses are taken for removals until the endpoints are listed again. Tests: TestRemovalAfterOwnOutageIsNoLapseIfStoreServedOthers and TestTimeFollowedEndsWithFailureOrSilence failed before.

--- a/internal/event/exchange.go
+++ b/internal/event/exchange.go
@@ -191,6 +191,9 @@
 	Available map[table.CustomerID]table.Tokens `msgpack:"Free"`
 	// StoreDown is true while the sender's calls to the store fail.
 	StoreDown bool
+	// FollowedFor is for how long the sender has followed the list of endpoints itself
+	// and the store has answered all its calls for it; 0 if it does not follow it now.
+	FollowedFor time.Duration
 	// LastChanges are the highest revisions of changes in the store that the sender
 	// knows, by kind of object.
 	LastChanges map[table.WatchKind]uint64
--- a/internal/gateway/systems_test.go
+++ b/internal/gateway/systems_test.go
@@ -620,6 +620,47 @@
 	}
 }
 
+// Guards against an endpoint that left and goes on getting requests, also from the
+// routers that take the news from this one: the store turned this router away and served
+// another one, so no entries lapsed.
+func TestRemovalAfterOwnOutageIsNoLapseIfStoreServedOthers(t *testing.T) {
+	afterOutage := func(followedFor func(outage time.Duration) time.Duration) *harness {
+		h := newServingHarness(t)
+		h.step(event.PlatformState{Reachable: false})
+		lostAt := h.now
+		for range 12 {
+			h.advance(500 * time.Millisecond)
+			h.step(event.RouterReport{FollowedFor: followedFor(h.now.Sub(lostAt))})
+		}
+		h.step(event.PlatformState{Reachable: true})
+		h.advance(time.Second)
+		h.step(event.EndpointChanges{Removed: []table.EndpointID{"d1"}})
+		return h
+	}
+	h := afterOutage(func(outage time.Duration) time.Duration { return outage + time.Minute })
+	for range 10 {
+		require.Equal(t, table.EndpointID("d2"), h.sendRequest("/lookup/1").Endpoint)
+	}
+	for name, followedFor := range map[string]func(time.Duration) time.Duration{
+		"no router was served":                   func(time.Duration) time.Duration { return 0 },
+		"the other router had an outage as well": func(outage time.Duration) time.Duration { return outage - time.Millisecond },
+		"the store went down for all later": func(outage time.Duration) time.Duration {
+			if outage > 3500*time.Millisecond {
+				return 0
+			}
+			return outage + time.Minute
+		},
+		"the other router may not have noticed yet": func(outage time.Duration) time.Duration {
+			if outage > 3*time.Second {
+				return 0
+			}
+			return outage + time.Minute
+		},
+	} {
+		require.False(t, afterOutage(followedFor).world.DirectEndpoints.Get("d1").Leaving, name)
+	}
+}
+
 // answerWatches answers the open calls for the store's lists without changes.
 func (h *harness) answerWatches() {
 	var results []event.Event
--- a/internal/system/catalog/catalog.go
+++ b/internal/system/catalog/catalog.go
@@ -51,6 +51,9 @@
 		w.PlatformRestoredAt = w.Now
 	}
 	w.PlatformReachable, w.PlatformStateSince = reachable, max(w.Now, 1)
+	if !reachable {
+		w.StoreServedOthersAt = 0
+	}
 	// This router may do duties for others now, or no longer.
 	w.FleetGeneration++
 }
--- a/internal/system/watch/watch.go
+++ b/internal/system/watch/watch.go
@@ -118,9 +118,37 @@
 // and the store answers it: it had no outage of late, and the last answer is not older
 // than a call takes.
 func followsEndpoints(w *world.World) bool {
-	row, duty := watchOf(w, table.WatchEndpoints), delegates(w, table.WatchEndpoints)
-	maxAge := batchDelay(w) + delegateWait(duty) + relayDelay
-	return duty.IncludesSelf && row.AnsweredAt != 0 && w.Now.Sub(row.AnsweredAt) <= maxAge && !w.RecentOutage()
+	row := watchOf(w, table.WatchEndpoints)
+	return delegates(w, table.WatchEndpoints).IncludesSelf && row.FollowedSince != 0 &&
+		w.Now.Sub(row.AnsweredAt) <= maxAnswerAge(w, table.WatchEndpoints) && !w.RecentOutage()
+}
+
+// maxAnswerAge returns how old the last answer to a delegate gets while the store
+// answers all its calls.
+func maxAnswerAge(w *world.World, kind table.WatchKind) time.Duration {
+	return batchDelay(w) + delegateWait(delegates(w, kind)) + relayDelay
+}
+
+// FollowedFor returns for how long this router has followed the list of endpoints
+// itself without a failed or late answer, or 0 if it does not do so now.
+func FollowedFor(w *world.World) time.Duration {
+	if !followsEndpoints(w) {
+		return 0
+	}
+	return w.Now.Sub(watchOf(w, table.WatchEndpoints).FollowedSince)
+}
+
+// judgeOutage records that the store serves another router while this one does not
+// reach it. The other router's last answer has to be later than the first failure here,
+// or it may not have noticed yet that the store is down.
+func judgeOutage(w *world.World, e *event.RouterReport) {
+	if w.PlatformReachable || w.PlatformStateSince == 0 {
+		return
+	}
+	outage := w.Now.Sub(w.PlatformStateSince)
+	if outage > maxAnswerAge(w, table.WatchEndpoints) && e.FollowedFor >= outage {
+		w.StoreServedOthersAt = w.Now
+	}
 }
 
 // LapseGraceEnd returns until when entries that lapsed in this router's last outage may
@@ -202,6 +230,9 @@
 	row.Call = 0
 	switch e.Status {
 	case event.WatchOK:
+		if row.FollowedSince == 0 || w.Now.Sub(row.AnsweredAt) > maxAnswerAge(w, e.Kind) {
+			row.FollowedSince = w.Now
+		}
 		row.Listed, row.Backoff, row.BehindSince, row.AnsweredAt = true, 0, 0, w.Now
 		row.Covered, row.LastChange = max(row.Covered, e.Covered), max(row.LastChange, e.LastChange)
 		row.NextCallAt = w.Now
@@ -212,6 +243,7 @@
 		row.Listed = false
 		w.RecordStateChange("watch", e.Kind.String(), "listed", "unknown", "the store dropped the history")
 	default:
+		row.FollowedSince = 0
 		row.Backoff = min(max(2*row.Backoff, minBackoff), maxBackoff)
 		row.NextCallAt = w.Now.Add(row.Backoff/2 + time.Duration(w.Rand.Int64N(int64(row.Backoff/2))))
 	}
@@ -228,6 +260,7 @@
 }
 
 func onReport(w *world.World, e *event.RouterReport) {
+	judgeOutage(w, e)
 	for kind, revision := range e.LastChanges {
 		if row := w.Watches.Get(kind); row != nil && row.Listed && revision > row.Covered {
 			markBehind(w, row)
--- a/internal/system/watch/watch_test.go
+++ b/internal/system/watch/watch_test.go
@@ -204,6 +204,26 @@
 	require.LessOrEqual(t, changes.LapseGrace, 700*time.Millisecond)
 }
 
+// Guards against a router that tells others that the store served it all the while
+// although a call failed, or none was answered for longer than a call takes.
+func TestTimeFollowedEndsWithFailureOrSilence(t *testing.T) {
+	h := newHarness(4, 0.8)
+	require.Zero(t, watch.FollowedFor(h.world))
+	h.list(10)
+	h.callsFor(20*time.Second, table.WatchEndpoints)
+	require.GreaterOrEqual(t, watch.FollowedFor(h.world), 19*time.Second)
+	h.now = h.now.Add(10 * time.Second)
+	h.tick()
+	require.Zero(t, watch.FollowedFor(h.world), "silent")
+	h.answerWaiting()
+	h.tick()
+	require.Zero(t, watch.FollowedFor(h.world), "answered again after a silence")
+	h.callsFor(10*time.Second, table.WatchEndpoints)
+	require.Positive(t, watch.FollowedFor(h.world))
+	h.tick(event.WatchResult{Kind: table.WatchEndpoints, Call: h.world.Watches.Get(table.WatchEndpoints).Call, Status: event.WatchFailed})
+	require.Zero(t, watch.FollowedFor(h.world), "failed")
+}
+
 // Guards against a configuration that routers get late or never because only the
 // delegates ask for it.
 func TestRelayedConfigurationIsKnown(t *testing.T) {
--- a/internal/table/watch.go
+++ b/internal/table/watch.go
@@ -33,6 +33,9 @@
 	CallSentAt Instant
 	// AnsweredAt is when the store last answered a call, or 0.
 	AnsweredAt Instant
+	// FollowedSince is since when the store has answered all calls in time, or 0 after
+	// a failed one.
+	FollowedSince Instant
 	// NextCallAt is when the next call may be sent, and Backoff the delay after the
 	// last failed one.
 	NextCallAt Instant
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -148,6 +148,9 @@
 	// PlatformRestoredAt is when the platform answered again after an outage, or
 	// 0.
 	PlatformRestoredAt table.Instant
+	// StoreServedOthersAt is when another router last showed that the store serves it,
+	// while this one does not reach the store; 0 if none did in the last outage.
+	StoreServedOthersAt table.Instant
 	// AwaitingRegistration is true until this process is registered. A router
 	// takes no grant before that, so that its start number is older than its
 	// grants.
@@ -210,9 +213,17 @@
 const outageWindow = 2 * time.Second
 
 // RecentOutage reports whether the store is out of reach, or was so until shortly
-// before.
+// before. An outage in which the store served another router does not count: it was
+// this router's alone.
 func (w *World) RecentOutage() bool {
-	return !w.PlatformReachable || w.PlatformRestoredAt != 0 && w.Now.Sub(w.PlatformRestoredAt) < outageWindow
+	end := w.Now
+	if w.PlatformReachable {
+		end = w.PlatformRestoredAt
+		if end == 0 || w.Now.Sub(end) >= outageWindow {
+			return false
+		}
+	}
+	return w.StoreServedOthersAt == 0 || end.Sub(w.StoreServedOthersAt) >= outageWindow
 }
 
 // NextWake returns when the next tick is due if no event arrives.
