--- a/internal/event/exchange.go
+++ b/internal/event/exchange.go
@@ -141,9 +141,13 @@
 	Present    []EndpointEntry
 	Removed    []table.EndpointID
 	// Relayed is true if another router sent the changes. MayHaveLapsed is true if an
-	// outage of the store at that router may have caused the removals.
+	// outage of the store at that router may have caused the removals, as far as this
+	// router knows.
 	Relayed       bool `msgpack:"-"`
 	MayHaveLapsed bool
+	// LapseGrace is how long lapsed entries may take to come back, if another router
+	// said that there may be any. It is 0 from releases that don't say it.
+	LapseGrace time.Duration
 }
 
 // WatchStatus is how a call that follows a kind of objects ended.
@@ -187,6 +191,9 @@
 	Available map[table.CustomerID]table.Tokens `msgpack:"Free"`
 	// StoreDown is true while the sender's calls to the store fail.
 	StoreDown bool
+	// FollowedFor is for how long the sender has followed the list of endpoints itself
+	// and the store has answered all its calls for it; 0 if it does not follow it now.
+	FollowedFor time.Duration
 	// LastChanges are the highest revisions of changes in the store that the sender
 	// knows, by kind of object.
 	LastChanges map[table.WatchKind]uint64
--- a/internal/gateway/systems_test.go
+++ b/internal/gateway/systems_test.go
@@ -593,6 +593,108 @@
 	require.Len(t, h.calls, before)
 }
 
+// Guards against an endpoint that left after an outage and goes on getting requests
+// long after lapsed entries are back: the time for these counts from the end of the
+// outage, not from the news of the removal.
+func TestTimeForLapsedEntriesCountsFromEndOfOutage(t *testing.T) {
+	h := newServingHarness(t)
+	h.step(event.PlatformState{Reachable: false})
+	h.advance(3 * time.Second)
+	h.step(event.PlatformState{Reachable: true})
+	h.advance(1900 * time.Millisecond)
+	h.step(event.EndpointChanges{Removed: []table.EndpointID{"d1"}})
+	h.advance(700 * time.Millisecond)
+	for range 10 {
+		require.Equal(t, table.EndpointID("d2"), h.sendRequest("/lookup/1").Endpoint)
+	}
+}
+
+// Guards against an endpoint that left and gets requests from a router that counts the
+// time for lapsed entries from the news of another router.
+func TestTimeForRelayedLapseIsWhatSenderHasLeft(t *testing.T) {
+	h := newServingHarness(t)
+	h.step(event.EndpointChanges{Removed: []table.EndpointID{"d1"}, Relayed: true, MayHaveLapsed: true, LapseGrace: 100 * time.Millisecond})
+	h.advance(200 * time.Millisecond)
+	for range 10 {
+		require.Equal(t, table.EndpointID("d2"), h.sendRequest("/lookup/1").Endpoint)
+	}
+}
+
+// Guards against an endpoint that left and goes on getting requests, also from the
+// routers that take the news from this one: the store turned this router away and served
+// another one, so no entries lapsed.
+func TestRemovalAfterOwnOutageIsNoLapseIfStoreServedOthers(t *testing.T) {
+	afterOutage := func(followedFor func(outage time.Duration) time.Duration) *harness {
+		h := newServingHarness(t)
+		h.step(event.PlatformState{Reachable: false})
+		lostAt := h.now
+		for range 12 {
+			h.advance(500 * time.Millisecond)
+			h.step(event.RouterReport{FollowedFor: followedFor(h.now.Sub(lostAt))})
+		}
+		h.step(event.PlatformState{Reachable: true})
+		h.advance(time.Second)
+		h.step(event.EndpointChanges{Removed: []table.EndpointID{"d1"}})
+		return h
+	}
+	h := afterOutage(func(outage time.Duration) time.Duration { return outage + time.Minute })
+	for range 10 {
+		require.Equal(t, table.EndpointID("d2"), h.sendRequest("/lookup/1").Endpoint)
+	}
+	for name, followedFor := range map[string]func(time.Duration) time.Duration{
+		"no router was served":                   func(time.Duration) time.Duration { return 0 },
+		"the other router had an outage as well": func(outage time.Duration) time.Duration { return outage - time.Millisecond },
+		"the store went down for all later": func(outage time.Duration) time.Duration {
+			if outage > 3500*time.Millisecond {
+				return 0
+			}
+			return outage + time.Minute
+		},
+		"the other router may not have noticed yet": func(outage time.Duration) time.Duration {
+			if outage > 3*time.Second {
+				return 0
+			}
+			return outage + time.Minute
+		},
+	} {
+		require.False(t, afterOutage(followedFor).world.DirectEndpoints.Get("d1").Leaving, name)
+	}
+}
+
+// answerWatches answers the open calls for the store's lists without changes.
+func (h *harness) answerWatches() {
+	var results []event.Event
+	h.world.Watches.Each(func(kind table.WatchKind, row *table.Watch) {
+		if row.Call != 0 {
+			results = append(results, event.WatchResult{Kind: kind, Call: row.Call, Status: event.WatchOK, Covered: row.Covered})
+		}
+	})
+	h.step(append(results, event.PlatformState{Reachable: true})...)
+}
+
+// Guards against an endpoint that left and goes on getting requests from a router that
+// the store answers all the time: another router had been out of the store's reach
+// alone, and passed the removal on as a possible lapse.
+func TestLapseSeenByAnotherRouterIsRemovalIfStoreAnswered(t *testing.T) {
+	h := newServingHarness(t)
+	h.answerWatches()
+	h.advance(2 * time.Second)
+	h.step(event.EndpointChanges{Removed: []table.EndpointID{"d1"}, Relayed: true, MayHaveLapsed: true})
+	for range 10 {
+		require.Equal(t, table.EndpointID("d2"), h.sendRequest("/lookup/1").Endpoint)
+	}
+}
+
+// Guards against endpoints that are given up after an outage of the store because a
+// router waits for an answer of the store and has not noticed the outage yet.
+func TestLapseSeenByAnotherRouterIsKeptIfStoreIsSilent(t *testing.T) {
+	h := newServingHarness(t)
+	h.answerWatches()
+	h.advance(5 * time.Second)
+	h.step(event.EndpointChanges{Removed: []table.EndpointID{"d1", "d2"}, Relayed: true, MayHaveLapsed: true})
+	require.NotEmpty(t, h.sendRequest("/lookup/1").Endpoint)
+}
+
 // Guards against a router that takes up no duty when the store is back for it alone,
 // because it chose the delegates while the store was out of reach for all.
 func TestRouterThatReachesStoreAgainIsDelegate(t *testing.T) {
--- a/internal/system/watch/watch.go
+++ b/internal/system/watch/watch.go
@@ -28,6 +28,9 @@
 	// time is not known.
 	batchDelayDivisor = 4
 	minBatchDelay     = 500 * time.Millisecond
+	// relistTime is how long after an outage of the store endpoints that still run may
+	// take to be listed again.
+	relistTime = 2 * time.Second
 	// relayDelay is how long changes that another router reported may take to arrive
 	// by other ways, before this router asks the store for them.
 	relayDelay = 300 * time.Millisecond
@@ -52,6 +55,9 @@
 	for i := range w.In.Manifests {
 		onManifest(w, &w.In.Manifests[i])
 	}
+	for i := range w.In.EndpointChanges {
+		judgeLapse(w, &w.In.EndpointChanges[i])
+	}
 	w.In.EndpointChanges = slices.DeleteFunc(w.In.EndpointChanges, func(e event.EndpointChanges) bool { return !accept(w, &e) })
 	for i := range w.In.WatchResults {
 		onResult(w, &w.In.WatchResults[i])
@@ -98,6 +104,64 @@
 	}
 }
 
+// judgeLapse withdraws another router's word that an outage of the store may have
+// caused removals, if the store has answered this router all the while. Then the outage
+// was the other router's alone, and let no entries lapse.
+func judgeLapse(w *world.World, e *event.EndpointChanges) {
+	if e.Relayed && e.MayHaveLapsed && followsEndpoints(w) {
+		e.MayHaveLapsed = false
+		w.Count("watch.lapses_denied")
+	}
+}
+
+// followsEndpoints reports whether this router follows the list of endpoints itself
+// and the store answers it: it had no outage of late, and the last answer is not older
+// than a call takes.
+func followsEndpoints(w *world.World) bool {
+	row := watchOf(w, table.WatchEndpoints)
+	return delegates(w, table.WatchEndpoints).IncludesSelf && row.FollowedSince != 0 &&
+		w.Now.Sub(row.AnsweredAt) <= maxAnswerAge(w, table.WatchEndpoints) && !w.RecentOutage()
+}
+
+// maxAnswerAge returns how old the last answer to a delegate gets while the store
+// answers all its calls.
+func maxAnswerAge(w *world.World, kind table.WatchKind) time.Duration {
+	return batchDelay(w) + delegateWait(delegates(w, kind)) + relayDelay
+}
+
+// FollowedFor returns for how long this router has followed the list of endpoints
+// itself without a failed or late answer, or 0 if it does not do so now.
+func FollowedFor(w *world.World) time.Duration {
+	if !followsEndpoints(w) {
+		return 0
+	}
+	return w.Now.Sub(watchOf(w, table.WatchEndpoints).FollowedSince)
+}
+
+// judgeOutage records that the store serves another router while this one does not
+// reach it. The other router's last answer has to be later than the first failure here,
+// or it may not have noticed yet that the store is down.
+func judgeOutage(w *world.World, e *event.RouterReport) {
+	if w.PlatformReachable || w.PlatformStateSince == 0 {
+		return
+	}
+	outage := w.Now.Sub(w.PlatformStateSince)
+	if outage > maxAnswerAge(w, table.WatchEndpoints) && e.FollowedFor >= outage {
+		w.StoreServedOthersAt = w.Now
+	}
+}
+
+// LapseGraceEnd returns until when entries that lapsed in this router's last outage may
+// come back: they are listed again soon after the outage, and the change is known after
+// the delay of a batch at most.
+func LapseGraceEnd(w *world.World) table.Instant {
+	restoredAt := w.PlatformRestoredAt
+	if !w.PlatformReachable {
+		restoredAt = w.Now
+	}
+	return restoredAt.Add(relistTime + batchDelay(w))
+}
+
 // accept reports whether changes of the list of endpoints are new, and records that
 // this router has them. A batch must begin at or before the revision up to which this
 // router has all changes: a gap could hide a removal. A batch that overlaps with what
@@ -151,6 +215,9 @@
 		// No change came between the last list or batch and the call's revision.
 		changes.Since = min(e.Since, row.BatchSince)
 		changes.MayHaveLapsed = w.RecentOutage()
+		if changes.MayHaveLapsed {
+			changes.LapseGrace = LapseGraceEnd(w).Sub(w.Now)
+		}
 	}
 	w.Out.EndpointRelays = append(w.Out.EndpointRelays, command.RelayEndpointChanges{To: to, Changes: changes})
 }
@@ -163,22 +230,37 @@
 	row.Call = 0
 	switch e.Status {
 	case event.WatchOK:
-		row.Listed, row.Backoff, row.BehindSince = true, 0, 0
+		if row.FollowedSince == 0 || w.Now.Sub(row.AnsweredAt) > maxAnswerAge(w, e.Kind) {
+			row.FollowedSince = w.Now
+		}
+		row.Listed, row.Backoff, row.BehindSince, row.AnsweredAt = true, 0, 0, w.Now
 		row.Covered, row.LastChange = max(row.Covered, e.Covered), max(row.LastChange, e.LastChange)
 		row.NextCallAt = w.Now
 		if e.LastChange > 0 {
-			row.NextCallAt = w.Now.Add(max(minBatchDelay, w.Params.Front.ChangeBound/batchDelayDivisor))
+			row.NextCallAt = w.Now.Add(batchDelay(w))
 		}
 	case event.WatchCompacted:
 		row.Listed = false
 		w.RecordStateChange("watch", e.Kind.String(), "listed", "unknown", "the store dropped the history")
 	default:
+		row.FollowedSince = 0
 		row.Backoff = min(max(2*row.Backoff, minBackoff), maxBackoff)
 		row.NextCallAt = w.Now.Add(row.Backoff/2 + time.Duration(w.Rand.Int64N(int64(row.Backoff/2))))
 	}
 }
 
+// batchDelay returns the delay of the next call after one that returned changes.
+func batchDelay(w *world.World) time.Duration {
+	return max(minBatchDelay, w.Params.Front.ChangeBound/batchDelayDivisor)
+}
+
+// delegateWait returns how long a delegate's call waits for changes.
+func delegateWait(duty *table.Delegates) time.Duration {
+	return waitTime * time.Duration(max(delegate.MinCount, len(duty.Routers))) / delegate.MinCount
+}
+
 func onReport(w *world.World, e *event.RouterReport) {
+	judgeOutage(w, e)
 	for kind, revision := range e.LastChanges {
 		if row := w.Watches.Get(kind); row != nil && row.Listed && revision > row.Covered {
 			markBehind(w, row)
@@ -208,7 +290,7 @@
 		return
 	}
 	duty := delegates(w, kind)
-	wait := waitTime * time.Duration(max(delegate.MinCount, len(duty.Routers))) / delegate.MinCount
+	wait := delegateWait(duty)
 	if row.Listed && !duty.IncludesSelf {
 		interval := idlePollInterval
 		if !w.PlatformReachable {
--- a/internal/system/watch/watch_test.go
+++ b/internal/system/watch/watch_test.go
@@ -169,6 +169,61 @@
 	require.Len(t, h.out.EndpointRelays[0].To, 20, "a relayed change goes to the routers of the domain only")
 }
 
+// Guards against an endpoint that left and goes on getting requests from the routers of
+// a failure domain whose delegate the store answers all the time: another delegate had
+// been out of the store's reach alone.
+func TestDelegatePassesRemovalOnWithoutLapseOfAnotherRouter(t *testing.T) {
+	passedOn := func(sinceAnswer time.Duration) bool {
+		h := newHarness(4, 0.8)
+		peer := table.RouterPeer{Holder: table.Holder{Process: "small", Incarnation: 1}, Domain: "d0", Cores: 0.1, Connected: true}
+		h.world.RouterPeers.Put(peer.Process, peer)
+		h.world.LimitLedgerView.Registered[peer.Holder] = true
+		h.world.FleetGeneration++
+		h.list(10)
+		h.now = h.now.Add(sinceAnswer)
+		h.tick(event.EndpointChanges{Since: 10, Covered: 12, Removed: []table.EndpointID{"m1"}, Relayed: true, MayHaveLapsed: true})
+		require.Len(t, h.out.EndpointRelays, 1)
+		return h.out.EndpointRelays[0].Changes.MayHaveLapsed
+	}
+	require.False(t, passedOn(time.Second))
+	require.True(t, passedOn(5*time.Second), "the store may be out of reach for this router too")
+}
+
+// Guards against routers that keep an endpoint which left for longer than the router
+// that saw an outage: it tells them how much of the time for lapsed entries is left.
+func TestRelayedLapseCarriesTimeLeft(t *testing.T) {
+	h := newHarness(4, 0.8)
+	h.list(10)
+	h.world.PlatformRestoredAt = h.now
+	h.now = h.now.Add(1900 * time.Millisecond)
+	h.tick(event.EndpointChanges{Since: 10, Covered: 12, Removed: []table.EndpointID{"m1"}})
+	require.Len(t, h.out.EndpointRelays, 1)
+	changes := h.out.EndpointRelays[0].Changes
+	require.True(t, changes.MayHaveLapsed)
+	require.Positive(t, changes.LapseGrace)
+	require.LessOrEqual(t, changes.LapseGrace, 700*time.Millisecond)
+}
+
+// Guards against a router that tells others that the store served it all the while
+// although a call failed, or none was answered for longer than a call takes.
+func TestTimeFollowedEndsWithFailureOrSilence(t *testing.T) {
+	h := newHarness(4, 0.8)
+	require.Zero(t, watch.FollowedFor(h.world))
+	h.list(10)
+	h.callsFor(20*time.Second, table.WatchEndpoints)
+	require.GreaterOrEqual(t, watch.FollowedFor(h.world), 19*time.Second)
+	h.now = h.now.Add(10 * time.Second)
+	h.tick()
+	require.Zero(t, watch.FollowedFor(h.world), "silent")
+	h.answerWaiting()
+	h.tick()
+	require.Zero(t, watch.FollowedFor(h.world), "answered again after a silence")
+	h.callsFor(10*time.Second, table.WatchEndpoints)
+	require.Positive(t, watch.FollowedFor(h.world))
+	h.tick(event.WatchResult{Kind: table.WatchEndpoints, Call: h.world.Watches.Get(table.WatchEndpoints).Call, Status: event.WatchFailed})
+	require.Zero(t, watch.FollowedFor(h.world), "failed")
+}
+
 // Guards against a configuration that routers get late or never because only the
 // delegates ask for it.
 func TestRelayedConfigurationIsKnown(t *testing.T) {
