front, quarantine: a crash of an endpoint is told from a lost answer

The log showed a cut-off attempt only, for crashes as for answers that a living endpoint lost. Now the router opens a connection after an attempt was cut off before its first event. If it is refused, the endpoint has ended: the decision names the shared parts of the prompt and quarantine.endpoints_gone counts; otherwise quarantine.answers_lost counts and the connection is kept for the next request. The check takes at most 100 ms.

--- a/internal/event/exchange.go
+++ b/internal/event/exchange.go
@@ -87,6 +87,9 @@
 	// ConnectionLost is true if the connection ended before the answer was
 	// complete, as it does when an endpoint crashes.
 	ConnectionLost bool
+	// EndpointGone is true if the connection was lost before any event of the attempt
+	// arrived, and nothing accepted connections at the endpoint's address right after.
+	EndpointGone bool
 	// DeliveredEvents counts the events passed to the client, over all attempts.
 	DeliveredEvents int64
 	// HeaderDelivered is true if the header of an answer was sent to the client, by
--- a/internal/system/quarantine/gateway.go
+++ b/internal/system/quarantine/gateway.go
@@ -26,6 +26,7 @@
 	crash := event.Crash{Endpoint: x.Endpoint, Fingerprints: []table.Fingerprint{x.Fingerprint}}
 	switch {
 	case e.ConnectionLost:
+		recordLostConnection(w, x, e)
 	case e.Status == event.DirectAnswered && w.CrashSuspects.Get(x.Fingerprint) != nil:
 		crash.Cleared = true
 	default:
--- a/internal/traffic/front/exchange.go
+++ b/internal/traffic/front/exchange.go
@@ -121,7 +121,11 @@
 	ctx, span := x.server.Tracer.Start(ctx, "gateway.attempt", trace.WithSpanKind(trace.SpanKindClient),
 		trace.WithAttributes(attribute.String("endpoint", string(c.Endpoint)), attribute.Int("attempt", c.Attempt)))
 	defer span.End()
+	eventsBefore := x.eventsSent
 	end := x.callEndpoint(ctx, c)
+	if end.ConnectionLost && x.eventsSent == eventsBefore && ctx.Err() == nil {
+		end.EndpointGone = x.server.Pool.IsGone(ctx, c.Address)
+	}
 	span.SetAttributes(attribute.String("status", end.Status.String()), attribute.String("reason", end.Reason))
 	return end
 }
--- a/internal/traffic/front/front_test.go
+++ b/internal/traffic/front/front_test.go
@@ -317,6 +317,45 @@
 	}
 }
 
+// Guards against an answer that a living endpoint lost and that counts as a crash of the
+// endpoint, and against a crash that counts as a lost answer.
+func TestCrashedEndpointIsToldFromLostAnswer(t *testing.T) {
+	const firstEvent = "HTTP/1.1 200 OK\r\nAttempt-Id: r1\r\nServer-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nid: 1\n\n\n\n\r\n"
+	for name, test := range map[string]struct {
+		text   string
+		stops  bool
+		expect bool
+	}{
+		"lost answer":             {"", false, false},
+		"crash":                   {"", true, true},
+		"crash after first event": {firstEvent, true, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var endpoint *testEndpoint
+			endpoint = startEndpoint(t, func(r *receivedRequest) bool {
+				r.readBody()
+				if test.stops {
+					endpoint.listener.Close()
+				}
+				_, err := io.WriteString(r.Conn, test.text)
+				require.NoError(t, err)
+				return false
+			})
+			control := startServer(t, true, endpoint)
+			req, err := http.NewRequest(http.MethodPost, control.url+"/shop/", nil)
+			require.NoError(t, err)
+			req.Header.Set("Attempt-Id", "r1")
+			resp, err := http.DefaultClient.Do(req)
+			require.NoError(t, err)
+			_, _ = io.Copy(io.Discard, resp.Body)
+			resp.Body.Close()
+			end := control.attemptEnd(0)
+			require.True(t, end.ConnectionLost)
+			require.Equal(t, test.expect, end.EndpointGone)
+		})
+	}
+}
+
 // Guards against a request that counts as sent although the connection was refused.
 func TestRefusedConnectionIsNotSent(t *testing.T) {
 	endpoint := startEndpoint(t, echo)
--- a/internal/traffic/upstream/pool.go
+++ b/internal/traffic/upstream/pool.go
@@ -23,6 +23,9 @@
 	// takes a few milliseconds and a lost SYN is only resent after a second, so
 	// waiting longer rarely helps.
 	dialTimeout = 500 * time.Millisecond
+	// goneTimeout limits the check whether an endpoint still accepts connections. The
+	// attempt before it is reported only afterwards, so it must be short.
+	goneTimeout = 100 * time.Millisecond
 	// maxIdlePerAddress is the maximum number of idle connections to an address.
 	maxIdlePerAddress = 32
 	// defaultIdleTimeout is how long an idle connection is kept if the endpoint
@@ -130,6 +133,19 @@
 	return err == nil && idle
 }
 
+// IsGone reports whether nothing accepts connections at an address. A connection that
+// opens is kept for the next request. Without an answer within goneTimeout the result is
+// false, because packets may be lost on the way.
+func (p *Pool) IsGone(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, goneTimeout)
+	defer cancel()
+	c, err := p.dial(ctx, address)
+	if err == nil {
+		p.put(address, c, defaultIdleTimeout)
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
 	c, err := tcp.NewDialer(dialTimeout).DialContext(ctx, "tcp", address)
 	if err != nil {
