quarantine: a prompt part that crashes endpoints is quarantined by all routers

Callers saw: requests with one part in their prompts, no two alike, ended one endpoint after another at all routers; sound streams broke with each. Cause: crashes were counted by the fingerprint of the whole request, which such requests do not share.

Crashes are now counted by prompt part too, all but the last part of a prompt. Evidence is an attempt that was cut off without an event while nothing listens at the endpoint's address; lost answers, endpoints that leave and endpoints that end at the same moment do not count. Routers report what they observe in one message per tick. A whole answer, or one that goes on, clears a part, also one in quarantine. At three crashes the part with the most crashes, the last in the prompt of several alike, is quarantined: arrivals are refused with 503, waiting and unanswered requests with it end, nothing is repeated. The store keeps the list for routers that start later; a router is ready once it has tried to read it. A conviction costs one write, a start one serializable read. A quarantine lasts ten minutes, the next ones up to an hour; then one request at a time tries.

Tests: TestPartThatCrashesEndpointsIsQuarantined, TestQuarantineEndsRequestsInProgress and TestOnlyOneOfSeveralSuspectPartsIsConvicted fail on the code before (shown on a copy: the part is sent again, two attempts instead of one). Each other test of parts_test.go fails for a mutation of the rule that it guards.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -153,8 +153,11 @@
 	Heartbeat event.Heartbeat
 }
 
-// SendCrash sends a crash report to all routers.
-type SendCrash struct{ Crash event.Crash }
+// SendCrash sends a crash report to all routers, or to those of To if it is not empty.
+type SendCrash struct {
+	To    []table.Holder
+	Crash event.Crash
+}
 
 // RequestConfig requests a peer's configuration.
 type RequestConfig struct{ To table.ProcessID }
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -264,6 +264,38 @@
 	Endpoint     table.EndpointID
 	Fingerprints []table.Fingerprint
 	Cleared      bool
+	// Parts, if set, is a report about prompt parts, and the other fields are empty.
+	// Earlier releases ignore such a message.
+	Parts *PartReport `msgpack:",omitempty"`
+}
+
+// PartReport is what a router reports about prompt parts that may crash endpoints.
+type PartReport struct {
+	// Crashes are the crashes of endpoints that the router observed.
+	Crashes []EndpointCrash
+	// Cleared are the parts that the router has proof for that they are sound.
+	Cleared []table.Fingerprint
+	// Quarantined are parts that the router quarantined.
+	Quarantined []QuarantineEntry
+	// StoredVersion is the version of the stored list that has just been written, with
+	// the entries of Stored, or 0.
+	StoredVersion uint64
+	Stored        []table.Fingerprint
+}
+
+// EndpointCrash names the prompt parts of the attempts that were cut off, before any
+// event arrived, by the crash of an endpoint.
+type EndpointCrash struct {
+	Endpoint table.EndpointID
+	Parts    []CrashedPart
+}
+
+// CrashedPart is a prompt part of attempts that were cut off, the last of which was sent
+// SinceSent before the crash. Position is the number of parts before it in the prompt.
+type CrashedPart struct {
+	Part      table.Fingerprint
+	Position  int
+	SinceSent time.Duration
 }
 
 // Member is a host on the platform's membership list.
@@ -371,9 +403,10 @@
 	Status  CallStatus
 	Version uint64
 	Entries []QuarantineEntry
+	Reason  string
 }
 
-// QuarantineEntry is a quarantined fingerprint. Remaining is counted from the
+// QuarantineEntry is a quarantined fingerprint of a request or a prompt part. Remaining is counted from the
 // moment the list was read.
 type QuarantineEntry struct {
 	Fingerprint table.Fingerprint
--- a/internal/gateway/flush.go
+++ b/internal/gateway/flush.go
@@ -38,6 +38,12 @@
 	for _, c := range out.WriteLimitLedgers {
 		go g.writeLimitLedger(c)
 	}
+	for range out.ReadQuarantineLists {
+		go g.readQuarantinedParts()
+	}
+	for _, c := range out.WriteQuarantineLists {
+		go g.writeQuarantinedParts(c)
+	}
 	g.flushPeerMessages(out)
 	for _, c := range out.StateChanges {
 		g.log.Info().Str("subject", c.Subject).Str("id", c.ID).Str("from", c.From).Str("to", c.To).
@@ -63,7 +69,11 @@
 		g.sendToAll(out.ManifestRelays[i].To, wire.TypeManifest, &out.ManifestRelays[i].Manifest)
 	}
 	for i := range out.Crashes {
-		g.broadcast(wire.TypeCrash, &out.Crashes[i].Crash)
+		if c := &out.Crashes[i]; len(c.To) > 0 {
+			g.sendToAll(c.To, wire.TypeCrash, &c.Crash)
+		} else {
+			g.broadcast(wire.TypeCrash, &c.Crash)
+		}
 	}
 	for i := range out.LedgerChanges {
 		g.broadcast(wire.TypeLedgerChange, &out.LedgerChanges[i].Change)
@@ -149,6 +159,24 @@
 	g.loop.Post(result)
 }
 
+// readQuarantinedParts reads the list of quarantined parts from the store and posts it.
+func (g *Gateway) readQuarantinedParts() {
+	g.postQuarantinedParts("failed to read list of quarantined parts", g.store.ReadQuarantinedParts(g.ctx))
+}
+
+// writeQuarantinedParts writes the list of quarantined parts to the store and posts the
+// result.
+func (g *Gateway) writeQuarantinedParts(c command.WriteQuarantineList) {
+	g.postQuarantinedParts("failed to write list of quarantined parts", g.store.WriteQuarantinedParts(g.ctx, c.Version, c.Entries))
+}
+
+func (g *Gateway) postQuarantinedParts(failure string, result event.QuarantineList) {
+	if result.Status != event.CallOK || result.Reason != "" {
+		g.log.Info().Int("status", int(result.Status)).Str("reason", result.Reason).Msg(failure)
+	}
+	g.loop.Post(result)
+}
+
 // logDecisions writes one log line for each decision about a request.
 func (g *Gateway) logDecisions(decisions []table.Decision) {
 	for i := range decisions {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -240,7 +240,9 @@
 // and log lines. It runs on the control thread after each tick.
 func (g *Gateway) publish(w *world.World, usage control.Usage) {
 	g.metrics.publish(w, usage)
-	g.ready.Store(w.Manifest.Version > 0 && w.DirectEndpoints.Len() > 0 && !w.Draining && !w.Link.OutOfRotation)
+	// Without the list of quarantined parts, a router that starts would send what crashes
+	// endpoints once more.
+	g.ready.Store(w.PartList.Attempted && w.Manifest.Version > 0 && w.DirectEndpoints.Len() > 0 && !w.Draining && !w.Link.OutOfRotation)
 	g.front.CloseConnections.Store(w.Draining || w.Link.OutOfRotation)
 	g.peerIdleTimeout.Store(int64(peers.IdleTimeout(w)))
 	g.front.BodyLimit.Store(w.Manifest.Limits.BodyBytes)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -75,6 +75,13 @@
 		available += int64(a.Available())
 		reserved += int64(a.Reserved)
 	})
+	quarantinedParts := int64(0)
+	w.PartSuspects.Each(func(_ table.Fingerprint, s *table.PartSuspect) {
+		if s.QuarantinedUntil > w.Now {
+			quarantinedParts++
+		}
+	})
+	m.counters["quarantine.parts"] = quarantinedParts
 	m.counters["endpoints.suspect"] = suspects
 	m.counters["budget.free_tokens"] = available
 	m.counters["budget.reserved_tokens"] = reserved
--- a/internal/gateway/systems_test.go
+++ b/internal/gateway/systems_test.go
@@ -32,6 +32,10 @@
 	finished        []command.FinishExchange
 	stopped         []command.StopAttempt
 	crashReports    []command.SendCrash
+	// partStoreCalls are the writes of the list of quarantined parts, and partStoreReads
+	// counts its reads. They get no result by themselves.
+	partStoreCalls []command.WriteQuarantineList
+	partStoreReads int
 }
 
 var customerKey = table.KeyHash{1}
@@ -109,6 +113,8 @@
 		h.finished = append(h.finished, h.world.Out.FinishExchanges...)
 		h.stopped = append(h.stopped, h.world.Out.StopAttempts...)
 		h.crashReports = append(h.crashReports, h.world.Out.Crashes...)
+		h.partStoreCalls = append(h.partStoreCalls, h.world.Out.WriteQuarantineLists...)
+		h.partStoreReads += len(h.world.Out.ReadQuarantineLists)
 		h.world.ClearOutbox()
 		for _, c := range writes {
 			if h.ledgerReachable {
--- a/internal/system/attempt/attempt.go
+++ b/internal/system/attempt/attempt.go
@@ -108,6 +108,9 @@
 	if _, quarantined := quarantine.Active(w, x.Fingerprint); quarantined || x.Attempt >= maxAttempts {
 		return false
 	}
+	if quarantine.HasQuarantinedPart(w, x.PromptParts) {
+		return false
+	}
 	if e.Status == event.DirectNotSent && !x.MayHaveRun && x.SentAttempts == 0 {
 		return true
 	}
--- a/internal/system/intake/intake.go
+++ b/internal/system/intake/intake.go
@@ -56,6 +56,8 @@
 	code       table.Code
 	reason     string
 	retryAfter time.Duration
+	// part is the id of the prompt part because of which the request is refused.
+	part string
 }
 
 func onArrival(w *world.World, a *event.HTTPArrival) {
@@ -63,7 +65,11 @@
 	id := table.RequestID(a.Request)
 	if refused != nil {
 		w.Count("intake.refused." + string(refused.code))
-		w.RecordDecision(id, System, "refused: "+refused.reason, versionInput(w))
+		inputs := []table.Input{versionInput(w)}
+		if refused.part != "" {
+			inputs = append(inputs, table.Input{Name: "part", Value: refused.part})
+		}
+		w.RecordDecision(id, System, "refused: "+refused.reason, inputs...)
 		w.Out.FinishExchanges = append(w.Out.FinishExchanges, command.FinishExchange{
 			Exchange: a.Exchange,
 			Outcome: table.Outcome{
@@ -90,7 +96,7 @@
 
 func admit(w *world.World, a *event.HTTPArrival) (*table.Exchange, *refusal) {
 	if w.Manifest.Version == 0 {
-		return nil, &refusal{table.CodeNotReady, "no configuration is known yet", notReadyRetryAfter}
+		return nil, &refusal{code: table.CodeNotReady, reason: "no configuration is known yet", retryAfter: notReadyRetryAfter}
 	}
 	route := matchRoute(w, a.Host, a.Path)
 	if route == nil {
@@ -106,14 +112,17 @@
 		customer = *owner
 	}
 	if until, quarantined := quarantine.Active(w, a.Fingerprint); quarantined {
-		return nil, &refusal{table.CodeQuarantined, "endpoints died while they ran this request", until.Sub(w.Now)}
+		return nil, &refusal{code: table.CodeQuarantined, reason: "endpoints died while they ran this request", retryAfter: until.Sub(w.Now)}
 	}
 	if !link.Admit(w, a.BodyBytes) {
-		return nil, &refusal{table.CodeLinkCongested, "packets wait for the link of this router", congestedRetryAfter}
+		return nil, &refusal{code: table.CodeLinkCongested, reason: "packets wait for the link of this router", retryAfter: congestedRetryAfter}
 	}
 	x := newExchange(w, a, route, customer)
 	if !acceptsWhileDraining(w, x) {
-		return nil, &refusal{table.CodeDraining, "the router shuts down before the request can end", drainingRetryAfter}
+		return nil, &refusal{code: table.CodeDraining, reason: "the router shuts down before the request can end", retryAfter: drainingRetryAfter}
+	}
+	if retryAfter, part, refused := quarantine.RefusePart(w, a.PromptParts, a.Exchange); refused {
+		return nil, &refusal{code: table.CodeQuarantined, reason: quarantine.PartReason, retryAfter: retryAfter, part: part}
 	}
 	return x, nil
 }
@@ -147,7 +156,7 @@
 	if w.PlatformReachable {
 		return &refusal{code: code, reason: reason}
 	}
-	return &refusal{table.CodeNotReady, reason + " in a configuration that may be old", staleConfigRetryAfter}
+	return &refusal{code: table.CodeNotReady, reason: reason + " in a configuration that may be old", retryAfter: staleConfigRetryAfter}
 }
 
 // matchRoute returns the route of the host with the longest matching path
--- a/internal/system/quarantine/gateway.go
+++ b/internal/system/quarantine/gateway.go
@@ -14,6 +14,7 @@
 	for i := range w.In.DirectAttemptEnds {
 		onDirectAttemptEnd(w, &w.In.DirectAttemptEnds[i])
 	}
+	runParts(w)
 	applyCrashes(w)
 	removeExpired(w)
 }
--- a/internal/table/exchange.go
+++ b/internal/table/exchange.go
@@ -114,6 +114,8 @@
 	CustomersByKeyHash Table[KeyHash, CustomerID]
 	PrepaidCustomers   Table[CustomerID, PrepaidCustomer]
 
+	PartTables
+
 	Accounts Table[CustomerID, Account]
 	// DemandByPriority is the demand that arrives at this router, by the priority of
 	// the requests, in tokens per second.
