quarantine: docs, readiness as a function, and the quarantine in fleets of 3 and 103

A quarantine that the store's list brought is logged as such. The counters of cut-off attempts are named for what they count (quarantine. attempts_crashed, .attempts_lost). Tests: a router is not ready before it has tried to read the list; a started router applies the list and its log names the part; in fleets of 3 and 103 simulated routers three endpoints crash, the list is written once, and a crash costs two messages to all.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -236,13 +236,18 @@
 	w.WriteHeader(http.StatusOK)
 }
 
+// isReady reports whether the load balancer may send requests to this router. Without
+// the list of quarantined parts, a router that starts would send what crashes endpoints
+// once more; if the store does not answer, it serves without the list.
+func isReady(w *world.World) bool {
+	return w.PartList.Attempted && w.Manifest.Version > 0 && w.DirectEndpoints.Len() > 0 && !w.Draining && !w.Link.OutOfRotation
+}
+
 // publish copies the state that other goroutines read: metrics, readiness, limits
 // and log lines. It runs on the control thread after each tick.
 func (g *Gateway) publish(w *world.World, usage control.Usage) {
 	g.metrics.publish(w, usage)
-	// Without the list of quarantined parts, a router that starts would send what crashes
-	// endpoints once more.
-	g.ready.Store(w.PartList.Attempted && w.Manifest.Version > 0 && w.DirectEndpoints.Len() > 0 && !w.Draining && !w.Link.OutOfRotation)
+	g.ready.Store(isReady(w))
 	g.front.CloseConnections.Store(w.Draining || w.Link.OutOfRotation)
 	g.peerIdleTimeout.Store(int64(peers.IdleTimeout(w)))
 	g.front.BodyLimit.Store(w.Manifest.Limits.BodyBytes)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -16,10 +16,13 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"laburnumroad.dev/laburnumroad/internal/event"
 	"laburnumroad.dev/laburnumroad/internal/fake"
+	"laburnumroad.dev/laburnumroad/internal/table"
 	"laburnumroad.dev/laburnumroad/platform"
 )
 
@@ -419,3 +422,32 @@
 	require.Contains(t, string(text), "i-desk")
 	require.NotContains(t, string(text), "key-1")
 }
+
+// Guards against a router that does not apply the stored list of quarantined parts, so
+// that endpoints crash again after a power loss of the fleet.
+func TestStartedRouterKnowsQuarantinedParts(t *testing.T) {
+	c := newTestCluster(t)
+	c.startEndpoint("i-model", "model", streamEvents(3))
+	c.putConfig(1, 10_000)
+	entries := []event.QuarantineEntry{{Fingerprint: table.Fingerprint(xxhash.Sum64String("tainted")), Remaining: time.Hour}}
+	require.Equal(t, event.CallOK, c.storeClient.WriteQuarantinedParts(t.Context(), 0, entries).Status)
+	gw := c.startGateway("edge-1")
+	gw.waitReady()
+	for i, test := range []struct {
+		parts  string
+		status int
+	}{{"class:5,tainted:5,own:5", http.StatusServiceUnavailable}, {"class:5,sound:5,tainted:5", http.StatusOK}} {
+		req, err := http.NewRequest(http.MethodPost, "http://"+gw.settings.ClientAddress+"/review/1", nil)
+		require.NoError(t, err)
+		req.Host = "shop.example"
+		for name, value := range map[string]string{"Attempt-Id": fmt.Sprint("r", i), "Key": "key-1", "Token-Count": "15,20", "Prefix-Hash": test.parts} {
+			req.Header.Set(name, value)
+		}
+		resp, err := http.DefaultClient.Do(req)
+		require.NoError(t, err)
+		resp.Body.Close()
+		require.Equal(t, test.status, resp.StatusCode, test.parts)
+	}
+	gw.shutdownAndWait()
+	require.Equal(t, "tainted", findInputs(t, gw.logs.linesFor("r0"), "refused: endpoints died")["part"])
+}
--- a/internal/gateway/parts_test.go
+++ b/internal/gateway/parts_test.go
@@ -356,3 +356,102 @@
 	h.step(event.QuarantineList{Status: event.CallOK, Version: 6, Entries: []event.QuarantineEntry{other}})
 	require.Len(t, h.partStoreCalls, 3)
 }
+
+// Guards against a router that is ready before it has tried to read the list of
+// quarantined parts, and against one that is never ready because the store is down.
+func TestRouterIsReadyAfterReadingListOfParts(t *testing.T) {
+	for _, status := range []event.CallStatus{event.CallOK, event.CallNotApplied} {
+		h := newServingHarness(t)
+		require.Equal(t, 1, h.partStoreReads)
+		require.False(t, isReady(h.world))
+		h.step(event.QuarantineList{Status: status})
+		require.True(t, isReady(h.world))
+	}
+}
+
+// partFleet is a number of connected routers whose reports about parts arrive at once.
+type partFleet struct {
+	routers []*harness
+	// messages counts the reports that were sent to all routers, and writes the writes of
+	// the list.
+	messages, writes int
+}
+
+func newPartFleet(t *testing.T, size int) *partFleet {
+	f := &partFleet{}
+	for i := range size {
+		f.routers = append(f.routers, newNamedHarness(t, table.ProcessID(fmt.Sprint("edge-", i))).serve())
+	}
+	for i, h := range f.routers {
+		h.step(event.QuarantineList{Status: event.CallOK})
+		for j, peer := range f.routers {
+			if i != j {
+				event.SessionOpened{Session: uint64(j + 1), Process: peer.world.Params.Self}.AddTo(&h.world.In)
+			}
+		}
+		h.step()
+		h.crashReports, h.partStoreCalls = nil, nil
+	}
+	return f
+}
+
+// settle delivers reports and completes writes of the list until there are no more.
+func (f *partFleet) settle() {
+	for again := true; again; {
+		again = false
+		for i, h := range f.routers {
+			reports, writes := h.partReports(), h.partStoreCalls
+			h.crashReports, h.partStoreCalls = nil, nil
+			for _, r := range reports {
+				again = true
+				f.messages++
+				for j, peer := range f.routers {
+					if i != j {
+						peer.step(r.Crash)
+					}
+				}
+			}
+			for _, c := range writes {
+				again = true
+				f.writes++
+				h.step(event.QuarantineList{Status: event.CallOK, Version: uint64(f.writes), Entries: c.Entries})
+			}
+		}
+	}
+}
+
+// Guards against crashes, messages or store calls that grow with the number of routers.
+func TestFleetQuarantinesPartAlike(t *testing.T) {
+	const rounds = 12
+	for _, size := range []int{3, 103} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			f := newPartFleet(t, size)
+			crashes := 0
+			for round := range rounds {
+				// The requests with the part come at another router each time.
+				h := f.routers[(round*7)%size]
+				a := h.newPrompt("/feedback/1", "class", "tainted")
+				h.step(a)
+				for _, c := range h.callsFor(a.Exchange) {
+					crashes++
+					h.endAttempt(c, crashedAttempt)
+				}
+				f.settle()
+				for _, sound := range []*harness{h, f.routers[(round*5+1)%size]} {
+					sound.endAttempt(sound.sendPrompt("/feedback/1", "class", "sound"), answeredAttempt)
+					f.settle()
+				}
+				for _, h := range f.routers {
+					h.advance(1100 * time.Millisecond)
+				}
+				f.settle()
+			}
+			require.Equal(t, 3, crashes)
+			require.LessOrEqual(t, f.messages, 2*crashes+1, "a report and a clearance for each crash, and one that the list is written")
+			require.Equal(t, 1, f.writes)
+			for _, h := range f.routers {
+				h.refusePrompt("/feedback/1", "class", "tainted")
+			}
+		})
+	}
+}
--- a/internal/gateway/systems_test.go
+++ b/internal/gateway/systems_test.go
@@ -40,8 +40,10 @@
 
 var customerKey = table.KeyHash{1}
 
-func newHarness(t *testing.T) *harness {
-	self := table.Process{Holder: table.Holder{Process: "edge-1", Incarnation: 7}, Domain: "a"}
+func newHarness(t *testing.T) *harness { return newNamedHarness(t, "edge-1") }
+
+func newNamedHarness(t *testing.T, name table.ProcessID) *harness {
+	self := table.Process{Holder: table.Holder{Process: name, Incarnation: 7}, Domain: "a"}
 	h := &harness{t: t, systems: Systems(), now: table.Instant(time.Second), revision: 1, ledgerReachable: true}
 	h.world = world.New(world.Params{
 		Self: self, MinDrainTime: 2 * time.Second, DrainTimeout: 8 * time.Second, ClosingPeriod: time.Second, MaxDecisions: 10,
@@ -54,8 +56,9 @@
 
 // newServingHarness returns a harness with a configuration and three endpoints of
 // "model" and two of "desk".
-func newServingHarness(t *testing.T) *harness {
-	h := newHarness(t)
+func newServingHarness(t *testing.T) *harness { return newHarness(t).serve() }
+
+func (h *harness) serve() *harness {
 	h.step(event.ManifestReceived{Manifest: testManifest(1)})
 	h.step(event.EndpointChanges{Full: true, Present: []event.EndpointEntry{
 		endpointEntry("m1", "model"), endpointEntry("m2", "model"), endpointEntry("m3", "model"), endpointEntry("d1", "desk"), endpointEntry("d2", "desk"),
--- a/internal/system/quarantine/partlist.go
+++ b/internal/system/quarantine/partlist.go
@@ -60,7 +60,7 @@
 		own.StoredVersion, own.Stored = result.Version, stored
 		return false
 	}
-	return applyEntries(w, result.Entries)
+	return applyEntries(w, result.Entries, "the list in the store names it")
 }
 
 func setStored(l *table.PartList, version uint64, parts []table.Fingerprint) {
--- a/internal/system/quarantine/parts.go
+++ b/internal/system/quarantine/parts.go
@@ -80,10 +80,10 @@
 // recordLostConnection tells an endpoint that ended from one that lost an answer.
 func recordLostConnection(w *world.World, x *table.Exchange, e *event.DirectAttemptEnd) {
 	if !e.EndpointGone {
-		w.Count("quarantine.answers_lost")
+		w.Count("quarantine.attempts_lost")
 		return
 	}
-	w.Count("quarantine.endpoints_gone")
+	w.Count("quarantine.attempts_crashed")
 	w.RecordAttemptDecision(x, System, "the endpoint ended before the answer began", table.Input{Name: "parts", Value: sharedPartIDs(x.PromptParts)})
 }
 
@@ -222,7 +222,7 @@
 	for _, f := range r.Cleared {
 		clearPart(w, f, "a request with it was answered")
 	}
-	quarantined = applyEntries(w, r.Quarantined) || quarantined
+	quarantined = applyEntries(w, r.Quarantined, "another router quarantined it") || quarantined
 	if l := &w.PartList; r.StoredVersion > l.Version {
 		setStored(l, r.StoredVersion, r.Stored)
 	}
@@ -336,14 +336,14 @@
 
 // quarantinePart starts or extends the quarantine of a part.
 func quarantinePart(w *world.World, f table.Fingerprint, until table.Instant, reason string) {
-	s := w.PartSuspects.Get(f)
+	s, from := w.PartSuspects.Get(f), "suspect"
 	if s == nil {
-		s = w.PartSuspects.Put(f, table.PartSuspect{})
+		s, from = w.PartSuspects.Put(f, table.PartSuspect{}), ""
 	}
 	if s.QuarantinedUntil == 0 {
 		s.Quarantines++
 		w.Count("quarantine.parts_quarantined")
-		w.RecordStateChange("prompt_part", partName(f), "suspect", "quarantined", reason)
+		w.RecordStateChange("prompt_part", partName(f), from, "quarantined", reason)
 	}
 	rank := partRank(w, f)
 	s.ClearedAt, s.QuarantinedUntil = 0, max(s.QuarantinedUntil, until)
@@ -366,7 +366,7 @@
 
 // applyEntries quarantines parts that another router or the store names, and reports
 // whether one was not in quarantine before.
-func applyEntries(w *world.World, entries []event.QuarantineEntry) bool {
+func applyEntries(w *world.World, entries []event.QuarantineEntry, reason string) bool {
 	quarantined := false
 	for _, e := range entries {
 		s := w.PartSuspects.Get(e.Fingerprint)
@@ -374,7 +374,7 @@
 			continue
 		}
 		quarantined = quarantined || s == nil || s.QuarantinedUntil == 0
-		quarantinePart(w, e.Fingerprint, w.Now.Add(min(e.Remaining, quarantineDuration)), "another router quarantined it")
+		quarantinePart(w, e.Fingerprint, w.Now.Add(min(e.Remaining, quarantineDuration)), reason)
 	}
 	return quarantined
 }
