quarantine: an answer ends a quarantine that another router began; fewer log lines

A router that learned of a quarantine by message or list had no crashes in its record and did not tell the others when a running answer with the part ended well (TestAnswerEndsQuarantineThatAnotherRouterBegan fails on the code before). Found by reading. Parts at their first crash are no longer logged: each crash has several that are cleared soon.

--- a/internal/gateway/parts_test.go
+++ b/internal/gateway/parts_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/stretchr/testify/require"
 
 	"laburnumroad.dev/laburnumroad/internal/command"
@@ -251,6 +252,20 @@
 	observer.sendPrompt("/feedback/1", "class", "popular")
 }
 
+// Guards against a router that learned of a quarantine from another one and does not tell
+// that a request with the part was answered after all.
+func TestAnswerEndsQuarantineThatAnotherRouterBegan(t *testing.T) {
+	h := newServingHarness(t)
+	c := h.sendPrompt("/feedback/1", "class", "popular")
+	h.step(event.DirectAnswerStarted{Exchange: c.Exchange, Attempt: 1})
+	h.step(event.Crash{Parts: &event.PartReport{Quarantined: []event.QuarantineEntry{{Fingerprint: table.Fingerprint(xxhash.Sum64String("popular")), Remaining: time.Hour}}}})
+	h.refusePrompt("/feedback/1", "class", "popular")
+	h.endAttempt(c, answeredAttempt)
+	require.Len(t, h.partReports(), 1)
+	require.Len(t, h.partReports()[0].Crash.Parts.Cleared, 1)
+	h.sendPrompt("/feedback/1", "class", "popular")
+}
+
 // Guards against a conviction of the parts before the one that crashes endpoints, which
 // sound requests may share.
 func TestOnlyOneOfSeveralSuspectPartsIsConvicted(t *testing.T) {
--- a/internal/system/quarantine/parts.go
+++ b/internal/system/quarantine/parts.go
@@ -42,6 +42,9 @@
 	// an answer in progress shows the part to be sound. With the first crash, each router
 	// with an answer to a common part would send a message.
 	objectionCount = 2
+	// minLoggedCrashes is the number of crashes from which changes of a part are logged.
+	// Each crash has many parts that are cleared soon.
+	minLoggedCrashes = 2
 	// clearedMemory is how long after the proof lists and messages that still name the
 	// part are disregarded.
 	clearedMemory = time.Minute
@@ -140,7 +143,7 @@
 			}
 		case showsSound(e) && w.PartSuspects.Len() > 0:
 			for _, f := range sharedParts(x.PromptParts) {
-				if s := w.PartSuspects.Get(f); s != nil && len(s.Crashes) > 0 {
+				if s := w.PartSuspects.Get(f); s != nil && isSuspect(s) {
 					own.Cleared = addUnique(own.Cleared, f)
 				}
 			}
@@ -310,22 +313,30 @@
 	s.Crashes = append(s.Crashes, table.PartCrash{Endpoint: endpoint, At: w.Now})
 	w.PartSuspectTimers.Schedule(p.Part, partExpiry(s))
 	w.Count("quarantine.part_crashes")
-	w.RecordStateChange("prompt_part", partName(p.Part), "", "suspect", fmt.Sprintf("crash %d, of endpoint %s", len(s.Crashes), endpoint))
+	if n := len(s.Crashes); n >= minLoggedCrashes {
+		w.RecordStateChange("prompt_part", partName(p.Part), "", "suspect", fmt.Sprintf("crash %d, of endpoint %s", n, endpoint))
+	}
 	return true
 }
 
+// isSuspect reports whether there is anything against a part. The record of one that was
+// cleared is kept for a while.
+func isSuspect(s *table.PartSuspect) bool { return len(s.Crashes) > 0 || s.QuarantinedUntil != 0 }
+
 func partName(f table.Fingerprint) string { return fmt.Sprintf("%016x", uint64(f)) }
 
 // clearPart forgets the crashes of a part that proved sound, and ends its quarantine.
 func clearPart(w *world.World, f table.Fingerprint, reason string) {
 	s := w.PartSuspects.Get(f)
-	if s == nil || len(s.Crashes) == 0 && s.QuarantinedUntil == 0 {
+	if s == nil || !isSuspect(s) {
 		return
 	}
 	w.Count("quarantine.parts_cleared")
 	if s.QuarantinedUntil == 0 && s.Quarantines == 0 {
+		if len(s.Crashes) >= minLoggedCrashes {
+			w.RecordStateChange("prompt_part", partName(f), "suspect", "", reason)
+		}
 		w.PartSuspects.Delete(f)
-		w.RecordStateChange("prompt_part", partName(f), "suspect", "", reason)
 		return
 	}
 	*s = table.PartSuspect{ClearedAt: w.Now}
