--- a/internal/traffic/front/front_test.go
+++ b/internal/traffic/front/front_test.go
@@ -356,6 +356,25 @@
 	}
 }
 
+// Guards against a connection that is opened only to see whether the endpoint is there,
+// and not used.
+func TestCheckedConnectionIsUsedNext(t *testing.T) {
+	endpoint := startEndpoint(t, func(r *receivedRequest) bool {
+		if r.requestID() == "r1" {
+			return false
+		}
+		return echo(r)
+	})
+	control := startServer(t, false, endpoint)
+	_, _, err := control.send(t, "r1", "", nil)
+	require.NoError(t, err)
+	require.False(t, control.attemptEnd(0).EndpointGone)
+	_, body, err := control.send(t, "r2", "", nil)
+	require.NoError(t, err)
+	require.Equal(t, "r2 ", body)
+	require.Equal(t, 2, endpoint.receivedRequests()[1].connNumber)
+}
+
 // Guards against a request that counts as sent although the connection was refused.
 func TestRefusedConnectionIsNotSent(t *testing.T) {
 	endpoint := startEndpoint(t, echo)
