gateway: tests of prompt parts fail for two more mutations

Both are checked now: each part is reported once, and a list written before an answer does not start a quarantine again.

--- a/internal/gateway/parts_test.go
+++ b/internal/gateway/parts_test.go
@@ -145,6 +145,9 @@
 	require.Greater(t, len(ends), 5)
 	h.step(ends...)
 	require.Len(t, h.partReports(), 1)
+	crashes := h.partReports()[0].Crash.Parts.Crashes
+	require.Len(t, crashes, 1)
+	require.Len(t, crashes[0].Parts, 2, "each part once")
 }
 
 // Guards against parts of many requests that are convicted when several endpoints end at
@@ -264,6 +267,12 @@
 	require.Len(t, h.partReports(), 1)
 	require.Len(t, h.partReports()[0].Crash.Parts.Cleared, 1)
 	h.sendPrompt("/feedback/1", "class", "popular")
+
+	// A list that was written before the answer must not start the quarantine again.
+	h.step(event.QuarantineList{Status: event.CallOK, Version: 3, Entries: []event.QuarantineEntry{{Fingerprint: table.Fingerprint(xxhash.Sum64String("popular")), Remaining: time.Hour}}})
+	h.sendPrompt("/feedback/1", "class", "popular")
+	require.Len(t, h.partStoreCalls, 1)
+	require.Empty(t, h.partStoreCalls[0].Entries, "the part must be removed from the list")
 }
 
 // Guards against a conviction of the parts before the one that crashes endpoints, which
