--- a/internal/gateway/systems_test.go
+++ b/internal/gateway/systems_test.go
@@ -32,12 +32,18 @@
 	finished        []command.FinishExchange
 	stopped         []command.StopAttempt
 	crashReports    []command.SendCrash
+	// partStoreCalls are the writes of the list of quarantined parts, and partStoreReads
+	// counts its reads. They get no result by themselves.
+	partStoreCalls []command.WriteQuarantineList
+	partStoreReads int
 }
 
 var customerKey = table.KeyHash{1}
 
-func newHarness(t *testing.T) *harness {
-	self := table.Process{Holder: table.Holder{Process: "edge-1", Incarnation: 7}, Domain: "a"}
+func newHarness(t *testing.T) *harness { return newNamedHarness(t, "edge-1") }
+
+func newNamedHarness(t *testing.T, name table.ProcessID) *harness {
+	self := table.Process{Holder: table.Holder{Process: name, Incarnation: 7}, Domain: "a"}
 	h := &harness{t: t, systems: Systems(), now: table.Instant(time.Second), revision: 1, ledgerReachable: true}
 	h.world = world.New(world.Params{
 		Self: self, MinDrainTime: 2 * time.Second, DrainTimeout: 8 * time.Second, ClosingPeriod: time.Second, MaxDecisions: 10,
@@ -50,8 +56,9 @@
 
 // newServingHarness returns a harness with a configuration and three endpoints of
 // "model" and two of "desk".
-func newServingHarness(t *testing.T) *harness {
-	h := newHarness(t)
+func newServingHarness(t *testing.T) *harness { return newHarness(t).serve() }
+
+func (h *harness) serve() *harness {
 	h.step(event.ManifestReceived{Manifest: testManifest(1)})
 	h.step(event.EndpointChanges{Full: true, Present: []event.EndpointEntry{
 		endpointEntry("m1", "model"), endpointEntry("m2", "model"), endpointEntry("m3", "model"), endpointEntry("d1", "desk"), endpointEntry("d2", "desk"),
@@ -109,6 +116,8 @@
 		h.finished = append(h.finished, h.world.Out.FinishExchanges...)
 		h.stopped = append(h.stopped, h.world.Out.StopAttempts...)
 		h.crashReports = append(h.crashReports, h.world.Out.Crashes...)
+		h.partStoreCalls = append(h.partStoreCalls, h.world.Out.WriteQuarantineLists...)
+		h.partStoreReads += len(h.world.Out.ReadQuarantineLists)
 		h.world.ClearOutbox()
 		for _, c := range writes {
 			if h.ledgerReachable {
--- a/internal/system/quarantine/gateway.go
+++ b/internal/system/quarantine/gateway.go
@@ -14,6 +14,7 @@
 	for i := range w.In.DirectAttemptEnds {
 		onDirectAttemptEnd(w, &w.In.DirectAttemptEnds[i])
 	}
+	runParts(w)
 	applyCrashes(w)
 	removeExpired(w)
 }
@@ -26,6 +27,7 @@
 	crash := event.Crash{Endpoint: x.Endpoint, Fingerprints: []table.Fingerprint{x.Fingerprint}}
 	switch {
 	case e.ConnectionLost:
+		recordLostConnection(w, x, e)
 	case e.Status == event.DirectAnswered && w.CrashSuspects.Get(x.Fingerprint) != nil:
 		crash.Cleared = true
 	default:
--- a/internal/table/exchange.go
+++ b/internal/table/exchange.go
@@ -116,6 +116,8 @@
 	// RouteSlowdowns are the observed durations of requests by the name of the route.
 	RouteSlowdowns Table[string, RouteSlowdown]
 
+	PartTables
+
 	Accounts Table[CustomerID, Account]
 	// DemandByPriority is the demand that arrives at this router, by the priority of
 	// the requests, in tokens per second.
