upstream: an attempt that was stopped has closed its connection when it ends

Cause: a stopped attempt closes its connection in a goroutine of its own. The system closes it only when the goroutine that writes the request has left its call, and goes on sending until then. The attempt's end was reported before that, because a second close returns at once.

Now calls of abort that overlap return when the connection is closed, and a response whose attempt was stopped waits for it too.

--- a/internal/traffic/upstream/exchange.go
+++ b/internal/traffic/upstream/exchange.go
@@ -212,10 +212,7 @@
 func (r *Response) Close() {
 	cancelled := !r.stopCancel()
 	idleTimeout := r.idleTimeout()
-	if cancelled {
-		return
-	}
-	if idleTimeout <= 0 {
+	if cancelled || idleTimeout <= 0 {
 		r.conn.abort()
 		return
 	}
--- a/internal/traffic/upstream/pool.go
+++ b/internal/traffic/upstream/pool.go
@@ -40,8 +40,9 @@
 type conn struct {
 	net.Conn
 	// limit bounds the bytes of a head; reader reads through it.
-	limit  headLimit
-	reader *bufio.Reader
+	limit     headLimit
+	reader    *bufio.Reader
+	abortOnce sync.Once
 	// expiresAt is the time from which the idle connection must not be reused.
 	expiresAt time.Time
 }
@@ -54,7 +55,9 @@
 
 // abort closes the connection and drops what it has not sent yet: a request that waits
 // for a full link must not reach the endpoint after it was given up.
-func (c *conn) abort() { tcp.Reset(c.Conn) }
+// It returns when the connection is closed, also in calls that overlap: until the
+// goroutine that writes the request has left its call, the system goes on sending.
+func (c *conn) abort() { c.abortOnce.Do(func() { tcp.Reset(c.Conn) }) }
 
 // Pool holds the idle connections by address.
 type Pool struct {
