--- a/internal/gateway/drain_test.go
+++ b/internal/gateway/drain_test.go
@@ -39,12 +39,28 @@
 	}
 }
 
-// keepOpen starts a request that does not end: a router without work would exit.
+// keepOpen starts a request that does not end.
 func (h *harness) keepOpen(path string) {
 	h.step(h.patientArrival(path))
 	require.Len(h.t, h.callsFor(h.lastExchange), 1)
 }
 
+// drainFor starts a shutdown and advances the clock. An open request keeps the router
+// from exiting.
+func (h *harness) drainFor(openPath string, d time.Duration) {
+	h.keepOpen(openPath)
+	h.step(event.Shutdown{})
+	h.advance(d)
+}
+
+// requireDraining sends a request that must be refused because of the drain.
+func (h *harness) requireDraining(path, why string) {
+	h.t.Helper()
+	h.step(h.patientArrival(path))
+	require.Empty(h.t, h.callsFor(h.lastExchange), why)
+	require.Equal(h.t, table.CodeDraining, h.finishOf(h.lastExchange).Outcome.Code)
+}
+
 // Guards against a shutdown that aborts requests without a line that names them.
 func TestRequestsAbortedByShutdownAreRecorded(t *testing.T) {
 	h := newPatientHarness(t)
@@ -113,11 +129,8 @@
 func TestRequestsTakenLateInDrainEndInTime(t *testing.T) {
 	h := newPatientHarness(t)
 	h.completeStreams(3, 4*time.Second)
-	h.keepOpen("/review/1")
-	h.step(event.Shutdown{})
-	h.advance(5 * time.Second)
-	h.step(h.patientArrival("/review/1"))
-	require.Equal(t, table.CodeDraining, h.finishOf(h.lastExchange).Outcome.Code, "4 s don't fit into the 3 s that are left")
+	h.drainFor("/review/1", 5*time.Second)
+	h.requireDraining("/review/1", "4 s don't fit into the 3 s that are left")
 	h.step(h.patientArrival("/lookup/1"))
 	require.Len(t, h.callsFor(h.lastExchange), 1, "calls of another service are as quick as usual")
 }
@@ -125,11 +138,8 @@
 // Guards against a shutdown that knows a slowdown only once the first slow request has ended.
 func TestRequestInProgressShowsSlowdownDuringDrain(t *testing.T) {
 	h := newPatientHarness(t)
-	h.keepOpen("/review/1")
-	h.step(event.Shutdown{})
-	h.advance(5 * time.Second)
-	h.step(h.patientArrival("/review/1"))
-	require.Equal(t, table.CodeDraining, h.finishOf(h.lastExchange).Outcome.Code)
+	h.drainFor("/review/1", 5*time.Second)
+	h.requireDraining("/review/1", "the slowdown is known")
 }
 
 // Guards against a slowdown that is remembered for so long that a router without load takes nothing while it drains.
@@ -137,9 +147,7 @@
 	h := newPatientHarness(t)
 	h.completeStreams(1, 4*time.Second)
 	h.advance(time.Minute)
-	h.keepOpen("/lookup/1")
-	h.step(event.Shutdown{})
-	h.advance(4 * time.Second)
+	h.drainFor("/lookup/1", 4*time.Second)
 	h.step(h.patientArrival("/review/1"))
 	require.Len(t, h.callsFor(h.lastExchange), 1)
 }
@@ -173,11 +181,8 @@
 func TestDrainLeavesMarginForSlowerRequest(t *testing.T) {
 	h := newPatientHarness(t)
 	h.completeStreams(1, 2*time.Second)
-	h.keepOpen("/lookup/1")
-	h.step(event.Shutdown{})
-	h.advance(5900 * time.Millisecond)
-	h.step(h.patientArrival("/review/1"))
-	require.Equal(t, table.CodeDraining, h.finishOf(h.lastExchange).Outcome.Code, "2 s times 1.3 don't fit into 2.1 s")
+	h.drainFor("/lookup/1", 5900*time.Millisecond)
+	h.requireDraining("/review/1", "2 s times 1.3 don't fit into 2.1 s")
 }
 
 // Guards against a slowdown that is forgotten while slow requests still come now and then.
@@ -185,22 +190,16 @@
 	h := newPatientHarness(t)
 	h.completeStreams(1, 4*time.Second)
 	h.advance(10 * time.Second)
-	h.keepOpen("/lookup/1")
-	h.step(event.Shutdown{})
-	h.advance(5 * time.Second)
-	h.step(h.patientArrival("/review/1"))
-	require.Equal(t, table.CodeDraining, h.finishOf(h.lastExchange).Outcome.Code)
+	h.drainFor("/lookup/1", 5*time.Second)
+	h.requireDraining("/review/1", "the slowdown is known")
 }
 
 // Guards against a slowdown that is unknown on a route with few requests, although those of its service are slow.
 func TestSlowdownOfServiceAppliesToQuietRoute(t *testing.T) {
 	h := newPatientHarness(t)
 	h.completeStreams(3, 5*time.Second)
-	h.keepOpen("/lookup/1")
-	h.step(event.Shutdown{})
-	h.advance(4500 * time.Millisecond)
-	h.step(h.patientArrival("/feedback/1"))
-	require.Equal(t, table.CodeDraining, h.finishOf(h.lastExchange).Outcome.Code, "6.5 s don't fit into 3.5 s")
+	h.drainFor("/lookup/1", 4500*time.Millisecond)
+	h.requireDraining("/feedback/1", "6.5 s don't fit into 3.5 s")
 }
 
 // Guards against rows of routes that configurations had once.
