quarantine: what an attempt shows about a part is its own, and one crash counts once

- A continuation that crashed its endpoint was taken as proof that its parts are sound, because the events of the attempt before it counted.
It would have released a deadly part everywhere.
Events and the age of an answer are those of the attempt now.
- Reports of one crash that came more than a second apart counted several times.
A crash counts once if the request was sent before it.
- A proof that crossed a conviction left some routers refusing for ten minutes: the record of a cleared suspect is kept for a minute.
- A crash that a quarantined part had caused counted for the parts beside it.
Such crashes count for no part, also in reports of other routers about the same endpoint, and at endpoints where requests were stopped.

Tests in parts_evidence_test.go; all but TestObjectingRouterDoesNotQuarantine failed before.

--- /dev/null
+++ b/internal/gateway/parts_evidence_test.go
@@ -0,0 +1,163 @@
+package gateway
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/stretchr/testify/require"
+
+	"laburnumroad.dev/laburnumroad/internal/event"
+	"laburnumroad.dev/laburnumroad/internal/table"
+)
+
+func part(id string) table.Fingerprint { return table.Fingerprint(xxhash.Sum64String(id)) }
+
+func crashReport(endpoint string, sinceSent time.Duration, ids ...string) event.Crash {
+	c := event.EndpointCrash{Endpoint: table.EndpointID(endpoint)}
+	for i, id := range ids {
+		c.Parts = append(c.Parts, event.CrashedPart{Part: part(id), Position: i, SinceSent: sinceSent})
+	}
+	return event.Crash{Parts: &event.PartReport{Crashes: []event.EndpointCrash{c}}}
+}
+
+func quarantinedReport(c event.Crash, id string) event.Crash {
+	c.Parts.Quarantined = []event.QuarantineEntry{{Fingerprint: part(id), Remaining: 10 * time.Minute}}
+	return c
+}
+
+// Guards against a router that objects to a suspicion and then applies the quarantine in the same report.
+func TestObjectingRouterDoesNotQuarantine(t *testing.T) {
+	h := newServingHarness(t)
+	h.step(crashReport("x0", time.Millisecond, "popular"))
+	h.advance(time.Second)
+	h.step(crashReport("x1", time.Millisecond, "popular"))
+	h.advance(time.Second)
+	c := h.sendPrompt("/feedback/1", "popular")
+	h.step(event.DirectAnswerStarted{Exchange: c.Exchange, Attempt: 1})
+	h.advance(300 * time.Millisecond)
+	h.crashReports = nil
+	h.step(quarantinedReport(crashReport("x2", time.Millisecond, "popular"), "popular"))
+	require.Len(t, h.partReports(), 1)
+	require.Len(t, h.partReports()[0].Crash.Parts.Cleared, 1, "the router objects")
+	h.sendPrompt("/feedback/1", "popular")
+}
+
+// Guards against a quarantine that stays at some routers because a proof and a conviction crossed on the way.
+func TestProofAndConvictionThatCrossEndQuarantine(t *testing.T) {
+	convicting, third := newServingHarness(t), newServingHarness(t)
+	for _, h := range []*harness{convicting, third} {
+		h.step(crashReport("x0", time.Millisecond, "popular"))
+		h.advance(time.Second)
+		h.step(crashReport("x1", time.Millisecond, "popular"))
+		h.advance(time.Second)
+	}
+	cleared := event.Crash{Parts: &event.PartReport{Cleared: []table.Fingerprint{part("popular")}}}
+	third.step(cleared)
+	convicting.crash("/feedback/1", "popular")
+	third.step(convicting.partReports()[0].Crash)
+	convicting.step(cleared)
+	convicting.crashReports = nil
+	for range 60 {
+		convicting.endAttempt(convicting.sendPrompt("/feedback/1", "popular"), answeredAttempt)
+		convicting.advance(time.Second)
+		third.advance(time.Second)
+		for _, r := range convicting.partReports() {
+			third.step(r.Crash)
+		}
+	}
+	third.sendPrompt("/feedback/1", "popular")
+}
+
+// Guards against a crash during the continuation of a stream that counts as an answer.
+func TestCrashOfContinuationIsNoProof(t *testing.T) {
+	h := newServingHarness(t)
+	cut := unknownOutcomeAttempt
+	cut.DeliveredEvents, cut.HeaderDelivered = 5, true
+	c := h.sendPrompt("/review/1", "class", "tainted")
+	h.step(event.DirectAnswerStarted{Exchange: c.Exchange, Attempt: 1})
+	h.endAttempt(c, cut)
+	calls := h.callsFor(c.Exchange)
+	require.Len(t, calls, 2)
+	for _, id := range []string{"x0", "x1"} {
+		h.step(crashReport(id, 0, "class", "tainted"))
+		h.advance(time.Second)
+	}
+	h.crashReports = nil
+	gone := crashedAttempt
+	gone.DeliveredEvents, gone.HeaderDelivered = 5, true
+	h.endAttempt(calls[1], gone)
+	for _, r := range h.partReports() {
+		require.Empty(t, r.Crash.Parts.Cleared, "the crash of an endpoint shows no part to be sound")
+	}
+	h.refusePrompt("/feedback/1", "class", "tainted")
+}
+
+// Guards against a continuation whose age is taken from the attempt before.
+func TestContinuationThatJustBeganIsNoProof(t *testing.T) {
+	h := newServingHarness(t)
+	cut := unknownOutcomeAttempt
+	cut.DeliveredEvents, cut.HeaderDelivered = 1, true
+	c := h.sendPrompt("/review/1", "class", "tainted")
+	h.step(event.DirectAnswerStarted{Exchange: c.Exchange, Attempt: 1})
+	h.advance(time.Second)
+	h.endAttempt(c, cut)
+	require.Len(t, h.callsFor(c.Exchange), 2)
+	h.step(event.DirectAnswerStarted{Exchange: c.Exchange, Attempt: 2})
+	h.crashReports = nil
+	h.step(crashReport("x0", 0, "class", "tainted"))
+	h.advance(10 * time.Millisecond)
+	h.step(crashReport("x1", 0, "class", "tainted"))
+	require.Empty(t, h.partReports(), "an answer that began 10 ms ago shows nothing")
+}
+
+// Guards against crashes of requests that were sent before the quarantine and that convict the parts they share with sound requests.
+func TestCrashesAfterConvictionDoNotCountForSharedPart(t *testing.T) {
+	h := newServingHarness(t)
+	for i := range 5 {
+		h.step(crashReport(fmt.Sprint("x", i), 50*time.Millisecond, "class", "tainted"))
+		h.advance(250 * time.Millisecond)
+	}
+	h.refusePrompt("/feedback/1", "class", "tainted")
+	h.sendPrompt("/feedback/1", "class", "sound")
+}
+
+// Guards against one crash that counts several times because some routers report it late.
+func TestLateReportsOfOneCrashCountOnce(t *testing.T) {
+	h := newServingHarness(t)
+	for i := range 3 {
+		h.step(crashReport("x0", time.Second+time.Duration(i)*1500*time.Millisecond, "popular"))
+		h.advance(1500 * time.Millisecond)
+	}
+	h.sendPrompt("/feedback/1", "popular")
+}
+
+// Guards against sound requests at an endpoint that a request with a quarantined part ended, and whose parts another router counts.
+func TestSharedPartIsNotConvictedAfterDeadlyPart(t *testing.T) {
+	f := newPartFleet(t, 4)
+	for i := range 3 {
+		f.routers[i].crash("/feedback/1", "class", "tainted")
+		f.settle()
+		for _, h := range f.routers {
+			h.advance(1100 * time.Millisecond)
+		}
+	}
+	f.routers[3].refusePrompt("/feedback/1", "class", "tainted")
+	// A request with the part began before the quarantine; the endpoint ends with it, and a
+	// sound request is cut off there.
+	f.routers[3].crash("/feedback/1", "class", "sound")
+	f.settle()
+	refused := 0
+	for range 600 {
+		for _, h := range f.routers {
+			a := h.newPrompt("/feedback/1", "class", "sound")
+			h.step(a)
+			if len(h.callsFor(a.Exchange)) == 0 {
+				refused++
+			}
+			h.advance(900 * time.Millisecond)
+		}
+	}
+	require.Zero(t, refused, "of 2400 sound requests")
+}
--- a/internal/system/health/health.go
+++ b/internal/system/health/health.go
@@ -65,7 +65,7 @@
 	if x.AnswerStarted {
 		return
 	}
-	x.AnswerStarted = true
+	x.AnswerStarted, x.AnswerStartedAt = true, w.Now
 	if x.FirstEventAt == 0 {
 		x.FirstEventAt = w.Now
 	}
--- a/internal/system/quarantine/parts.go
+++ b/internal/system/quarantine/parts.go
@@ -136,12 +136,12 @@
 			continue
 		}
 		switch {
-		case e.EndpointGone && e.DeliveredEvents == 0:
+		case e.EndpointGone:
 			// An endpoint that leaves ends as planned.
 			if row := w.DirectEndpoints.Get(x.Endpoint); row != nil && !row.Leaving {
 				addCrash(own, x, w.Now)
 			}
-		case showsSound(e) && w.PartSuspects.Len() > 0:
+		case showsSound(x, e) && w.PartSuspects.Len() > 0:
 			for _, f := range sharedParts(x.PromptParts) {
 				if s := w.PartSuspects.Get(f); s != nil && isSuspect(s) {
 					own.Cleared = addUnique(own.Cleared, f)
@@ -169,8 +169,9 @@
 }
 
 // showsSound reports whether an attempt shows that an endpoint can answer its prompt.
-func showsSound(e *event.DirectAttemptEnd) bool {
-	return e.Status == event.DirectAnswered && e.HTTPStatus/100 == 2 || e.DeliveredEvents >= minSoundEvents
+// Events of earlier attempts say nothing about this one.
+func showsSound(x *table.Exchange, e *event.DirectAttemptEnd) bool {
+	return e.Status == event.DirectAnswered && e.HTTPStatus/100 == 2 || e.DeliveredEvents-x.DeliveredEvents >= minSoundEvents
 }
 
 // addCrash adds the parts of an attempt to the crash of its endpoint.
@@ -196,7 +197,7 @@
 func answeringParts(w *world.World, wanted func(table.Fingerprint) bool) map[table.Fingerprint]bool {
 	sound := make(map[table.Fingerprint]bool)
 	w.Exchanges.Each(func(_ table.ExchangeID, x *table.Exchange) {
-		if x.State != table.ExchangeRunning || !x.AnswerStarted || w.Now.Sub(x.FirstEventAt) < soundAnswerAge {
+		if x.State != table.ExchangeRunning || !x.AnswerStarted || w.Now.Sub(x.AnswerStartedAt) < soundAnswerAge {
 			return
 		}
 		for _, f := range sharedParts(x.PromptParts) {
@@ -235,6 +236,9 @@
 // countCrash counts a crash for its parts, and returns those of them that it is further
 // evidence against.
 func countCrash(w *world.World, c *event.EndpointCrash) []event.CrashedPart {
+	if isExplained(w, c) {
+		return nil
+	}
 	var suspects []event.CrashedPart
 	for _, p := range c.Parts {
 		if countPartCrash(w, c.Endpoint, p) {
@@ -244,6 +248,19 @@
 	return suspects
 }
 
+// isExplained reports whether a quarantined part ended the endpoint of a crash. The other
+// requests there say nothing about their parts, also those that other routers report.
+func isExplained(w *world.World, c *event.EndpointCrash) bool {
+	w.ExplainedCrashes.DeleteIf(func(_ table.EndpointID, at *table.Instant) bool { return w.Now.Sub(*at) >= sameCrashWindow })
+	if slices.ContainsFunc(c.Parts, func(p event.CrashedPart) bool {
+		s := w.PartSuspects.Get(p.Part)
+		return s != nil && s.QuarantinedUntil != 0
+	}) {
+		w.ExplainedCrashes.Put(c.Endpoint, w.Now)
+	}
+	return w.ExplainedCrashes.Get(c.Endpoint) != nil
+}
+
 // objectToSuspicion clears the suspects that endpoints are answering requests with at
 // this moment.
 func objectToSuspicion(w *world.World, suspects []event.CrashedPart, own *event.PartReport) {
@@ -300,7 +317,7 @@
 		return false
 	}
 	for _, c := range s.Crashes {
-		if c.Endpoint == endpoint && w.Now.Sub(c.At) < sameCrashWindow {
+		if c.Endpoint == endpoint && (w.Now.Sub(c.At) < sameCrashWindow || w.Now.Add(-p.SinceSent) <= c.At) {
 			return false
 		}
 	}
@@ -335,6 +352,9 @@
 	if s.QuarantinedUntil == 0 && s.Quarantines == 0 {
 		if len(s.Crashes) >= minLoggedCrashes {
 			w.RecordStateChange("prompt_part", partName(f), "suspect", "", reason)
+			*s = table.PartSuspect{ClearedAt: w.Now}
+			w.PartSuspectTimers.Schedule(f, partExpiry(s))
+			return
 		}
 		w.PartSuspects.Delete(f)
 		return
@@ -484,6 +504,10 @@
 		if x.State != table.ExchangeRunning && !x.MayHaveRun {
 			outcome.Ran, outcome.RetryAfter = table.NotRun, minPartQuarantine
 		}
+		if x.State == table.ExchangeRunning {
+			// The endpoint may have begun to work on it.
+			w.ExplainedCrashes.Put(x.Endpoint, w.Now)
+		}
 		w.Count("quarantine.exchanges_ended")
 		w.RecordAttemptDecision(x, System, "ended: "+PartReason, table.Input{Name: "parts", Value: sharedPartIDs(x.PromptParts)})
 		w.FinishExchange(x, false, outcome)
--- a/internal/table/exchange.go
+++ b/internal/table/exchange.go
@@ -74,6 +74,8 @@
 	PrefillTokens Tokens
 	// AnswerStarted is true once the answer of the current attempt has begun.
 	AnswerStarted bool
+	// AnswerStartedAt is when it began, if AnswerStarted.
+	AnswerStartedAt Instant
 	// FirstEventAt is when the first event of any attempt arrived, or 0.
 	FirstEventAt Instant
 	// TriedEndpoints are the endpoints of earlier attempts.
--- a/internal/table/part.go
+++ b/internal/table/part.go
@@ -29,6 +29,9 @@
 	PartSuspects      Table[Fingerprint, PartSuspect]
 	PartSuspectTimers Timers[Fingerprint]
 	PartList          PartList
+	// ExplainedCrashes are the endpoints that requests with a quarantined part have just
+	// ended, or may end, with the time.
+	ExplainedCrashes Table[EndpointID, Instant]
 }
 
 // PartList is the list of quarantined parts in the store, as this router knows it.
