--- a/internal/system/quarantine/parts.go
+++ b/internal/system/quarantine/parts.go
@@ -53,9 +53,6 @@
 	trialRetryAfter = time.Second
 )
 
-// PartReason is the reason of refusals because of a part of the prompt.
-const PartReason = "endpoints died while they ran requests with a part of this prompt"
-
 // partFingerprint identifies a prompt part.
 func partFingerprint(id string) table.Fingerprint {
 	return table.Fingerprint(xxhash.Sum64String(id))
@@ -90,8 +87,10 @@
 	w.RecordAttemptDecision(x, System, "the endpoint ended before the answer began", table.Input{Name: "parts", Value: sharedPartIDs(x.PromptParts)})
 }
 
-// runParts counts crashes by prompt part, with the reports of all routers, and refuses
-// requests with a part under which too many endpoints crashed.
+// runParts counts crashes by prompt part, from what this router observed in the tick and
+// from the reports of the others, and quarantines a part under which too many endpoints
+// crashed. It also keeps the list in the store, tells the other routers, and removes what
+// has expired.
 func runParts(w *world.World) {
 	own := observeParts(w)
 	quarantined := false
@@ -110,105 +109,6 @@
 	removeExpiredParts(w)
 }
 
-func isEmpty(r *event.PartReport) bool {
-	return len(r.Crashes) == 0 && len(r.Cleared) == 0 && len(r.Quarantined) == 0 && r.StoredVersion == 0
-}
-
-// takeReports removes the reports about parts from the crashes of this tick.
-func takeReports(w *world.World) []*event.PartReport {
-	var reports []*event.PartReport
-	w.In.Crashes = slices.DeleteFunc(w.In.Crashes, func(c event.Crash) bool {
-		if c.Parts != nil {
-			reports = append(reports, c.Parts)
-		}
-		return c.Parts != nil
-	})
-	return reports
-}
-
-// observeParts returns what the attempts that ended in this tick show about parts.
-func observeParts(w *world.World) *event.PartReport {
-	own := &event.PartReport{}
-	for i := range w.In.DirectAttemptEnds {
-		e := &w.In.DirectAttemptEnds[i]
-		x := w.Exchanges.Get(e.Exchange)
-		if x == nil || x.Attempt != e.Attempt || x.State != table.ExchangeRunning || len(x.PromptParts) < 2 {
-			continue
-		}
-		switch {
-		case e.EndpointGone:
-			// An endpoint that leaves ends as planned.
-			if row := w.DirectEndpoints.Get(x.Endpoint); row != nil && !row.Leaving {
-				addCrash(own, x, w.Now)
-			}
-		case showsSound(x, e) && w.PartSuspects.Len() > 0:
-			for _, f := range sharedParts(x.PromptParts) {
-				if s := w.PartSuspects.Get(f); s != nil && isSuspect(s) {
-					own.Cleared = addUnique(own.Cleared, f)
-				}
-			}
-		}
-	}
-	if len(own.Crashes) == 0 {
-		return own
-	}
-	sound := answeringParts(w, func(table.Fingerprint) bool { return true })
-	for i := range own.Crashes {
-		c := &own.Crashes[i]
-		c.Parts = slices.DeleteFunc(c.Parts, func(p event.CrashedPart) bool { return sound[p.Part] })
-	}
-	own.Crashes = slices.DeleteFunc(own.Crashes, func(c event.EndpointCrash) bool { return len(c.Parts) == 0 })
-	return own
-}
-
-func addUnique(list []table.Fingerprint, f table.Fingerprint) []table.Fingerprint {
-	if slices.Contains(list, f) {
-		return list
-	}
-	return append(list, f)
-}
-
-// showsSound reports whether an attempt shows that an endpoint can answer its prompt.
-// Events of earlier attempts say nothing about this one.
-func showsSound(x *table.Exchange, e *event.DirectAttemptEnd) bool {
-	return e.Status == event.DirectAnswered && e.HTTPStatus/100 == 2 || e.DeliveredEvents-x.DeliveredEvents >= minSoundEvents
-}
-
-// addCrash adds the parts of an attempt to the crash of its endpoint.
-func addCrash(r *event.PartReport, x *table.Exchange, now table.Instant) {
-	i := slices.IndexFunc(r.Crashes, func(c event.EndpointCrash) bool { return c.Endpoint == x.Endpoint })
-	if i < 0 {
-		i = len(r.Crashes)
-		r.Crashes = append(r.Crashes, event.EndpointCrash{Endpoint: x.Endpoint})
-	}
-	c, sinceSent := &r.Crashes[i], now.Sub(x.AttemptSentAt)
-	for position, f := range sharedParts(x.PromptParts) {
-		j := slices.IndexFunc(c.Parts, func(p event.CrashedPart) bool { return p.Part == f })
-		if j < 0 {
-			c.Parts = append(c.Parts, event.CrashedPart{Part: f, Position: position, SinceSent: sinceSent})
-			continue
-		}
-		c.Parts[j].SinceSent = min(c.Parts[j].SinceSent, sinceSent)
-	}
-}
-
-// answeringParts returns the wanted parts of the requests that endpoints have been
-// answering for a while. It scans all exchanges; crashes are rare.
-func answeringParts(w *world.World, wanted func(table.Fingerprint) bool) map[table.Fingerprint]bool {
-	sound := make(map[table.Fingerprint]bool)
-	w.Exchanges.Each(func(_ table.ExchangeID, x *table.Exchange) {
-		if x.State != table.ExchangeRunning || !x.AnswerStarted || w.Now.Sub(x.AnswerStartedAt) < soundAnswerAge {
-			return
-		}
-		for _, f := range sharedParts(x.PromptParts) {
-			if wanted(f) {
-				sound[f] = true
-			}
-		}
-	})
-	return sound
-}
-
 // applyReport applies a report of this or another router, and reports whether a part was
 // quarantined. What the others have to know is added to own.
 func applyReport(w *world.World, r, own *event.PartReport) bool {
@@ -449,93 +349,3 @@
 	}
 	w.WakeAt(w.PartSuspectTimers.NextDue())
 }
-
-// RefusePart reports whether a new request is refused because of a part of its prompt,
-// and for how long. A part that was quarantined before is admitted for one request at a
-// time; the exchange then becomes its trial.
-func RefusePart(w *world.World, parts []table.PromptPart, exchange table.ExchangeID) (retryAfter time.Duration, part string, refused bool) {
-	if w.PartSuspects.Len() == 0 {
-		return 0, "", false
-	}
-	var trials []*table.PartSuspect
-	for i, f := range sharedParts(parts) {
-		s := w.PartSuspects.Get(f)
-		switch {
-		case s == nil:
-		case s.QuarantinedUntil != 0:
-			return s.ReleaseAt.Sub(w.Now), parts[i].ID, true
-		case s.Quarantines > 0:
-			if w.Exchanges.Get(s.Trial) != nil {
-				return trialRetryAfter, parts[i].ID, true
-			}
-			trials = append(trials, s)
-		}
-	}
-	for _, s := range trials {
-		s.Trial = exchange
-	}
-	return 0, "", false
-}
-
-// HasQuarantinedPart reports whether a part of a prompt is in quarantine.
-func HasQuarantinedPart(w *world.World, parts []table.PromptPart) bool {
-	if w.PartSuspects.Len() == 0 {
-		return false
-	}
-	return slices.ContainsFunc(sharedParts(parts), func(f table.Fingerprint) bool {
-		s := w.PartSuspects.Get(f)
-		return s != nil && s.QuarantinedUntil != 0
-	})
-}
-
-// endExchanges ends the requests with a quarantined part that wait or whose answer has
-// not begun. It scans all exchanges; quarantines are rare.
-func endExchanges(w *world.World) {
-	var ended []*table.Exchange
-	w.Exchanges.Each(func(_ table.ExchangeID, x *table.Exchange) {
-		waits := x.State == table.ExchangeReserving || x.State == table.ExchangePlacing
-		if !waits && (x.State != table.ExchangeRunning || x.AnswerStarted) || !HasQuarantinedPart(w, x.PromptParts) {
-			return
-		}
-		ended = append(ended, x)
-	})
-	for _, x := range ended {
-		outcome := table.Outcome{Code: table.CodeQuarantined, Reason: PartReason, Ran: table.RanUnknown}
-		if x.State != table.ExchangeRunning && !x.MayHaveRun {
-			outcome.Ran, outcome.RetryAfter = table.NotRun, minPartQuarantine
-		}
-		if x.State == table.ExchangeRunning {
-			// The endpoint may have begun to work on it.
-			w.ExplainedCrashes.Put(x.Endpoint, w.Now)
-		}
-		w.Count("quarantine.exchanges_ended")
-		w.RecordAttemptDecision(x, System, "ended: "+PartReason, table.Input{Name: "parts", Value: sharedPartIDs(x.PromptParts)})
-		w.FinishExchange(x, false, outcome)
-	}
-}
-
-// greetRouters sends the quarantined parts to the routers that connected in this tick.
-func greetRouters(w *world.World) {
-	if len(w.In.SessionsOpened) == 0 {
-		return
-	}
-	entries := quarantinedEntries(w)
-	if len(entries) == 0 {
-		return
-	}
-	var to []table.Holder
-	for i := range w.In.SessionsOpened {
-		to = append(to, w.In.SessionsOpened[i].Process.Holder)
-	}
-	w.Out.Crashes = append(w.Out.Crashes, command.SendCrash{To: to, Crash: event.Crash{Parts: &event.PartReport{Quarantined: entries}}})
-}
-
-func quarantinedEntries(w *world.World) []event.QuarantineEntry {
-	var entries []event.QuarantineEntry
-	w.PartSuspects.Each(func(f table.Fingerprint, s *table.PartSuspect) {
-		if s.QuarantinedUntil > w.Now {
-			entries = append(entries, event.QuarantineEntry{Fingerprint: f, Remaining: s.QuarantinedUntil.Sub(w.Now)})
-		}
-	})
-	return entries
-}
