--- a/internal/system/catalog/catalog.go
+++ b/internal/system/catalog/catalog.go
@@ -113,11 +113,9 @@
 	}
 	// Of relayed changes, only their sender knows whether an outage caused them.
 	mayHaveLapsed := w.RecentOutage()
-	if changes.Relayed {
-		mayHaveLapsed = changes.MayHaveLapsed
-	}
 	var graceEnd table.Instant
 	if changes.Relayed {
+		mayHaveLapsed = changes.MayHaveLapsed
 		graceEnd = w.Now.Add(cmp.Or(changes.LapseGrace, defaultLapseGrace))
 	}
 	for _, id := range changes.Removed {
--- a/internal/system/quarantine/partadmit.go
+++ b/internal/system/quarantine/partadmit.go
@@ -43,10 +43,7 @@
 	if w.PartSuspects.Len() == 0 {
 		return false
 	}
-	return slices.ContainsFunc(sharedParts(parts), func(f table.Fingerprint) bool {
-		s := w.PartSuspects.Get(f)
-		return s != nil && s.QuarantinedUntil != 0
-	})
+	return slices.ContainsFunc(sharedParts(parts), func(f table.Fingerprint) bool { return isPartQuarantined(w, f) })
 }
 
 // endExchanges ends the requests with a quarantined part that wait or whose answer has
--- a/internal/system/quarantine/parts.go
+++ b/internal/system/quarantine/parts.go
@@ -152,10 +152,7 @@
 // requests there say nothing about their parts, also those that other routers report.
 func isExplained(w *world.World, c *event.EndpointCrash) bool {
 	w.ExplainedCrashes.DeleteIf(func(_ table.EndpointID, at *table.Instant) bool { return w.Now.Sub(*at) >= sameCrashWindow })
-	if slices.ContainsFunc(c.Parts, func(p event.CrashedPart) bool {
-		s := w.PartSuspects.Get(p.Part)
-		return s != nil && s.QuarantinedUntil != 0
-	}) {
+	if slices.ContainsFunc(c.Parts, func(p event.CrashedPart) bool { return isPartQuarantined(w, p.Part) }) {
 		w.ExplainedCrashes.Put(c.Endpoint, w.Now)
 	}
 	return w.ExplainedCrashes.Get(c.Endpoint) != nil
@@ -240,6 +237,11 @@
 // cleared is kept for a while.
 func isSuspect(s *table.PartSuspect) bool { return len(s.Crashes) > 0 || s.QuarantinedUntil != 0 }
 
+func isPartQuarantined(w *world.World, f table.Fingerprint) bool {
+	s := w.PartSuspects.Get(f)
+	return s != nil && s.QuarantinedUntil != 0
+}
+
 func partName(f table.Fingerprint) string { return fmt.Sprintf("%016x", uint64(f)) }
 
 // clearPart forgets the crashes of a part that proved sound, and ends its quarantine.
@@ -249,20 +251,18 @@
 		return
 	}
 	w.Count("quarantine.parts_cleared")
-	if s.QuarantinedUntil == 0 && s.Quarantines == 0 {
-		if len(s.Crashes) >= minLoggedCrashes {
-			w.RecordStateChange("prompt_part", partName(f), "suspect", "", reason)
-			*s = table.PartSuspect{ClearedAt: w.Now}
-			w.PartSuspectTimers.Schedule(f, partExpiry(s))
-			return
-		}
+	from := "suspect"
+	switch {
+	case s.QuarantinedUntil != 0 || s.Quarantines > 0:
+		from = "quarantined"
+		scheduleListCheck(w, f)
+	case len(s.Crashes) < minLoggedCrashes:
 		w.PartSuspects.Delete(f)
 		return
 	}
 	*s = table.PartSuspect{ClearedAt: w.Now}
 	w.PartSuspectTimers.Schedule(f, partExpiry(s))
-	w.RecordStateChange("prompt_part", partName(f), "quarantined", "", reason)
-	scheduleListCheck(w, f)
+	w.RecordStateChange("prompt_part", partName(f), from, "", reason)
 }
 
 // quarantinePart starts or extends the quarantine of a part.
@@ -304,7 +304,7 @@
 		if s != nil && s.ClearedAt != 0 && w.Now.Sub(s.ClearedAt) < clearedMemory || e.Remaining <= 0 {
 			continue
 		}
-		quarantined = quarantined || s == nil || s.QuarantinedUntil == 0
+		quarantined = quarantined || !isPartQuarantined(w, e.Fingerprint)
 		quarantinePart(w, e.Fingerprint, w.Now.Add(min(e.Remaining, quarantineDuration)), reason)
 	}
 	return quarantined
--- a/internal/table/part.go
+++ b/internal/table/part.go
@@ -14,7 +14,7 @@
 	// admitted one request at a time; Trial is the last one admitted.
 	Quarantines int
 	Trial       ExchangeID
-	// ClearedAt is when a proof ended a quarantine, or 0.
+	// ClearedAt is when a proof ended a quarantine or a suspicion, or 0.
 	ClearedAt Instant
 }
 
