--- a/internal/event/exchange.go
+++ b/internal/event/exchange.go
@@ -116,8 +116,9 @@
 	Manifest table.Manifest
 	// Revision is the store's revision of its last change.
 	Revision uint64
-	// Relayed is true if another router sent it.
-	Relayed bool `msgpack:"-"`
+	// Relayed is true if another router sent it, From.
+	Relayed bool            `msgpack:"-"`
+	From    table.ProcessID `msgpack:"-"`
 }
 
 // EndpointEntry is an endpoint's entry in the platform's list.
--- a/internal/gateway/flush.go
+++ b/internal/gateway/flush.go
@@ -145,7 +145,7 @@
 	case wire.TypeEndpointChanges:
 		return peering.PostDecoded(g.peers, f, func(e *event.EndpointChanges) { e.Relayed = true })
 	case wire.TypeManifest:
-		return peering.PostDecoded(g.peers, f, func(e *event.ManifestReceived) { e.Relayed = true })
+		return peering.PostDecoded(g.peers, f, func(e *event.ManifestReceived) { e.Relayed, e.From = true, s.Holder().Process })
 	case wire.TypeCrash:
 		return peering.PostDecoded(g.peers, f, func(*event.Crash) {})
 	}
--- a/internal/system/catalog/catalog.go
+++ b/internal/system/catalog/catalog.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"strconv"
 	"time"
@@ -30,7 +31,7 @@
 		onPlatformState(w, e.Reachable)
 	}
 	for i := range w.In.Manifests {
-		applyManifest(w, &w.In.Manifests[i].Manifest)
+		applyManifest(w, &w.In.Manifests[i])
 	}
 	for i := range w.In.EndpointChanges {
 		applyEndpointChanges(w, &w.In.EndpointChanges[i])
@@ -60,12 +61,17 @@
 
 // applyManifest activates a manifest if its version is higher than that of the
 // active one.
-func applyManifest(w *world.World, m *table.Manifest) {
+func applyManifest(w *world.World, e *event.ManifestReceived) {
+	m := &e.Manifest
 	if m.Version <= w.Manifest.Version {
 		return
 	}
+	source := "the store"
+	if e.Relayed {
+		source = "router " + string(e.From)
+	}
 	w.RecordStateChange("manifest", strconv.FormatUint(m.Version, 10), strconv.FormatUint(w.Manifest.Version, 10), "in force",
-		strconv.Itoa(len(m.Routes))+" routes")
+		fmt.Sprintf("%d routes, revision %d from %s", len(m.Routes), e.Revision, source))
 	w.Manifest = *m
 	w.RoutesByHost = table.Table[string, []int]{}
 	for i := range m.Routes {
--- a/internal/system/watch/watch.go
+++ b/internal/system/watch/watch.go
@@ -7,6 +7,7 @@
 package watch
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -44,6 +45,9 @@
 	// pollWait is the wait of a call that only asks for changes which exist. The store
 	// takes whole milliseconds above 0.
 	pollWait = time.Millisecond
+	// missingLogDelay is how long a change that another router reported may be missing
+	// before that is logged.
+	missingLogDelay = time.Second
 	// minBackoff and maxBackoff bound the delay after a failed call.
 	minBackoff = 30 * time.Millisecond
 	maxBackoff = 400 * time.Millisecond
@@ -265,6 +269,37 @@
 		if row := w.Watches.Get(kind); row != nil && row.Listed && revision > row.Covered {
 			markBehind(w, row)
 		}
+		onReportedChange(w, watchOf(w, kind), e.From, revision)
+	}
+}
+
+// onReportedChange records that another router knows a change. A change that this router
+// lacks for missingLogDelay is logged.
+func onReportedChange(w *world.World, row *table.Watch, from table.Holder, revision uint64) {
+	if revision <= row.Covered || revision < row.ReportedChange {
+		return
+	}
+	if row.MissingSince == 0 {
+		row.MissingSince = w.Now
+	}
+	row.ReportedChange, row.ReportedBy = revision, from
+}
+
+// checkMissing logs that this router lacks a change which another one reported, and that
+// it has it after all.
+func checkMissing(w *world.World, kind table.WatchKind, row *table.Watch) {
+	switch {
+	case row.MissingSince == 0:
+	case row.Covered >= row.ReportedChange:
+		if row.MissingLogged {
+			w.RecordStateChange("watch", kind.String(), "behind", "current", "after "+w.Now.Sub(row.MissingSince).Round(time.Millisecond).String())
+		}
+		row.MissingSince, row.MissingLogged = 0, false
+	case !row.MissingLogged && w.DueOrWake(row.MissingSince.Add(missingLogDelay)):
+		row.MissingLogged = true
+		w.Count("watch.behind")
+		w.RecordStateChange("watch", kind.String(), "current", "behind",
+			fmt.Sprintf("router %s knows revision %d, this one %d", row.ReportedBy.Process, row.ReportedChange, row.Covered))
 	}
 }
 
@@ -277,6 +312,7 @@
 // planCall sends the next call for a kind of objects if it is due.
 func planCall(w *world.World, kind table.WatchKind) {
 	row := watchOf(w, kind)
+	checkMissing(w, kind, row)
 	behind := row.BehindSince != 0 && w.DueOrWake(row.BehindSince.Add(relayDelay))
 	if row.Call != 0 {
 		if !behind || !w.DueOrWake(row.CallSentAt.Add(stalledAfter)) {
--- a/internal/table/watch.go
+++ b/internal/table/watch.go
@@ -42,4 +42,11 @@
 	Backoff    time.Duration
 	// BehindSince is when another router first reported a later change, or 0.
 	BehindSince Instant
+	// ReportedChange is the highest revision of a change that another router reported,
+	// ReportedBy, and MissingSince since when this router lacks it, or 0. MissingLogged is
+	// true if the log says so.
+	ReportedChange uint64
+	ReportedBy     Holder
+	MissingSince   Instant
+	MissingLogged  bool
 }
