watch: a failing test of changes that don't reach a domain which the store turns away

Routers that the store turns away are left out of the delegates; a delegate passes changes to the other delegates and to its own failure domain, so a domain in which the store turns all routers away is passed nothing.

--- /dev/null
+++ b/internal/system/watch/fleet_test.go
@@ -0,0 +1,294 @@
+package watch_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"laburnumroad.dev/laburnumroad/internal/command"
+	"laburnumroad.dev/laburnumroad/internal/event"
+	"laburnumroad.dev/laburnumroad/internal/system/catalog"
+	"laburnumroad.dev/laburnumroad/internal/system/peers"
+	"laburnumroad.dev/laburnumroad/internal/system/watch"
+	"laburnumroad.dev/laburnumroad/internal/table"
+	"laburnumroad.dev/laburnumroad/internal/world"
+)
+
+const (
+	fleetStep = 10 * time.Millisecond
+	// answerTime is the duration of a call that need not wait.
+	answerTime = 10 * time.Millisecond
+	// settleTime is how long sessions and reports take after a cut has healed.
+	settleTime = 5 * time.Second
+)
+
+// fleet simulates routers that follow the store's objects. The store turns some of them
+// away, and sessions between routers end.
+type fleet struct {
+	now      table.Instant
+	routers  []*member
+	sessions uint64
+	// revision is the store's; config and endpoints are those of the last changes.
+	revision, config, endpoints uint64
+	version                     uint64
+	// live are the entries in the list of endpoints.
+	live []event.EndpointEntry
+	gone []removal
+}
+
+type removal struct {
+	id       table.EndpointID
+	revision uint64
+}
+
+type member struct {
+	process  table.Process
+	world    *world.World
+	inbox    []event.Event
+	calls    []openCall
+	sessions map[table.ProcessID]uint64
+	// turnedAway routers get errors from the store, cut ones have no sessions.
+	turnedAway, cut bool
+}
+
+type openCall struct {
+	command.WatchObjects
+	sentAt table.Instant
+}
+
+// changeBound returns the time within which the deployments of a size want changes to be
+// in force.
+func changeBound(routers int) time.Duration {
+	if routers > 60 {
+		return 4 * time.Second
+	}
+	return 2 * time.Second
+}
+
+func newFleet(routers, domains int) *fleet {
+	f := &fleet{now: table.Instant(time.Second), revision: 10, endpoints: 10}
+	f.configure()
+	for i := range 5 {
+		f.live = append(f.live, event.EndpointEntry{ID: table.EndpointID(fmt.Sprintf("m%d", i)), Service: "model", Address: "10.0.0.1:80", Slots: 4})
+	}
+	for i := range routers {
+		f.routers = append(f.routers, &member{process: table.Process{
+			Holder: table.Holder{Process: table.ProcessID(fmt.Sprintf("edge-%03d", i)), Incarnation: 1}, Domain: fmt.Sprintf("d%d", i%domains), Cores: 0.8,
+		}})
+	}
+	for _, m := range f.routers {
+		f.start(m)
+	}
+	f.run(settleTime)
+	return f
+}
+
+// start begins a new process of a router.
+func (f *fleet) start(m *member) {
+	f.disconnect(m)
+	m.process.Incarnation++
+	m.inbox, m.calls, m.sessions = nil, nil, make(map[table.ProcessID]uint64)
+	m.world = world.New(world.Params{Self: m.process, Front: world.FrontParams{
+		PeerAddress: string(m.process.Process), ChangeBound: changeBound(len(f.routers)),
+	}}, uint64(m.process.Incarnation))
+	for _, other := range f.routers {
+		f.register(other, m)
+		f.register(m, other)
+	}
+}
+
+// register records a router in the copy of the limit ledger of another.
+func (f *fleet) register(at, m *member) {
+	if at.world == nil {
+		return
+	}
+	view := &at.world.LimitLedgerView
+	if view.Registered == nil {
+		view.Registered = make(map[table.Holder]bool)
+	}
+	view.Registered[m.process.Holder], view.RouterCount = true, len(f.routers)
+	view.Content.Holders = slices.DeleteFunc(view.Content.Holders, func(h table.LimitHolder) bool { return h.Process == m.process.Process })
+	view.Content.Holders = append(view.Content.Holders, table.LimitHolder{Holder: m.process.Holder, Address: string(m.process.Process)})
+	at.world.FleetGeneration++
+}
+
+// configure accepts a new configuration at the store.
+func (f *fleet) configure() {
+	f.revision++
+	f.version++
+	f.config = f.revision
+}
+
+// remove deletes the entry of an endpoint.
+func (f *fleet) remove(id table.EndpointID) {
+	f.revision++
+	f.endpoints = f.revision
+	f.live = slices.DeleteFunc(f.live, func(e event.EndpointEntry) bool { return e.ID == id })
+	f.gone = append(f.gone, removal{id, f.revision})
+}
+
+func (f *fleet) find(id table.ProcessID) *member {
+	return f.routers[slices.IndexFunc(f.routers, func(m *member) bool { return m.process.Process == id })]
+}
+
+func (f *fleet) connect(a, b *member) {
+	if a == b || a.cut || b.cut || a.sessions[b.process.Process] != 0 {
+		return
+	}
+	for _, pair := range [][2]*member{{a, b}, {b, a}} {
+		f.sessions++
+		pair[0].sessions[pair[1].process.Process] = f.sessions
+		pair[0].inbox = append(pair[0].inbox, event.SessionOpened{Session: f.sessions, Process: pair[1].process})
+	}
+}
+
+// disconnect ends all sessions of a router.
+func (f *fleet) disconnect(m *member) {
+	for id, session := range m.sessions {
+		other := f.find(id)
+		m.inbox = append(m.inbox, event.SessionClosed{Session: session, Peer: other.process.Holder})
+		other.inbox = append(other.inbox, event.SessionClosed{Session: other.sessions[m.process.Process], Peer: m.process.Holder})
+		delete(other.sessions, m.process.Process)
+	}
+	clear(m.sessions)
+}
+
+func (f *fleet) run(d time.Duration) {
+	for end := f.now.Add(d); f.now < end; f.now = f.now.Add(fleetStep) {
+		for _, m := range f.routers {
+			f.answer(m)
+			f.tick(m)
+		}
+	}
+}
+
+func (f *fleet) tick(m *member) {
+	if len(m.inbox) == 0 && m.world.NextWake() > f.now && m.world.Now != 0 {
+		return
+	}
+	for _, e := range m.inbox {
+		e.AddTo(&m.world.In)
+	}
+	m.inbox = nil
+	m.world.Tick(f.now, []world.System{world.SystemFunc(watch.Run), world.SystemFunc(catalog.Run), world.SystemFunc(peers.Run)})
+	out := m.world.Out
+	m.world.ClearOutbox()
+	for _, c := range out.WatchStops {
+		m.calls = slices.DeleteFunc(m.calls, func(open openCall) bool { return open.Kind == c.Kind })
+	}
+	for _, c := range out.WatchCalls {
+		m.calls = append(m.calls, openCall{c, f.now})
+	}
+	for _, c := range out.Dials {
+		f.connect(m, f.find(c.Process))
+	}
+	f.relay(m, &out)
+}
+
+// relay delivers the messages of a tick to the routers with a session.
+func (f *fleet) relay(m *member, out *command.Outbox) {
+	for id := range m.sessions {
+		other := f.find(id)
+		for _, c := range out.ManifestRelays {
+			if slices.Contains(c.To, other.process.Holder) {
+				c.Manifest.Relayed, c.Manifest.From = true, m.process.Process
+				other.inbox = append(other.inbox, c.Manifest)
+			}
+		}
+		for _, c := range out.EndpointRelays {
+			if slices.Contains(c.To, other.process.Holder) {
+				c.Changes.Relayed = true
+				other.inbox = append(other.inbox, c.Changes)
+			}
+		}
+		for _, c := range out.RouterReports {
+			c.Report.From = m.process.Holder
+			other.inbox = append(other.inbox, c.Report)
+		}
+	}
+}
+
+// answer ends the calls of a router whose answer is due.
+func (f *fleet) answer(m *member) {
+	m.calls = slices.DeleteFunc(m.calls, func(c openCall) bool {
+		last := f.endpoints
+		if c.Kind == table.WatchConfig {
+			last = f.config
+		}
+		age := f.now.Sub(c.sentAt)
+		switch {
+		case m.turnedAway && age >= answerTime:
+			m.inbox = append(m.inbox, event.PlatformState{Reachable: false}, event.WatchResult{Kind: c.Kind, Call: c.Call, Status: event.WatchFailed})
+		case !m.turnedAway && age >= answerTime && (last > c.Since || age >= c.Wait):
+			f.answerWithChanges(m, c, last)
+		default:
+			return false
+		}
+		return true
+	})
+}
+
+func (f *fleet) answerWithChanges(m *member, c openCall, last uint64) {
+	result := event.WatchResult{Kind: c.Kind, Call: c.Call, Status: event.WatchOK, Covered: f.revision}
+	if last > c.Since {
+		result.LastChange = last
+	}
+	switch {
+	case result.LastChange == 0:
+	case c.Kind == table.WatchConfig:
+		m.inbox = append(m.inbox, event.ManifestReceived{Manifest: table.Manifest{Version: f.version}, Revision: f.config})
+	default:
+		changes := event.EndpointChanges{Full: c.Since == 0, Since: c.Since, Covered: f.revision, LastChange: last, Present: f.live}
+		for _, r := range f.gone {
+			if r.revision > c.Since && c.Since > 0 {
+				changes.Removed = append(changes.Removed, r.id)
+			}
+		}
+		m.inbox = append(m.inbox, changes)
+	}
+	m.inbox = append(m.inbox, event.PlatformState{Reachable: true}, result)
+}
+
+// outdated returns the routers that lack the last configuration or use an endpoint that
+// is gone.
+func (f *fleet) outdated() []table.ProcessID {
+	var found []table.ProcessID
+	for _, m := range f.routers {
+		usesGone := slices.ContainsFunc(f.gone, func(r removal) bool {
+			e := m.world.DirectEndpoints.Get(r.id)
+			return e != nil && !e.Leaving
+		})
+		if m.world.Manifest.Version != f.version || usesGone {
+			found = append(found, m.process.Process)
+		}
+	}
+	return found
+}
+
+// turnAway makes the store turn routers away, and lets them notice it.
+func (f *fleet) turnAway(members ...*member) {
+	for _, m := range members {
+		m.turnedAway = true
+	}
+	f.run(settleTime)
+}
+
+func (f *fleet) inDomain(domain string) []*member {
+	return slices.DeleteFunc(slices.Clone(f.routers), func(m *member) bool { return m.process.Domain != domain })
+}
+
+// Guards against routers that keep an old configuration and endpoints that left because
+// the store turns all routers of their failure domain away.
+func TestChangesReachDomainThatStoreTurnsAway(t *testing.T) {
+	for _, routers := range []int{4, 7, 29, 103} {
+		f := newFleet(routers, 3)
+		f.turnAway(f.inDomain("d1")...)
+		f.configure()
+		f.remove("m1")
+		f.run(changeBound(routers))
+		require.Empty(t, f.outdated(), "%d routers", routers)
+	}
+}
