watch, delegate: changes reach failure domains in which the store turns all routers away

What callers saw (CONFIG): a router handled requests by a configuration that was up to 14 s old, although its sessions with routers that had the new one were open.

Cause: routers that report that they don't reach the store are left out of the delegates. A delegate passed changes to the other delegates and to the routers of its own failure domain. If the store turned all routers of a domain away, that domain had no delegate and nobody passed it anything; its routers learned of the change from reports and asked the store, which turned them away.

Why it works: of a domain without a delegate, each delegate computes the same one that ranks first and serves it. Two that disagree for a while cost a second message.

--- a/internal/system/delegate/delegate.go
+++ b/internal/system/delegate/delegate.go
@@ -44,12 +44,28 @@
 	})
 	next := table.Delegates{Generation: w.FleetGeneration}
 	for _, c := range chosen {
-		next.Routers = append(next.Routers, c.holder)
+		next.Routers, next.Domains = append(next.Routers, c.holder), append(next.Domains, c.domain)
 		next.IncludesSelf = next.IncludesSelf || c.holder == w.Self()
 	}
 	return w.Delegates.Put(duty, next)
 }
 
+// Serves reports whether this router, a delegate, does the duty for the routers of a
+// failure domain: its own, and those without a delegate for which it ranks first.
+func Serves(w *world.World, duty *table.Delegates, domain string) bool {
+	if domain == w.Params.Self.Domain {
+		return true
+	}
+	if slices.Contains(duty.Domains, domain) {
+		return false
+	}
+	first := slices.MaxFunc(duty.Routers, func(a, b table.Holder) int {
+		return cmp.Or(cmp.Compare(table.RendezvousRank(domain, string(a.Process)), table.RendezvousRank(domain, string(b.Process))),
+			cmp.Compare(a.Process, b.Process))
+	})
+	return first == w.Self()
+}
+
 // candidates returns this router and the connected ones that have an entry in the
 // limit ledger and reach the store, by rank. If no router reaches the store, it
 // returns all.
--- a/internal/system/watch/watch.go
+++ b/internal/system/watch/watch.go
@@ -192,7 +192,7 @@
 
 // recipients returns the routers that this one passes changes of a kind to, if it is a
 // delegate: the other delegates, unless one of them sent the changes, and the routers
-// of its failure domain.
+// of the failure domains that it serves.
 func recipients(w *world.World, kind table.WatchKind, relayed bool) []table.Holder {
 	duty := delegates(w, kind)
 	if !duty.IncludesSelf {
@@ -201,7 +201,7 @@
 	var to []table.Holder
 	w.RouterPeers.Each(func(_ table.ProcessID, p *table.RouterPeer) {
 		isDelegate := slices.Contains(duty.Routers, p.Holder)
-		if p.Connected && (isDelegate && !relayed || !isDelegate && p.Domain == w.Params.Self.Domain) {
+		if p.Connected && (isDelegate && !relayed || !isDelegate && delegate.Serves(w, duty, p.Domain)) {
 			to = append(to, p.Holder)
 		}
 	})
--- a/internal/table/peer.go
+++ b/internal/table/peer.go
@@ -35,6 +35,8 @@
 	// computed for.
 	Generation uint64
 	Routers    []Holder
+	// Domains are the failure domains of Routers.
+	Domains []string
 	// IncludesSelf is true if this router is one of them.
 	IncludesSelf bool
 }
