--- a/internal/system/watch/fleet_test.go
+++ b/internal/system/watch/fleet_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
 	"laburnumroad.dev/laburnumroad/internal/command"
 	"laburnumroad.dev/laburnumroad/internal/event"
@@ -292,3 +293,112 @@
 		require.Empty(t, f.outdated(), "%d routers", routers)
 	}
 }
+
+// Guards against routers that never get what was passed on while their sessions were
+// down, because the store, which they ask instead, turns them away.
+func TestChangesMissedInCutAreFetchedFromRouters(t *testing.T) {
+	for _, routers := range []int{4, 29, 103} {
+		f := newFleet(routers, 3)
+		m := f.routers[1]
+		f.turnAway(m)
+		m.cut = true
+		f.disconnect(m)
+		f.configure()
+		f.remove("m1")
+		f.run(settleTime)
+		m.cut = false
+		f.run(settleTime + changeBound(routers))
+		require.Empty(t, f.outdated(), "%d routers", routers)
+	}
+}
+
+// Guards against a router that serves nothing after a restart, until the store answers it.
+func TestRouterStartedWhileStoreTurnsItAwayLearnsFromRouters(t *testing.T) {
+	for _, routers := range []int{4, 29, 103} {
+		f := newFleet(routers, 3)
+		f.remove("m1")
+		m := f.routers[1]
+		f.turnAway(m)
+		f.start(m)
+		f.run(settleTime + changeBound(routers))
+		require.Empty(t, f.outdated(), "%d routers", routers)
+		require.Equal(t, 4, m.world.DirectEndpoints.Len(), "%d routers", routers)
+	}
+}
+
+// Guards against a router that takes the state of one that knows less for the newest,
+// after a restart of its own.
+func TestStartedRouterTakesNoStateOfRouterWithoutStore(t *testing.T) {
+	f := newFleet(4, 3)
+	f.turnAway(f.routers...)
+	f.configure()
+	f.start(f.routers[1])
+	f.run(settleTime + changeBound(4))
+	require.Zero(t, f.routers[1].world.Manifest.Version)
+	require.Zero(t, f.routers[1].world.DirectEndpoints.Len())
+}
+
+// Guards against any order of outages, cuts and restarts after which a router that
+// reaches others lacks what they know, and against a configuration or an endpoint that
+// comes back.
+func TestFleetKnowsLastChangesAfterFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		routers := rapid.SampledFrom([]int{4, 7, 12}).Draw(t, "routers")
+		f := newFleet(routers, rapid.IntRange(1, 4).Draw(t, "domains"))
+		for range rapid.IntRange(1, 12).Draw(t, "steps") {
+			m := f.routers[rapid.IntRange(0, routers-1).Draw(t, "router")]
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			case 0:
+				m.turnedAway = !m.turnedAway
+			case 1:
+				m.cut = !m.cut
+				f.disconnect(m)
+			case 2:
+				f.disconnect(m)
+			case 3:
+				f.start(m)
+			case 4:
+				f.configure()
+			case 5:
+				if len(f.live) > 1 {
+					f.remove(f.live[0].ID)
+				}
+			}
+			f.runWithoutReturn(t, time.Duration(rapid.IntRange(0, 300).Draw(t, "wait"))*fleetStep)
+		}
+		for _, m := range f.routers {
+			m.cut = false
+		}
+		f.routers[0].turnedAway = false
+		f.runWithoutReturn(t, 2*settleTime+changeBound(routers))
+		require.Empty(t, f.outdated())
+	})
+}
+
+// runWithoutReturn advances the clock and fails if a process goes back to an older
+// configuration, or uses an endpoint again that it knew to be gone.
+func (f *fleet) runWithoutReturn(t *rapid.T, d time.Duration) {
+	type known struct {
+		world   *world.World
+		version uint64
+		gone    map[table.EndpointID]bool
+	}
+	before := make([]known, len(f.routers))
+	for end := f.now.Add(d); f.now < end; {
+		f.run(fleetStep)
+		for i, m := range f.routers {
+			k := &before[i]
+			if k.world != m.world {
+				*k = known{world: m.world, gone: make(map[table.EndpointID]bool)}
+			}
+			require.GreaterOrEqual(t, m.world.Manifest.Version, k.version)
+			k.version = m.world.Manifest.Version
+			for _, r := range f.gone {
+				e := m.world.DirectEndpoints.Get(r.id)
+				unusable := e == nil || e.Leaving
+				require.False(t, k.gone[r.id] && !unusable, "%s uses %s again", m.process.Process, r.id)
+				k.gone[r.id] = unusable && m.world.DirectEndpoints.Len() > 0
+			}
+		}
+	}
+}
