watch, peers: changes that were passed on while a session was down are fetched from routers

What callers saw (CONFIG): a router went on with an old configuration although the routers that it was connected with had the new one; a router that had started anew answered that it is not ready.

Cause: changes are passed on once, over the sessions that are open then. A router that learned later from a report that it lacks one asked the store, and nobody else: while the store turned it away it stayed without.

Why it works: the report that names what a router has also says what it lacks and whom it asks; the answer is a message that the release before already knows. A list that knows less than what the router has is dropped as before. A process without any state asks only a router that the store answers.

--- a/internal/event/exchange.go
+++ b/internal/event/exchange.go
@@ -201,6 +201,17 @@
 	// LastChanges are the highest revisions of changes in the store that the sender
 	// knows, by kind of object.
 	LastChanges map[table.WatchKind]uint64
+	// Wants are the kinds of objects of which the sender lacks changes that the store does
+	// not give it. Releases that don't know the field don't answer.
+	Wants map[table.WatchKind]WantedChanges
+}
+
+// WantedChanges asks a router for the state of a kind of objects.
+type WantedChanges struct {
+	// From is the router that is asked.
+	From table.Holder
+	// Covered is the revision up to which the sender has all changes.
+	Covered uint64
 }
 
 // TransferRequest asks another router for part of what it may still spend. Need
--- a/internal/system/catalog/catalog.go
+++ b/internal/system/catalog/catalog.go
@@ -72,7 +72,7 @@
 	}
 	w.RecordStateChange("manifest", strconv.FormatUint(m.Version, 10), strconv.FormatUint(w.Manifest.Version, 10), "in force",
 		fmt.Sprintf("%d routes, revision %d from %s", len(m.Routes), e.Revision, source))
-	w.Manifest = *m
+	w.Manifest, w.ManifestRevision = *m, e.Revision
 	w.RoutesByHost = table.Table[string, []int]{}
 	for i := range m.Routes {
 		host := m.Routes[i].Host
@@ -132,7 +132,7 @@
 	}
 	for i := range w.DirectEndpoints.Len() {
 		if id, _ := w.DirectEndpoints.At(i); !present[id] {
-			markRemoved(w, id, mayHaveLapsed, 0)
+			markRemoved(w, id, mayHaveLapsed, graceEnd)
 		}
 	}
 }
--- a/internal/system/peers/peers.go
+++ b/internal/system/peers/peers.go
@@ -113,12 +113,13 @@
 }
 
 // sendReport sends the periodic report to the other routers, and one at once if the
-// store went out of reach or came back: the others choose their delegates by it. The
-// reports also keep sessions open, which end after several missing ones.
+// store went out of reach or came back, or if this router lacks changes: the others choose
+// their delegates by it, or send what is missing. The reports also keep sessions open, which end after several missing ones.
 func sendReport(w *world.World) {
 	storeDown := !w.PlatformReachable || w.LimitLedgerView.Backoff > 0
 	nextReport := w.ReportSentAt.Add(ReportInterval(w))
-	if storeDown != w.ReportedStoreDown {
+	wants := watch.Wants(w)
+	if storeDown != w.ReportedStoreDown || len(wants) > 0 {
 		nextReport = min(nextReport, w.ReportSentAt.Add(minReportInterval))
 	}
 	if nextReport > w.Now {
@@ -128,7 +129,7 @@
 	w.ReportSentAt, w.ReportedStoreDown = w.Now, storeDown
 	w.WakeAt(w.Now.Add(ReportInterval(w)))
 	w.Out.RouterReports = append(w.Out.RouterReports, command.SendRouterReport{Report: event.RouterReport{
-		Available: allowance.HeldTokens(w), StoreDown: storeDown, FollowedFor: watch.FollowedFor(w), LastChanges: watch.LastChanges(w),
+		Available: allowance.HeldTokens(w), StoreDown: storeDown, FollowedFor: watch.FollowedFor(w), LastChanges: watch.LastChanges(w), Wants: wants,
 	}})
 }
 
--- a/internal/system/watch/watch.go
+++ b/internal/system/watch/watch.go
@@ -2,8 +2,8 @@
 //
 // The calls of a fleet must not grow with its size: for each kind of objects, the
 // delegates follow the store and pass changes on, and the others apply what they are
-// sent. A router that misses a change sees a later one in the report of another router
-// and asks the store itself.
+// sent. A router that misses a change sees a later one in the report of another router,
+// asks the store itself, and, if that does not help, the other router.
 package watch
 
 import (
@@ -45,6 +45,9 @@
 	// pollWait is the wait of a call that only asks for changes which exist. The store
 	// takes whole milliseconds above 0.
 	pollWait = time.Millisecond
+	// askDelay is how long a change that another router reported may be missing before
+	// this router asks that one for it. The store has been asked before, after relayDelay.
+	askDelay = 2 * relayDelay
 	// missingLogDelay is how long a change that another router reported may be missing
 	// before that is logged.
 	missingLogDelay = time.Second
@@ -100,8 +103,9 @@
 		return
 	}
 	row.LastChange = e.Revision
-	if e.Relayed && row.Listed {
-		row.Covered, row.BehindSince = max(row.Covered, e.Revision), 0
+	if e.Relayed {
+		// A configuration is a single object, which no earlier list is needed for.
+		row.Listed, row.Covered, row.BehindSince = true, max(row.Covered, e.Revision), 0
 	}
 	if to := recipients(w, table.WatchConfig, e.Relayed); len(to) > 0 {
 		w.Out.ManifestRelays = append(w.Out.ManifestRelays, command.RelayManifest{To: to, Manifest: *e})
@@ -218,10 +222,7 @@
 	if !e.Relayed {
 		// No change came between the last list or batch and the call's revision.
 		changes.Since = min(e.Since, row.BatchSince)
-		changes.MayHaveLapsed = w.RecentOutage()
-		if changes.MayHaveLapsed {
-			changes.LapseGrace = LapseGraceEnd(w).Sub(w.Now)
-		}
+		markLapses(w, &changes)
 	}
 	w.Out.EndpointRelays = append(w.Out.EndpointRelays, command.RelayEndpointChanges{To: to, Changes: changes})
 }
@@ -269,20 +270,78 @@
 		if row := w.Watches.Get(kind); row != nil && row.Listed && revision > row.Covered {
 			markBehind(w, row)
 		}
-		onReportedChange(w, watchOf(w, kind), e.From, revision)
+		onReportedChange(w, watchOf(w, kind), e, revision)
+	}
+	for kind, wanted := range e.Wants {
+		if wanted.From == w.Self() {
+			sendState(w, kind, e.From, wanted.Covered)
+		}
 	}
 }
 
-// onReportedChange records that another router knows a change. A change that this router
-// lacks for missingLogDelay is logged.
-func onReportedChange(w *world.World, row *table.Watch, from table.Holder, revision uint64) {
-	if revision <= row.Covered || revision < row.ReportedChange {
+// onReportedChange records that another router knows a change. A router that has nothing
+// yet, because it has just started, only trusts one that the store answers: others may
+// know less than its last process did.
+func onReportedChange(w *world.World, row *table.Watch, e *event.RouterReport, revision uint64) {
+	if revision <= row.Covered || revision < row.ReportedChange || !row.Listed && e.StoreDown {
 		return
 	}
 	if row.MissingSince == 0 {
 		row.MissingSince = w.Now
 	}
-	row.ReportedChange, row.ReportedBy = revision, from
+	row.ReportedChange, row.ReportedBy = revision, e.From
+}
+
+// Wants returns the kinds of objects of which this router lacks changes that the store
+// has not given it in time, with the router to ask for them: the last one that reported
+// to have them.
+func Wants(w *world.World) map[table.WatchKind]event.WantedChanges {
+	wants := make(map[table.WatchKind]event.WantedChanges)
+	w.Watches.Each(func(kind table.WatchKind, row *table.Watch) {
+		if row.MissingSince != 0 && w.DueOrWake(row.MissingSince.Add(askDelay)) {
+			wants[kind] = event.WantedChanges{From: row.ReportedBy, Covered: row.Covered}
+		}
+	})
+	return wants
+}
+
+// sendState sends another router, which has all changes up to a revision, the whole state
+// of a kind of objects if this one knows a later one.
+func sendState(w *world.World, kind table.WatchKind, to table.Holder, covered uint64) {
+	switch row := watchOf(w, kind); {
+	case kind == table.WatchConfig && w.ManifestRevision > covered:
+		w.Out.ManifestRelays = append(w.Out.ManifestRelays, command.RelayManifest{
+			To: []table.Holder{to}, Manifest: event.ManifestReceived{Manifest: w.Manifest, Revision: w.ManifestRevision},
+		})
+	case kind == table.WatchEndpoints && row.Listed && row.Covered > covered:
+		w.Out.EndpointRelays = append(w.Out.EndpointRelays, command.RelayEndpointChanges{To: []table.Holder{to}, Changes: endpointList(w, row)})
+	default:
+		return
+	}
+	w.Count("watch.states_sent")
+}
+
+// endpointList returns the list of endpoints as this router knows it.
+func endpointList(w *world.World, row *table.Watch) event.EndpointChanges {
+	changes := event.EndpointChanges{Full: true, Covered: row.Covered, LastChange: row.LastChange}
+	w.DirectEndpoints.Each(func(id table.EndpointID, e *table.DirectEndpoint) {
+		if e.RemovedAt == 0 {
+			changes.Present = append(changes.Present, event.EndpointEntry{
+				ID: id, Service: e.Service, Address: e.Address, Domain: e.Domain, Slots: e.Slots, Leaving: e.Leaving, StartedUnixMilli: e.StartedUnixMilli,
+			})
+		}
+	})
+	markLapses(w, &changes)
+	return changes
+}
+
+// markLapses says of changes that are passed on whether an outage of the store may have
+// caused the removals.
+func markLapses(w *world.World, changes *event.EndpointChanges) {
+	changes.MayHaveLapsed = w.RecentOutage()
+	if changes.MayHaveLapsed {
+		changes.LapseGrace = LapseGraceEnd(w).Sub(w.Now)
+	}
 }
 
 // checkMissing logs that this router lacks a change which another one reported, and that
--- a/internal/table/exchange.go
+++ b/internal/table/exchange.go
@@ -108,8 +108,10 @@
 	// CachedParts maps a prompt part at an endpoint to its last use there.
 	CachedParts Table[CachedPart, Instant]
 
-	// Manifest is the active configuration of the HTTP front.
-	Manifest Manifest
+	// Manifest is the active configuration of the HTTP front, ManifestRevision the store's
+	// revision of its last change.
+	Manifest         Manifest
+	ManifestRevision uint64
 	// RoutesByHost maps a host name to the indexes of its routes in
 	// Manifest.Routes, longest prefix first.
 	RoutesByHost       Table[string, []int]
