catalog: a removal seen between two outages takes effect while the store serves others

What callers saw: requests went to an endpoint that had left, for as long as the store turned the router away.

Why it works: once a report shows that the store has served another router since this one does not reach it, the entry lapsed before, and the time counts from then.

--- a/internal/system/catalog/catalog.go
+++ b/internal/system/catalog/catalog.go
@@ -220,16 +220,19 @@
 
 // graceEnded reports whether the time is over in which a lapsed entry may come back,
 // and requests a tick at its end otherwise. Without the store, only another router can
-// tell that.
+// tell that: if the store has served one since this router does not reach it, the entry
+// lapsed in an earlier outage.
 func graceEnded(w *world.World, e *table.DirectEndpoint) bool {
 	switch {
 	case e.LapseGraceEnd != 0:
 		return w.DueOrWake(e.LapseGraceEnd)
-	case !w.PlatformReachable:
-		w.WakeAt(w.Now.Add(outagePollInterval))
-		return false
+	case w.PlatformReachable:
+		return w.DueOrWake(watch.LapseGraceEnd(w))
+	case w.StoreServedOthersAt != 0:
+		return w.DueOrWake(watch.RelistEnd(w, w.PlatformStateSince))
 	}
-	return w.DueOrWake(watch.LapseGraceEnd(w))
+	w.WakeAt(w.Now.Add(outagePollInterval))
+	return false
 }
 
 func deleteCachedParts(w *world.World, id table.EndpointID) {
--- a/internal/system/watch/fleet_test.go
+++ b/internal/system/watch/fleet_test.go
@@ -338,6 +338,23 @@
 	require.Zero(t, f.routers[1].world.DirectEndpoints.Len())
 }
 
+// Guards against an endpoint that left and stays in use while the store turns a router
+// away, because the router saw the removal right after an earlier outage of its own.
+func TestRemovalBetweenTwoOutagesTakesEffect(t *testing.T) {
+	f := newFleet(4, 1)
+	m := f.routers[2]
+	m.turnedAway = true
+	f.run(fleetStep)
+	m.turnedAway, m.cut = false, true
+	f.disconnect(m)
+	f.remove("m0")
+	f.run(4 * fleetStep)
+	require.NotZero(t, m.world.DirectEndpoints.Get("m0").RemovedAt)
+	m.turnedAway, m.cut = true, false
+	f.run(2*settleTime + changeBound(4))
+	require.Empty(t, f.outdated())
+}
+
 // Guards against any order of outages, cuts and restarts after which a router that
 // reaches others lacks what they know, and against a configuration or an endpoint that
 // comes back.
--- a/internal/system/watch/watch.go
+++ b/internal/system/watch/watch.go
@@ -160,13 +160,18 @@
 }
 
 // LapseGraceEnd returns until when entries that lapsed in this router's last outage may
-// come back: they are listed again soon after the outage, and the change is known after
-// the delay of a batch at most.
+// come back.
 func LapseGraceEnd(w *world.World) table.Instant {
-	restoredAt := w.PlatformRestoredAt
 	if !w.PlatformReachable {
-		restoredAt = w.Now
+		return RelistEnd(w, w.Now)
 	}
+	return RelistEnd(w, w.PlatformRestoredAt)
+}
+
+// RelistEnd returns until when entries that lapsed in an outage of the store may come
+// back: they are listed again soon after its end, and the change is known after the delay
+// of a batch at most.
+func RelistEnd(w *world.World, restoredAt table.Instant) table.Instant {
 	return restoredAt.Add(relistTime + batchDelay(w))
 }
 
