watch, peers: a list sent to another router holds the changes that its revision counts

A router that had asked another for what it lacked could use an endpoint that had left, for good.

Cause: a report that asks for the list was answered in watch, which runs before the catalog. If changes arrived in the same tick, the list had their revision but not the changes.

Why it works: peers, which runs after the catalog, answers.

--- a/internal/system/peers/peers.go
+++ b/internal/system/peers/peers.go
@@ -44,6 +44,7 @@
 	}
 	for i := range w.In.RouterReports {
 		onRouterReport(w, &w.In.RouterReports[i])
+		watch.SendWanted(w, &w.In.RouterReports[i])
 	}
 	dialPeers(w)
 	sendReport(w)
--- a/internal/system/watch/fleet_test.go
+++ b/internal/system/watch/fleet_test.go
@@ -338,6 +338,29 @@
 	require.Zero(t, f.routers[1].world.DirectEndpoints.Len())
 }
 
+// Guards against a list that is sent to another router with the revision of changes that
+// are not applied to it yet.
+func TestStateSentInTickOfChangeIncludesIt(t *testing.T) {
+	f := newFleet(4, 3)
+	m, asker := f.routers[0], f.routers[1]
+	f.remove("m1")
+	m.inbox = append(m.inbox,
+		event.EndpointChanges{Since: 11, Covered: 12, LastChange: 12, Removed: []table.EndpointID{"m1"}, Relayed: true},
+		event.RouterReport{From: asker.process.Holder, Wants: map[table.WatchKind]event.WantedChanges{
+			table.WatchEndpoints: {From: m.process.Holder, Covered: 11},
+		}})
+	asker.inbox = nil
+	f.tick(m)
+	lists := slices.DeleteFunc(asker.inbox, func(e event.Event) bool {
+		changes, ok := e.(event.EndpointChanges)
+		return !ok || !changes.Full
+	})
+	require.Len(t, lists, 1)
+	list := lists[0].(event.EndpointChanges)
+	require.Equal(t, uint64(12), list.Covered)
+	require.Len(t, list.Present, 4)
+}
+
 // Guards against an endpoint that left and stays in use while the store turns a router
 // away, because the router saw the removal right after an earlier outage of its own.
 func TestRemovalBetweenTwoOutagesTakesEffect(t *testing.T) {
--- a/internal/system/watch/watch.go
+++ b/internal/system/watch/watch.go
@@ -277,11 +277,6 @@
 		}
 		onReportedChange(w, watchOf(w, kind), e, revision)
 	}
-	for kind, wanted := range e.Wants {
-		if wanted.From == w.Self() {
-			sendState(w, kind, e.From, wanted.Covered)
-		}
-	}
 }
 
 // onReportedChange records that another router knows a change. A router that has nothing
@@ -310,6 +305,17 @@
 	return wants
 }
 
+// SendWanted answers another router that lacks changes and asks this one for them. It
+// runs after the catalog has applied the changes of the tick: the revisions of a watch
+// already count them.
+func SendWanted(w *world.World, e *event.RouterReport) {
+	for kind, wanted := range e.Wants {
+		if wanted.From == w.Self() {
+			sendState(w, kind, e.From, wanted.Covered)
+		}
+	}
+}
+
 // sendState sends another router, which has all changes up to a revision, the whole state
 // of a kind of objects if this one knows a later one.
 func sendState(w *world.World, kind table.WatchKind, to table.Holder, covered uint64) {
