notice, placement: endpoints get no more requests than the limit that they name

Cause: the header in which an endpoint names how many requests a second it takes from all routers together was not read.

Why it works: routers tell each other what endpoints said, and each computes the same shares of a limit from the members of the ledger.

--- a/internal/event/exchange.go
+++ b/internal/event/exchange.go
@@ -41,6 +41,18 @@
 	Slowdown float64
 }
 
+// EndpointNotice is what a direct endpoint says of itself in an answer.
+type EndpointNotice struct {
+	// Present is false if there was no answer of the endpoint.
+	Present bool
+	// Limited is true if it names a limit, Limit how many requests a second it takes from
+	// all routers together.
+	Limited bool
+	Limit   float64
+	// Age is how long ago the head of the answer was read.
+	Age time.Duration
+}
+
 // ConnectTime is how long it took to open a connection to an endpoint, or to give up.
 type ConnectTime struct{ Duration time.Duration }
 
@@ -50,6 +62,7 @@
 	Exchange table.ExchangeID
 	Attempt  int
 	Report   LoadReport
+	Notice   EndpointNotice
 }
 
 // DirectStatus is how an attempt at a direct endpoint ended.
@@ -97,6 +110,7 @@
 	HeaderDelivered bool
 	Reason          string
 	Report          LoadReport
+	Notice          EndpointNotice
 	// LongestGap is the longest pause between two events of the attempt.
 	LongestGap time.Duration
 }
@@ -204,6 +218,20 @@
 	// Wants are the kinds of objects of which the sender lacks changes that the store does
 	// not give it. Releases that don't know the field don't answer.
 	Wants map[table.WatchKind]WantedChanges
+	// Limits are the limits that endpoints named to the sender itself, and those that they
+	// no longer name.
+	Limits []EndpointLimit
+}
+
+// EndpointLimit is what an endpoint said of its limit to a router.
+type EndpointLimit struct {
+	Endpoint table.EndpointID
+	// StartedUnixMilli is the start of the endpoint's process.
+	StartedUnixMilli int64
+	Limited          bool
+	Limit            float64
+	// Age is how long ago it said so.
+	Age time.Duration
 }
 
 // WantedChanges asks a router for the state of a kind of objects.
--- a/internal/gateway/limit_test.go
+++ b/internal/gateway/limit_test.go
@@ -8,6 +8,9 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"laburnumroad.dev/laburnumroad/internal/event"
+	"laburnumroad.dev/laburnumroad/internal/table"
 )
 
 // Guards against routers that go on sending to an endpoint which names how many requests
@@ -48,3 +51,35 @@
 	}
 	require.LessOrEqual(t, float64(counted), 1.5*limit*time.Since(firstToldAt).Seconds()+5)
 }
+
+// Guards against requests that wait for an endpoint although the limits which the
+// endpoints named leave no room, and against clients that are all told the same time.
+func TestRequestBeyondLimitsIsRefusedAtOnce(t *testing.T) {
+	h := newServingHarness(t)
+	for range 2 {
+		a := h.newArrival("/booking/1")
+		h.step(a)
+		call := h.calls[len(h.calls)-1]
+		h.step(event.DirectAttemptEnd{
+			Exchange: a.Exchange, Attempt: call.Attempt, Status: event.DirectAnswered, HTTPStatus: http.StatusOK,
+			Notice: event.EndpointNotice{Present: true, Limited: true, Limit: 0.5},
+		})
+		h.world.DirectEndpoints.Get(call.Endpoint).InFlight += 100
+	}
+	sent, times := len(h.calls), make(map[time.Duration]bool)
+	for range 5 {
+		a := h.newArrival("/booking/1")
+		h.step(a)
+		last := h.finished[len(h.finished)-1]
+		require.Equal(t, a.Exchange, last.Exchange, "answered in the tick of its arrival")
+		require.Equal(t, table.NotRun, last.Outcome.Ran)
+		require.Positive(t, last.Outcome.RetryAfter)
+		times[last.Outcome.RetryAfter] = true
+	}
+	require.Len(t, h.calls, sent)
+	require.Len(t, times, 5)
+	h.advance(5 * time.Second)
+	a := h.newArrival("/booking/1")
+	h.step(a)
+	require.Len(t, h.calls, sent+1, "the limits leave room again")
+}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -75,6 +75,13 @@
 		available += int64(a.Available())
 		reserved += int64(a.Reserved)
 	})
+	limited := int64(0)
+	w.EndpointNotices.Each(func(_ table.EndpointID, n *table.EndpointNotice) {
+		if n.Limited {
+			limited++
+		}
+	})
+	m.counters["endpoints.limited"] = limited
 	quarantinedParts := int64(0)
 	w.PartSuspects.Each(func(_ table.Fingerprint, s *table.PartSuspect) {
 		if s.QuarantinedUntil > w.Now {
--- a/internal/gateway/systems.go
+++ b/internal/gateway/systems.go
@@ -10,6 +10,7 @@
 	"laburnumroad.dev/laburnumroad/internal/system/health"
 	"laburnumroad.dev/laburnumroad/internal/system/intake"
 	"laburnumroad.dev/laburnumroad/internal/system/link"
+	"laburnumroad.dev/laburnumroad/internal/system/notice"
 	"laburnumroad.dev/laburnumroad/internal/system/peers"
 	"laburnumroad.dev/laburnumroad/internal/system/placement"
 	"laburnumroad.dev/laburnumroad/internal/system/quarantine"
@@ -23,6 +24,7 @@
 		world.SystemFunc(watch.Run),
 		world.SystemFunc(catalog.Run),
 		world.SystemFunc(health.Run),
+		world.SystemFunc(notice.Run),
 		world.SystemFunc(quarantine.RunGateway),
 		world.SystemFunc(link.Run),
 		world.SystemFunc(attempt.Run),
--- a/internal/system/peers/peers.go
+++ b/internal/system/peers/peers.go
@@ -8,6 +8,7 @@
 	"laburnumroad.dev/laburnumroad/internal/command"
 	"laburnumroad.dev/laburnumroad/internal/event"
 	"laburnumroad.dev/laburnumroad/internal/system/allowance"
+	"laburnumroad.dev/laburnumroad/internal/system/notice"
 	"laburnumroad.dev/laburnumroad/internal/system/watch"
 	"laburnumroad.dev/laburnumroad/internal/table"
 	"laburnumroad.dev/laburnumroad/internal/world"
@@ -114,13 +115,14 @@
 }
 
 // sendReport sends the periodic report to the other routers, and one at once if the
-// store went out of reach or came back, or if this router lacks changes: the others choose
-// their delegates by it, or send what is missing. The reports also keep sessions open, which end after several missing ones.
+// store went out of reach or came back, if this router lacks changes, or if an endpoint named
+// another limit: the others choose their delegates by it, send what is missing, or keep to
+// the limit. The reports also keep sessions open, which end after several missing ones.
 func sendReport(w *world.World) {
 	storeDown := !w.PlatformReachable || w.LimitLedgerView.Backoff > 0
 	nextReport := w.ReportSentAt.Add(ReportInterval(w))
 	wants := watch.Wants(w)
-	if storeDown != w.ReportedStoreDown || len(wants) > 0 {
+	if storeDown != w.ReportedStoreDown || len(wants) > 0 || notice.HasNews(w) {
 		nextReport = min(nextReport, w.ReportSentAt.Add(minReportInterval))
 	}
 	if nextReport > w.Now {
@@ -130,7 +132,7 @@
 	w.ReportSentAt, w.ReportedStoreDown = w.Now, storeDown
 	w.WakeAt(w.Now.Add(ReportInterval(w)))
 	w.Out.RouterReports = append(w.Out.RouterReports, command.SendRouterReport{Report: event.RouterReport{
-		Available: allowance.HeldTokens(w), StoreDown: storeDown, FollowedFor: watch.FollowedFor(w), LastChanges: watch.LastChanges(w), Wants: wants,
+		Available: allowance.HeldTokens(w), StoreDown: storeDown, FollowedFor: watch.FollowedFor(w), LastChanges: watch.LastChanges(w), Wants: wants, Limits: notice.Report(w),
 	}})
 }
 
--- a/internal/system/placement/placement.go
+++ b/internal/system/placement/placement.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"laburnumroad.dev/laburnumroad/internal/command"
+	"laburnumroad.dev/laburnumroad/internal/system/notice"
 	"laburnumroad.dev/laburnumroad/internal/table"
 	"laburnumroad.dev/laburnumroad/internal/world"
 )
@@ -63,11 +64,18 @@
 	if x.SentAttempts > 0 {
 		waitEnd = x.AttemptSentAt.Add(max(minEndpointWait, x.LatencyObjective))
 	}
-	if w.Now < waitEnd {
+	limited, wait := limitsEndIn(w, x.Service)
+	if w.Now < waitEnd && !(limited && w.Now.Add(wait) > waitEnd) {
 		w.WakeAt(min(waitEnd, w.Now.Add(recheckInterval)))
 		return
 	}
 	outcome := table.Outcome{Code: table.CodeNoEndpoint, Reason: "no endpoint of the service can take work", Ran: table.NotRun, RetryAfter: noEndpointRetryAfter}
+	if limited {
+		w.Count("placement.limited")
+		outcome.Reason = "the limits that the endpoints named are used up"
+		// Clients that are refused at the same time come back one after the other.
+		outcome.RetryAfter = wait + time.Duration(w.Rand.Int64N(int64(noEndpointRetryAfter)))
+	}
 	if x.MayHaveRun {
 		outcome.Code, outcome.Reason, outcome.Ran = table.CodeEndpointFailed, "no endpoint is left after: "+x.LastFailure, table.RanUnknown
 	}
@@ -76,13 +84,31 @@
 	w.FinishExchange(x, false, outcome)
 }
 
+// limitsEndIn reports whether only the limits that endpoints of a service named keep this
+// router from sending to them, and how long it takes until one takes a request. If none
+// does as long as its limit stands, that is the time after which a client may try again,
+// at another router.
+func limitsEndIn(w *world.World, service table.ServiceName) (bool, time.Duration) {
+	limited, anyShare, wait := false, false, noEndpointRetryAfter
+	w.DirectEndpoints.Each(func(_ table.EndpointID, e *table.DirectEndpoint) {
+		if e.Service != service || e.Leaving {
+			return
+		}
+		limited = true
+		if in, hasShare := notice.AdmitsIn(w, e.ID); hasShare && (!anyShare || in < wait) {
+			anyShare, wait = true, in
+		}
+	})
+	return limited, wait
+}
+
 // eligibleEndpoints returns the endpoints that may get the request. Endpoints
 // that it was sent to before and suspect endpoints are excluded unless no
-// others remain.
+// others remain; those whose limit this router has used up always are.
 func eligibleEndpoints(w *world.World, x *table.Exchange) []*table.DirectEndpoint {
 	var usable []*table.DirectEndpoint
 	w.DirectEndpoints.Each(func(_ table.EndpointID, e *table.DirectEndpoint) {
-		if e.Service == x.Service && !e.Leaving {
+		if e.Service == x.Service && !e.Leaving && notice.Admits(w, e.ID) {
 			usable = append(usable, e)
 		}
 	})
@@ -97,6 +123,7 @@
 		// The timer of the exchange ends it.
 		return
 	}
+	notice.Take(w, e.ID)
 	w.ExchangesWaiting.Remove(x.ID)
 	x.State = table.ExchangeRunning
 	x.Attempt++
--- a/internal/table/exchange.go
+++ b/internal/table/exchange.go
@@ -105,6 +105,8 @@
 
 	DirectEndpoints Table[EndpointID, DirectEndpoint]
 	DirectServices  Table[ServiceName, DirectService]
+	// EndpointNotices are what endpoints say of themselves, as far as it binds routers.
+	EndpointNotices Table[EndpointID, EndpointNotice]
 	// CachedParts maps a prompt part at an endpoint to its last use there.
 	CachedParts Table[CachedPart, Instant]
 
--- a/internal/traffic/front/codec.go
+++ b/internal/traffic/front/codec.go
@@ -38,6 +38,8 @@
 	Misdirected bool
 	// Report is the endpoint's load report.
 	Report event.LoadReport
+	// Notice is what the endpoint says of itself.
+	Notice event.EndpointNotice
 }
 
 // Codec translates between HTTP headers and the types of this package. An
--- a/internal/traffic/front/exchange.go
+++ b/internal/traffic/front/exchange.go
@@ -47,6 +47,8 @@
 
 	// buffered is the last complete response that was not streamed to the client.
 	buffered *bufferedResponse
+	// headReadAt is when the head of the last response was read.
+	headReadAt time.Time
 	// headerSent is true once a response's status and headers were sent to the client.
 	headerSent bool
 	// eventsSent counts the stream events sent to the client; lastEventID is the id
@@ -133,7 +135,7 @@
 
 // callEndpoint sends the request to the endpoint of one attempt and returns how
 // the attempt ended.
-func (x *exchange) callEndpoint(ctx context.Context, c *command.CallEndpoint) event.DirectAttemptEnd {
+func (x *exchange) callEndpoint(ctx context.Context, c *command.CallEndpoint) (end event.DirectAttemptEnd) {
 	lastEventID := ""
 	if x.headerSent {
 		lastEventID = x.lastEventID
@@ -158,8 +160,10 @@
 		return callFailure(err)
 	}
 	defer resp.Close()
+	x.headReadAt = x.server.now()
 	head := x.server.Codec.ParseResponseHead(resp.StatusCode, resp.Header)
-	end := event.DirectAttemptEnd{HTTPStatus: resp.StatusCode, Misdirected: head.Misdirected, Report: head.Report}
+	end = event.DirectAttemptEnd{HTTPStatus: resp.StatusCode, Misdirected: head.Misdirected, Report: head.Report, Notice: head.Notice}
+	defer func() { end.Notice.Age = x.server.now().Sub(x.headReadAt) }()
 	switch {
 	case head.NotRun || head.Misdirected:
 		end.Status, end.Reason = event.DirectDeclined, "declined with status "+strconv.Itoa(resp.StatusCode)
--- a/internal/traffic/front/stream.go
+++ b/internal/traffic/front/stream.go
@@ -51,7 +51,8 @@
 		}
 		if !started {
 			started = true
-			x.server.Post(event.DirectAnswerStarted{Exchange: x.id, Attempt: c.Attempt, Report: end.Report})
+			end.Notice.Age = x.server.now().Sub(x.headReadAt)
+			x.server.Post(event.DirectAnswerStarted{Exchange: x.id, Attempt: c.Attempt, Report: end.Report, Notice: end.Notice})
 		}
 		if limit := x.request.MaxOutput; limit > 0 && x.eventsSent >= int64(limit)+maxExtraEvents {
 			end.Status, end.Reason = event.DirectOutcomeUnknown, "the stream has more events than the request may have tokens"
