--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -37,8 +37,13 @@
 }
 
 func newTestCluster(t *testing.T) *testCluster {
+	return newTestClusterWith(t, func(store http.Handler) http.Handler { return store })
+}
+
+// newTestClusterWith returns a cluster whose store answers through wrap.
+func newTestClusterWith(t *testing.T, wrap func(http.Handler) http.Handler) *testCluster {
 	store := fake.NewPlatform(fake.PlatformConfig{})
-	server := httptest.NewServer(store)
+	server := httptest.NewServer(wrap(store))
 	t.Cleanup(func() {
 		store.Close()
 		server.Close()
