gateway: an entry that becomes invalid names no endpoint any more

What callers saw: requests went on to an endpoint whose entry another writer had replaced.

Cause: an invalid entry in a change was skipped, so the endpoint stayed as it was; in a full list the same entry counted as removed.

Evidence: TestEntryThatBecomesUnreadableNamesNoEndpoint failed before.

Why it works: it counts as removed in both. The endpoint is used again when its own entry is back.

--- a/internal/gateway/odd_entry_test.go
+++ b/internal/gateway/odd_entry_test.go
@@ -45,3 +45,28 @@
 	gw.shutdownAndWait()
 	require.NotContains(t, gw.logs.buf.String(), `"subject":"platform","id":"store","from":"up","to":"down"`)
 }
+
+// Guards against an endpoint that stays in use after another writer has replaced its entry
+// by one that names no endpoint.
+func TestEntryThatBecomesUnreadableNamesNoEndpoint(t *testing.T) {
+	c := newTestCluster(t)
+	c.startEndpoint("i-1", "desk", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("replaced")) })
+	c.startEndpoint("i-2", "desk", respondBooked)
+	c.putConfig(1, 100_000)
+	gw := c.startGateway("edge-1")
+	gw.waitReady()
+	c.putObject("servers", "i-1", `{"backend":"desk","address":"127.0.0.1:70000","state":"ready"}`)
+	// An endpoint that is listed later shows that the change before has arrived.
+	c.startEndpoint("i-3", "desk", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("new")) })
+	id := 0
+	send := func() string {
+		id++
+		_, body, err := gw.postRequest("/booking/1", fmt.Sprintf("r-%d", id), "")
+		require.NoError(t, err)
+		return body
+	}
+	require.Eventually(t, func() bool { return send() == "new" }, time.Minute, 5*time.Millisecond)
+	for range 50 {
+		require.NotEqual(t, "replaced", send())
+	}
+}
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -94,7 +94,7 @@
 }
 
 // addEndpoints adds the last state of each stored entry to changes. An invalid entry
-// is logged and skipped.
+// is logged and counts as removed.
 func (g *Gateway) addEndpoints(changes *event.EndpointChanges, objects []platform.Object) {
 	last := make(map[string]int, len(objects))
 	for i := range objects {
@@ -112,6 +112,8 @@
 		e, err := platform.DecodeEndpoint(o.Name, o.Value)
 		if err != nil {
 			g.log.Warn().Err(err).Msg("skipped invalid endpoint entry")
+			// It names no endpoint, also if an earlier one of that name did.
+			changes.Removed = append(changes.Removed, table.EndpointID(o.Name))
 			continue
 		}
 		changes.Present = append(changes.Present, e)
