upstream, front: a request goes to the same endpoint again on a new connection only

Cause: an answer is matched to a request by the id that the client gave it, and all attempts of a request have the same id. An endpoint that refused an attempt, got the next one on the same connection and wrote the refusal once more was taken at its word, while it ran the request.

Evidence: TestCopyOfEarlierRefusalIsNotTakenForNextAttempt failed before (declined with status 503). TestCopyOfRefusalOfOtherRequestIsSkipped passed before: a copy that belongs to another request is told by its id.

Why it works: nothing that was written for an earlier attempt can arrive on a connection that carried none. Attempts at the same endpoint are rare, so few more connections are opened.

--- a/internal/traffic/front/exchange.go
+++ b/internal/traffic/front/exchange.go
@@ -45,6 +45,8 @@
 	// disconnects.
 	traceCtx context.Context
 
+	// sentTo are the addresses that the request was sent to.
+	sentTo map[string]bool
 	// buffered is the last complete response that was not streamed to the client.
 	buffered *bufferedResponse
 	// headReadAt is when the head of the last response was read.
@@ -142,7 +144,7 @@
 	}
 	started := x.server.now()
 	resp, err := x.server.Pool.Do(ctx, &upstream.Request{
-		Address: c.Address, Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host, Body: x.body,
+		Address: c.Address, OnNewConnection: x.sentTo[c.Address], Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host, Body: x.body,
 		Prepare: func() (http.Header, error) {
 			if x.server.isWithdrawn(c.Endpoint) {
 				return nil, errors.New("the endpoint left before the request was sent")
@@ -151,6 +153,10 @@
 			if call.TimeLeft -= x.server.now().Sub(started); call.TimeLeft <= 0 {
 				return nil, errors.New("the time of the request passed before it was sent")
 			}
+			if x.sentTo == nil {
+				x.sentTo = make(map[string]bool)
+			}
+			x.sentTo[c.Address] = true
 			return x.server.Codec.AttemptHeader(x.r.Header, &call, lastEventID), nil
 		},
 		OnConnect: func(d time.Duration) { x.server.Post(event.ConnectTime{Duration: d}) },
--- a/internal/traffic/upstream/exchange.go
+++ b/internal/traffic/upstream/exchange.go
@@ -29,7 +29,10 @@
 type Request struct {
 	// Address is the host and port to connect to.
 	Address string
-	Method  string
+	// OnNewConnection is true if the request was sent to the address before. What arrives
+	// on the connection that it was sent on may be a copy of the answer to that.
+	OnNewConnection bool
+	Method          string
 	// Target is the request target, that is the path and query as the client sent them.
 	Target string
 	Host   string
@@ -68,7 +71,10 @@
 // the connection. An error that is ErrNotSent guarantees that the endpoint received
 // no part of the request.
 func (p *Pool) Do(ctx context.Context, req *Request) (*Response, error) {
-	conn := p.get(req.Address)
+	var conn *conn
+	if !req.OnNewConnection {
+		conn = p.get(req.Address)
+	}
 	if conn == nil {
 		var err error
 		started := time.Now()
