front: an error that a second endpoint answers with is not passed on into a stream

Cause: once a stream has begun, an answer with another status than 200 ends the attempt, but one with 200 and a proof was taken for the rest of the stream, whatever it held: its content type was not compared, and lines that are no fields of events were passed on.

An empty answer with a proof still ends the stream: the endpoint had nothing to add.

--- a/internal/traffic/front/exchange.go
+++ b/internal/traffic/front/exchange.go
@@ -53,6 +53,8 @@
 	headReadAt time.Time
 	// headerSent is true once a response's status and headers were sent to the client.
 	headerSent bool
+	// contentType is the media type of the response that was sent.
+	contentType string
 	// eventsSent counts the stream events sent to the client; lastEventID is the id
 	// of the last one, initially the one that the client sent.
 	eventsSent  int64
--- a/internal/traffic/front/stream.go
+++ b/internal/traffic/front/stream.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -33,22 +34,30 @@
 // after the last one.
 func (x *exchange) relayStream(end *event.DirectAttemptEnd, c *command.CallEndpoint, resp *upstream.Response) {
 	r := bufio.NewReaderSize(resp.Body, streamBufferBytes)
-	started, hasData := false, false
+	started, hasData, continued := false, false, x.headerSent
 	lastEventTime := time.Time{}
+	if continued && contentType(resp.Header) != x.contentType {
+		end.Status, end.Reason = event.DirectOutcomeUnknown, "the endpoint did not continue the stream: its answer has another content type"
+		return
+	}
 	for {
 		text, err := readEvent(r)
 		if err != nil {
 			x.classifyStreamEnd(end, resp, hasData, text, err)
 			return
 		}
-		if resp.CloseDelimited() {
+		if resp.CloseDelimited() || continued {
 			fields := parseFields(text)
 			if !fields.valid {
-				end.Status, end.Reason = event.DirectOutcomeUnknown, "a stream without a length has bytes that are not an event"
+				end.Status, end.Reason = event.DirectOutcomeUnknown, "a stream without a length, or one that continues another, has bytes that are not an event"
 				return
 			}
 			hasData = hasData || fields.hasData
 		}
+		if continued && !started && x.lastEventID != "" && parseEventID(text) == "" {
+			end.Status, end.Reason = event.DirectOutcomeUnknown, "the endpoint did not continue the stream: its first event has no id"
+			return
+		}
 		if !started {
 			started = true
 			end.Notice.Age = x.server.now().Sub(x.headReadAt)
@@ -146,7 +155,13 @@
 	}
 	x.copyHeader(resp.Header)
 	x.w.WriteHeader(resp.StatusCode)
-	x.headerSent = true
+	x.headerSent, x.contentType = true, contentType(resp.Header)
+}
+
+// contentType returns the media type of a response without its parameters.
+func contentType(h http.Header) string {
+	mediaType, _, _ := strings.Cut(h.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(mediaType))
 }
 
 // parseEventID returns the id of an event, or "" if it has none.
