notice, catalog: endpoints that say they leave or want a pause get no requests

What callers saw: requests at endpoints that were about to end, and refusals from endpoints that had asked for a pause.

Cause: neither word of an endpoint was read.

Why it works: both stand in the table of what endpoints said, which placement asks and which the last check before sending knows for those that leave. The word of one that leaves belongs to its process: entries, lapses and late reports of an earlier process do not change it.

--- a/internal/event/exchange.go
+++ b/internal/event/exchange.go
@@ -45,10 +45,16 @@
 type EndpointNotice struct {
 	// Present is false if there was no answer of the endpoint.
 	Present bool
+	// Leaving is true if it is about to end and wants no new work.
+	Leaving bool
+	// Pause is for how long it wants nothing from this router, or 0.
+	Pause time.Duration
 	// Limited is true if it names a limit, Limit how many requests a second it takes from
 	// all routers together.
 	Limited bool
 	Limit   float64
+	// LimitUnknown is true if the limit that it names is unreadable.
+	LimitUnknown bool
 	// Age is how long ago the head of the answer was read.
 	Age time.Duration
 }
@@ -218,18 +224,20 @@
 	// Wants are the kinds of objects of which the sender lacks changes that the store does
 	// not give it. Releases that don't know the field don't answer.
 	Wants map[table.WatchKind]WantedChanges
-	// Limits are the limits that endpoints named to the sender itself, and those that they
-	// no longer name.
-	Limits []EndpointLimit
+	// Notices are what endpoints said of themselves to the sender itself, as far as it
+	// binds other routers.
+	Notices []ReportedNotice
 }
 
-// EndpointLimit is what an endpoint said of its limit to a router.
-type EndpointLimit struct {
+// ReportedNotice is what an endpoint said of itself to a router.
+type ReportedNotice struct {
 	Endpoint table.EndpointID
 	// StartedUnixMilli is the start of the endpoint's process.
 	StartedUnixMilli int64
-	Limited          bool
-	Limit            float64
+	Leaving          bool
+	// Limited is false also if the endpoint no longer names a limit.
+	Limited bool
+	Limit   float64
 	// Age is how long ago it said so.
 	Age time.Duration
 }
--- a/internal/system/catalog/catalog.go
+++ b/internal/system/catalog/catalog.go
@@ -153,10 +153,11 @@
 		w.RecordStateChange("endpoint", string(e.ID), "", stateName(e.Leaving), "listed for "+string(e.Service)+" at "+e.Address)
 		return
 	}
-	if row.Leaving != e.Leaving || row.RemovedAt != 0 {
-		w.RecordStateChange("endpoint", string(e.ID), stateName(row.Leaving), stateName(e.Leaving), "entry changed")
+	leaving := e.Leaving || row.SaidLeaving
+	if row.Leaving != leaving || row.RemovedAt != 0 {
+		w.RecordStateChange("endpoint", string(e.ID), stateName(row.Leaving), stateName(leaving), "entry changed")
 	}
-	setLeaving(w, row, e.Leaving)
+	setLeaving(w, row, leaving)
 	row.Service, row.Domain, row.Slots, row.RemovedAt = e.Service, e.Domain, e.Slots, 0
 }
 
@@ -185,6 +186,15 @@
 	setLeaving(w, row, true)
 }
 
+// Withdraw takes an endpoint out of use whose process said that it leaves.
+func Withdraw(w *world.World, row *table.DirectEndpoint, source string) {
+	if !row.Leaving {
+		w.RecordStateChange("endpoint", string(row.ID), stateName(row.Leaving), "leaving", "it said so, by "+source)
+	}
+	row.SaidLeaving = true
+	setLeaving(w, row, true)
+}
+
 // setLeaving sets whether an endpoint gets no new work, also from attempts that are
 // already on their way to it.
 func setLeaving(w *world.World, row *table.DirectEndpoint, leaving bool) {
--- a/internal/system/notice/fleet_test.go
+++ b/internal/system/notice/fleet_test.go
@@ -314,7 +314,7 @@
 	f := newFleet(1, 3, 0)
 	r := f.routers[0]
 	say := func(limit float64, age time.Duration, started int64) {
-		r.inbox = append(r.inbox, event.RouterReport{From: f.routers[1].process.Holder, Limits: []event.EndpointLimit{
+		r.inbox = append(r.inbox, event.RouterReport{From: f.routers[1].process.Holder, Notices: []event.ReportedNotice{
 			{Endpoint: endpointID, StartedUnixMilli: started, Limited: limit >= 0, Limit: max(0, limit), Age: age},
 		}})
 		f.run(step)
--- a/internal/system/notice/notice.go
+++ b/internal/system/notice/notice.go
@@ -1,6 +1,9 @@
 // Package notice keeps what endpoints say of themselves in their answers, and decides
 // what this router may still send them.
 //
+// An endpoint that leaves, or wants a pause from this router, gets nothing: whatever its
+// entry in the platform's list says, and whether the store is in reach or not.
+//
 // An endpoint in need names how many requests a second it takes from all routers
 // together. A few routers share that: each router computes from the members of the fleet,
 // alike at all routers, which ones may send to the endpoint and how much. What an endpoint
@@ -15,6 +18,7 @@
 	"time"
 
 	"laburnumroad.dev/laburnumroad/internal/event"
+	"laburnumroad.dev/laburnumroad/internal/system/catalog"
 	"laburnumroad.dev/laburnumroad/internal/table"
 	"laburnumroad.dev/laburnumroad/internal/world"
 )
@@ -23,8 +27,15 @@
 	// lifetime is how long a notice counts that no router hears again. Routers that may
 	// send to the endpoint hear it with each answer.
 	lifetime = 30 * time.Second
-	// reportedFor is how long a router tells others what it has heard itself.
-	reportedFor = 10 * time.Second
+	// leavingLifetime is how long the word of an endpoint that leaves counts: its process
+	// ends before.
+	leavingLifetime = 10 * time.Minute
+	// reportedFor is how long a router tells others what it has heard itself, and
+	// leavingReportedFor the same of endpoints that leave: their answers become rare.
+	reportedFor        = 10 * time.Second
+	leavingReportedFor = time.Minute
+	// maxPause bounds the pause that an endpoint may ask for.
+	maxPause = 10 * time.Minute
 	// minRate is the least number of requests a second that all routers together send to
 	// an endpoint: its answers show whether it still names a limit.
 	minRate = 0.2
@@ -46,14 +57,34 @@
 	for i := range w.In.RouterReports {
 		onReport(w, &w.In.RouterReports[i])
 	}
+	withdrawListed(w)
 	w.EndpointNotices.DeleteIf(func(id table.EndpointID, n *table.EndpointNotice) bool { return outlived(w, id, n) })
 }
 
-// outlived reports whether a notice no longer counts: the endpoint's process is gone, or
-// no router has heard it for its lifetime.
+// withdrawListed takes endpoints out of use that said they leave and are listed anew by the
+// same process, as after a lapse of their entries.
+func withdrawListed(w *world.World) {
+	w.EndpointNotices.Each(func(id table.EndpointID, n *table.EndpointNotice) {
+		e := w.DirectEndpoints.Get(id)
+		if n.Leaving && e != nil && !e.SaidLeaving && e.StartedUnixMilli == n.StartedUnixMilli {
+			catalog.Withdraw(w, e, "an earlier answer")
+		}
+	})
+}
+
+// outlived reports whether a notice no longer counts: another process of the endpoint is
+// listed, or no router has heard it for its lifetime. The entry of an endpoint that leaves
+// may be missing for a while.
 func outlived(w *world.World, id table.EndpointID, n *table.EndpointNotice) bool {
 	e := w.DirectEndpoints.Get(id)
-	return e == nil || e.StartedUnixMilli != n.StartedUnixMilli || w.DueOrWake(n.SaidAt.Add(lifetime))
+	if e != nil && e.StartedUnixMilli != n.StartedUnixMilli || e == nil && !n.Leaving {
+		return true
+	}
+	end := n.SaidAt.Add(lifetime)
+	if n.Leaving {
+		end = n.SaidAt.Add(leavingLifetime)
+	}
+	return w.DueOrWake(max(end, n.PausedUntil))
 }
 
 // onAnswer applies what the answer of an attempt says.
@@ -63,42 +94,81 @@
 		return
 	}
 	e := w.DirectEndpoints.Get(x.Endpoint)
-	if e == nil || !said.Limited && w.EndpointNotices.Get(e.ID) == nil {
+	saysNothing := !said.Limited && !said.Leaving && said.Pause <= 0
+	if e == nil || saysNothing && w.EndpointNotices.Get(e.ID) == nil {
 		return
 	}
-	if n := apply(w, e, said.Limited, said.Limit, w.Now.Add(-said.Age), "its own answer"); n != nil {
+	saidAt := w.Now.Add(-said.Age)
+	n := noticeOf(w, e, saidAt)
+	if said.Leaving {
+		n.HeardAt = w.Now
+		applyLeaving(w, e, n, "its own answer")
+	}
+	if said.Pause > 0 {
+		applyPause(w, e, n, saidAt.Add(min(said.Pause, maxPause)))
+	}
+	if !said.LimitUnknown && applyLimit(w, e, n, said.Limited, said.Limit, saidAt, "its own answer") {
 		n.HeardAt = w.Now
 	}
 }
 
 func onReport(w *world.World, r *event.RouterReport) {
-	for _, l := range r.Limits {
+	for _, l := range r.Notices {
 		e := w.DirectEndpoints.Get(l.Endpoint)
 		if e == nil || e.StartedUnixMilli != l.StartedUnixMilli || math.IsNaN(l.Limit) || l.Age < 0 || l.Age > maxAge {
 			continue
 		}
-		apply(w, e, l.Limited, max(0, l.Limit), w.Now.Add(-l.Age), "router "+string(r.From.Process))
+		saidAt, source := w.Now.Add(-l.Age), "router "+string(r.From.Process)
+		n := noticeOf(w, e, saidAt)
+		if l.Leaving {
+			applyLeaving(w, e, n, source)
+		}
+		applyLimit(w, e, n, l.Limited, max(0, l.Limit), saidAt, source)
 	}
 }
 
-// apply records what an endpoint said at a time, unless it has said something later. It
-// returns the notice if it is recorded.
-func apply(w *world.World, e *table.DirectEndpoint, limited bool, limit float64, saidAt table.Instant, source string) *table.EndpointNotice {
-	n := w.EndpointNotices.Get(e.ID)
-	if n == nil {
-		n = w.EndpointNotices.Put(e.ID, table.EndpointNotice{StartedUnixMilli: e.StartedUnixMilli, FilledAt: w.Now})
+// noticeOf returns the notice of an endpoint that said something at a time.
+func noticeOf(w *world.World, e *table.DirectEndpoint, saidAt table.Instant) *table.EndpointNotice {
+	if n := w.EndpointNotices.Get(e.ID); n != nil {
+		return n
 	}
+	return w.EndpointNotices.Put(e.ID, table.EndpointNotice{StartedUnixMilli: e.StartedUnixMilli, SaidAt: saidAt, FilledAt: w.Now})
+}
+
+func applyLeaving(w *world.World, e *table.DirectEndpoint, n *table.EndpointNotice, source string) {
+	if n.Leaving {
+		return
+	}
+	w.Count("notice.leaving")
+	n.Leaving, n.Unreported = true, true
+	catalog.Withdraw(w, e, source)
+}
+
+func applyPause(w *world.World, e *table.DirectEndpoint, n *table.EndpointNotice, until table.Instant) {
+	if until <= max(w.Now, n.PausedUntil) {
+		return
+	}
+	if n.PausedUntil <= w.Now {
+		w.Count("notice.pauses")
+		w.RecordStateChange("endpoint", string(e.ID), "", "paused", "it wants nothing for "+until.Sub(w.Now).Round(time.Millisecond).String())
+	}
+	n.PausedUntil = until
+}
+
+// applyLimit records what an endpoint said of its limit at a time, unless it has said
+// something later, and reports whether it is recorded.
+func applyLimit(w *world.World, e *table.DirectEndpoint, n *table.EndpointNotice, limited bool, limit float64, saidAt table.Instant, source string) bool {
 	if saidAt < n.SaidAt {
-		return nil
+		return false
 	}
 	n.SaidAt = saidAt
 	if n.Limited == limited && (n.Limit == limit || !limited) {
-		return n
+		return true
 	}
 	logChange(w, e, n, limited, limit, source)
 	n.Limited, n.Limit, n.Unreported = limited, limit, true
 	updateShare(w, e.ID, n)
-	return n
+	return true
 }
 
 func logChange(w *world.World, e *table.DirectEndpoint, n *table.EndpointNotice, limited bool, limit float64, source string) {
@@ -112,9 +182,9 @@
 	w.RecordStateChange("endpoint", string(e.ID), name(n.Limited, n.Limit), name(limited, limit), source)
 }
 
-// current returns the notice of an endpoint that names a limit, with its permits as of
+// limitOf returns the notice of an endpoint that names a limit, with its permits as of
 // now, or nil.
-func current(w *world.World, id table.EndpointID) *table.EndpointNotice {
+func limitOf(w *world.World, id table.EndpointID) *table.EndpointNotice {
 	n := w.EndpointNotices.Get(id)
 	if n == nil || !n.Limited {
 		return nil
@@ -128,13 +198,13 @@
 
 // Admits reports whether an endpoint takes a request of this router now.
 func Admits(w *world.World, id table.EndpointID) bool {
-	n := current(w, id)
-	return n == nil || n.Permits >= 1
+	in, hasShare := AdmitsIn(w, id)
+	return hasShare && in <= 0
 }
 
 // Take uses a permit for a request that is sent to an endpoint.
 func Take(w *world.World, id table.EndpointID) {
-	if n := current(w, id); n != nil {
+	if n := limitOf(w, id); n != nil {
 		n.Permits--
 	}
 }
@@ -142,12 +212,16 @@
 // AdmitsIn returns how long it takes until an endpoint takes a request of this router, or
 // false if it does not as long as its limit stands.
 func AdmitsIn(w *world.World, id table.EndpointID) (time.Duration, bool) {
-	n := current(w, id)
+	var wait time.Duration
+	if n := w.EndpointNotices.Get(id); n != nil {
+		wait = max(0, n.PausedUntil.Sub(w.Now))
+	}
+	n := limitOf(w, id)
 	if n == nil {
-		return 0, true
+		return wait, true
 	}
-	d := n.PermitIn()
-	return d, d >= 0
+	permitIn := n.PermitIn()
+	return max(wait, permitIn), permitIn >= 0
 }
 
 // updateShare computes this router's share of an endpoint's limit. All routers together
@@ -197,17 +271,18 @@
 
 // Report returns what the endpoints last said to this router itself, for a report to the
 // other routers.
-func Report(w *world.World) []event.EndpointLimit {
-	var limits []event.EndpointLimit
+func Report(w *world.World) []event.ReportedNotice {
+	var notices []event.ReportedNotice
 	w.EndpointNotices.Each(func(id table.EndpointID, n *table.EndpointNotice) {
-		if n.HeardAt != 0 && w.Now.Sub(n.HeardAt) < reportedFor {
-			limits = append(limits, event.EndpointLimit{
-				Endpoint: id, StartedUnixMilli: n.StartedUnixMilli, Limited: n.Limited, Limit: n.Limit, Age: w.Now.Sub(n.SaidAt),
+		age := w.Now.Sub(n.HeardAt)
+		if n.HeardAt != 0 && (age < reportedFor || n.Leaving && age < leavingReportedFor) {
+			notices = append(notices, event.ReportedNotice{
+				Endpoint: id, StartedUnixMilli: n.StartedUnixMilli, Leaving: n.Leaving, Limited: n.Limited, Limit: n.Limit, Age: w.Now.Sub(n.SaidAt),
 			})
 		}
 		n.Unreported = false
 	})
-	return limits
+	return notices
 }
 
 // HasNews reports whether the other routers should be told at once what endpoints said.
--- a/internal/system/peers/peers.go
+++ b/internal/system/peers/peers.go
@@ -132,7 +132,7 @@
 	w.ReportSentAt, w.ReportedStoreDown = w.Now, storeDown
 	w.WakeAt(w.Now.Add(ReportInterval(w)))
 	w.Out.RouterReports = append(w.Out.RouterReports, command.SendRouterReport{Report: event.RouterReport{
-		Available: allowance.HeldTokens(w), StoreDown: storeDown, FollowedFor: watch.FollowedFor(w), LastChanges: watch.LastChanges(w), Wants: wants, Limits: notice.Report(w),
+		Available: allowance.HeldTokens(w), StoreDown: storeDown, FollowedFor: watch.FollowedFor(w), LastChanges: watch.LastChanges(w), Wants: wants, Notices: notice.Report(w),
 	}})
 }
 
--- a/internal/table/notice.go
+++ b/internal/table/notice.go
@@ -7,6 +7,11 @@
 type EndpointNotice struct {
 	// StartedUnixMilli is the start of the endpoint's process that said it.
 	StartedUnixMilli int64
+	// Leaving is true once it said that it leaves, and stays so: only a new process of the
+	// endpoint takes that back.
+	Leaving bool
+	// PausedUntil is until when it wants nothing from this router.
+	PausedUntil Instant
 	// Limited is true if it named a limit, Limit how many requests a second it takes from
 	// all routers together.
 	Limited bool
--- a/internal/table/route.go
+++ b/internal/table/route.go
@@ -108,8 +108,10 @@
 	Domain string
 	// Slots is how many requests the endpoint runs at the same time.
 	Slots int
-	// Leaving endpoints get no new work.
-	Leaving bool
+	// Leaving endpoints get no new work. SaidLeaving is true if the endpoint's process has
+	// said so itself: its entry does not change that.
+	Leaving     bool
+	SaidLeaving bool
 	// RemovedAt is when the entry was removed from the platform's list, or 0.
 	RemovedAt Instant
 	// LapseGraceEnd is until when the entry may come back, if another router reported
