--- a/internal/system/notice/notice.go
+++ b/internal/system/notice/notice.go
@@ -249,12 +249,15 @@
 // the limit ledger count also while no session with them is open: a router that is cut off
 // for a moment must not take the shares of others.
 func membersByRank(w *world.World, id table.EndpointID) []table.ProcessID {
-	members := []table.ProcessID{w.Self().Process}
+	ranks := make(map[table.ProcessID]uint64, len(w.LimitLedgerView.Content.Holders)+1)
+	members := make([]table.ProcessID, 0, len(w.LimitLedgerView.Content.Holders)+1)
 	add := func(p table.ProcessID) {
-		if !slices.Contains(members, p) {
+		if _, known := ranks[p]; !known {
+			ranks[p] = table.RendezvousRank(string(id), string(p))
 			members = append(members, p)
 		}
 	}
+	add(w.Self().Process)
 	for i := range w.LimitLedgerView.Content.Holders {
 		add(w.LimitLedgerView.Content.Holders[i].Process)
 	}
@@ -264,7 +267,7 @@
 		}
 	})
 	slices.SortFunc(members, func(a, b table.ProcessID) int {
-		return cmp.Or(cmp.Compare(table.RendezvousRank(string(id), string(b)), table.RendezvousRank(string(id), string(a))), cmp.Compare(a, b))
+		return cmp.Or(cmp.Compare(ranks[b], ranks[a]), cmp.Compare(a, b))
 	})
 	return members
 }
--- a/internal/system/watch/watch.go
+++ b/internal/system/watch/watch.go
@@ -296,9 +296,12 @@
 // has not given it in time, with the router to ask for them: the last one that reported
 // to have them.
 func Wants(w *world.World) map[table.WatchKind]event.WantedChanges {
-	wants := make(map[table.WatchKind]event.WantedChanges)
+	var wants map[table.WatchKind]event.WantedChanges
 	w.Watches.Each(func(kind table.WatchKind, row *table.Watch) {
 		if row.MissingSince != 0 && w.DueOrWake(row.MissingSince.Add(askDelay)) {
+			if wants == nil {
+				wants = make(map[table.WatchKind]event.WantedChanges)
+			}
 			wants[kind] = event.WantedChanges{From: row.ReportedBy, Covered: row.Covered}
 		}
 	})
