--- a/internal/soak/endpoint_test.go
+++ b/internal/soak/endpoint_test.go
@@ -35,6 +35,10 @@
 	behaviorUnframed
 	// behaviorUnframedReset resets such responses in the middle.
 	behaviorUnframedReset
+	// behaviorPause rejects requests and asks for a pause.
+	behaviorPause
+	// behaviorLimited names a limit in its responses.
+	behaviorLimited
 	behaviorCount
 )
 
@@ -122,7 +126,13 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if b == behaviorReject {
+	switch b {
+	case behaviorPause:
+		w.Header().Set("Retry-After", "0.4")
+	case behaviorLimited:
+		w.Header().Set("Server-Limit", "4")
+	}
+	if b == behaviorReject || b == behaviorPause {
 		w.Header().Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
