--- a/internal/event/exchange.go
+++ b/internal/event/exchange.go
@@ -49,12 +49,12 @@
 	Leaving bool
 	// Pause is for how long it wants nothing from this router, or 0.
 	Pause time.Duration
-	// Limited is true if it names a limit, Limit how many requests a second it takes from
+	// RateLimited is true if it names a limit, RateLimit how many requests a second it takes from
 	// all routers together.
-	Limited bool
-	Limit   float64
-	// LimitUnknown is true if the limit that it names is unreadable.
-	LimitUnknown bool
+	RateLimited bool
+	RateLimit   float64
+	// RateLimitUnknown is true if the limit that it names is unreadable.
+	RateLimitUnknown bool
 	// Age is how long ago the head of the answer was read.
 	Age time.Duration
 }
@@ -235,9 +235,9 @@
 	// StartedUnixMilli is the start of the endpoint's process.
 	StartedUnixMilli int64
 	Leaving          bool
-	// Limited is false also if the endpoint no longer names a limit.
-	Limited bool
-	Limit   float64
+	// RateLimited is false also if the endpoint no longer names a limit.
+	RateLimited bool
+	RateLimit   float64
 	// Age is how long ago it said so.
 	Age time.Duration
 }
--- a/internal/gateway/limit_test.go
+++ b/internal/gateway/limit_test.go
@@ -62,7 +62,7 @@
 		call := h.calls[len(h.calls)-1]
 		h.step(event.DirectAttemptEnd{
 			Exchange: a.Exchange, Attempt: call.Attempt, Status: event.DirectAnswered, HTTPStatus: http.StatusOK,
-			Notice: event.EndpointNotice{Present: true, Limited: true, Limit: 0.5},
+			Notice: event.EndpointNotice{Present: true, RateLimited: true, RateLimit: 0.5},
 		})
 		h.world.DirectEndpoints.Get(call.Endpoint).InFlight += 100
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -77,7 +77,7 @@
 	})
 	limited := int64(0)
 	w.EndpointNotices.Each(func(_ table.EndpointID, n *table.EndpointNotice) {
-		if n.Limited {
+		if n.RateLimited {
 			limited++
 		}
 	})
--- a/internal/system/notice/fleet_test.go
+++ b/internal/system/notice/fleet_test.go
@@ -163,7 +163,7 @@
 			r.toldAt = f.now
 		}
 		r.inbox = append(r.inbox, event.DirectAttemptEnd{Exchange: a.exchange, Attempt: 1, Status: event.DirectAnswered, Notice: event.EndpointNotice{
-			Present: true, Limited: a.limit >= 0, Limit: max(0, a.limit), Age: f.now.Sub(a.said),
+			Present: true, RateLimited: a.limit >= 0, RateLimit: max(0, a.limit), Age: f.now.Sub(a.said),
 		}})
 		return true
 	})
@@ -315,13 +315,13 @@
 	r := f.routers[0]
 	say := func(limit float64, age time.Duration, started int64) {
 		r.inbox = append(r.inbox, event.RouterReport{From: f.routers[1].process.Holder, Notices: []event.ReportedNotice{
-			{Endpoint: endpointID, StartedUnixMilli: started, Limited: limit >= 0, Limit: max(0, limit), Age: age},
+			{Endpoint: endpointID, StartedUnixMilli: started, RateLimited: limit >= 0, RateLimit: max(0, limit), Age: age},
 		}})
 		f.run(step)
 	}
 	limited := func() bool {
 		n := r.world.EndpointNotices.Get(endpointID)
-		return n != nil && n.Limited
+		return n != nil && n.RateLimited
 	}
 	say(1.2, time.Second, 1)
 	require.True(t, limited())
--- a/internal/system/notice/notice.go
+++ b/internal/system/notice/notice.go
@@ -39,6 +39,10 @@
 	// minRate is the least number of requests a second that all routers together send to
 	// an endpoint: its answers show whether it still names a limit.
 	minRate = 0.2
+	// All routers together may send minBurst requests, and those of burstTime at the limit's
+	// rate, at once.
+	minBurst  = 3
+	burstTime = 500 * time.Millisecond
 	// maxAge bounds the age that a report may give, so that no message of a peer
 	// overflows a time.
 	maxAge = time.Hour
@@ -94,7 +98,7 @@
 		return
 	}
 	e := w.DirectEndpoints.Get(x.Endpoint)
-	saysNothing := !said.Limited && !said.Leaving && said.Pause <= 0
+	saysNothing := !said.RateLimited && !said.Leaving && said.Pause <= 0
 	if e == nil || saysNothing && w.EndpointNotices.Get(e.ID) == nil {
 		return
 	}
@@ -107,23 +111,23 @@
 	if said.Pause > 0 {
 		applyPause(w, e, n, saidAt.Add(min(said.Pause, maxPause)))
 	}
-	if !said.LimitUnknown && applyLimit(w, e, n, said.Limited, said.Limit, saidAt, "its own answer") {
+	if !said.RateLimitUnknown && applyRateLimit(w, e, n, said.RateLimited, said.RateLimit, saidAt, "its own answer") {
 		n.HeardAt = w.Now
 	}
 }
 
 func onReport(w *world.World, r *event.RouterReport) {
-	for _, l := range r.Notices {
-		e := w.DirectEndpoints.Get(l.Endpoint)
-		if e == nil || e.StartedUnixMilli != l.StartedUnixMilli || math.IsNaN(l.Limit) || l.Age < 0 || l.Age > maxAge {
+	for _, said := range r.Notices {
+		e := w.DirectEndpoints.Get(said.Endpoint)
+		if e == nil || e.StartedUnixMilli != said.StartedUnixMilli || math.IsNaN(said.RateLimit) || said.Age < 0 || said.Age > maxAge {
 			continue
 		}
-		saidAt, source := w.Now.Add(-l.Age), "router "+string(r.From.Process)
+		saidAt, source := w.Now.Add(-said.Age), "router "+string(r.From.Process)
 		n := noticeOf(w, e, saidAt)
-		if l.Leaving {
+		if said.Leaving {
 			applyLeaving(w, e, n, source)
 		}
-		applyLimit(w, e, n, l.Limited, max(0, l.Limit), saidAt, source)
+		applyRateLimit(w, e, n, said.RateLimited, max(0, said.RateLimit), saidAt, source)
 	}
 }
 
@@ -155,18 +159,18 @@
 	n.PausedUntil = until
 }
 
-// applyLimit records what an endpoint said of its limit at a time, unless it has said
+// applyRateLimit records what an endpoint said of its limit at a time, unless it has said
 // something later, and reports whether it is recorded.
-func applyLimit(w *world.World, e *table.DirectEndpoint, n *table.EndpointNotice, limited bool, limit float64, saidAt table.Instant, source string) bool {
+func applyRateLimit(w *world.World, e *table.DirectEndpoint, n *table.EndpointNotice, limited bool, limit float64, saidAt table.Instant, source string) bool {
 	if saidAt < n.SaidAt {
 		return false
 	}
 	n.SaidAt = saidAt
-	if n.Limited == limited && (n.Limit == limit || !limited) {
+	if n.RateLimited == limited && (n.RateLimit == limit || !limited) {
 		return true
 	}
 	logChange(w, e, n, limited, limit, source)
-	n.Limited, n.Limit, n.Unreported = limited, limit, true
+	n.RateLimited, n.RateLimit, n.Unreported = limited, limit, true
 	updateShare(w, e.ID, n)
 	return true
 }
@@ -179,14 +183,14 @@
 		return fmt.Sprintf("limited to %.3g/s", limit)
 	}
 	w.Count("notice.limits_changed")
-	w.RecordStateChange("endpoint", string(e.ID), name(n.Limited, n.Limit), name(limited, limit), source)
+	w.RecordStateChange("endpoint", string(e.ID), name(n.RateLimited, n.RateLimit), name(limited, limit), source)
 }
 
-// limitOf returns the notice of an endpoint that names a limit, with its permits as of
+// rateLimitOf returns the notice of an endpoint that names a limit, with its permits as of
 // now, or nil.
-func limitOf(w *world.World, id table.EndpointID) *table.EndpointNotice {
+func rateLimitOf(w *world.World, id table.EndpointID) *table.EndpointNotice {
 	n := w.EndpointNotices.Get(id)
-	if n == nil || !n.Limited {
+	if n == nil || !n.RateLimited {
 		return nil
 	}
 	if n.ShareGeneration != w.FleetGeneration {
@@ -204,7 +208,7 @@
 
 // Take uses a permit for a request that is sent to an endpoint.
 func Take(w *world.World, id table.EndpointID) {
-	if n := limitOf(w, id); n != nil {
+	if n := rateLimitOf(w, id); n != nil {
 		n.Permits--
 	}
 }
@@ -216,7 +220,7 @@
 	if n := w.EndpointNotices.Get(id); n != nil {
 		wait = max(0, n.PausedUntil.Sub(w.Now))
 	}
-	n := limitOf(w, id)
+	n := rateLimitOf(w, id)
 	if n == nil {
 		return wait, true
 	}
@@ -231,15 +235,15 @@
 func updateShare(w *world.World, id table.EndpointID, n *table.EndpointNotice) {
 	n.Fill(w.Now)
 	n.ShareGeneration, n.Share, n.Burst = w.FleetGeneration, 0, 0
-	if !n.Limited {
+	if !n.RateLimited {
 		n.Permits = 0
 		return
 	}
-	burst := 3 + n.Limit/2
+	burst := minBurst + burstTime.Seconds()*n.RateLimit
 	members := membersByRank(w, id)
 	senders := min(len(members), int(burst))
 	if slices.Contains(members[:senders], w.Self().Process) {
-		n.Share = max(n.Limit, minRate) / float64(senders)
+		n.Share = max(n.RateLimit, minRate) / float64(senders)
 		n.Burst = burst / float64(senders)
 	}
 	n.Permits = min(n.Permits, n.Burst)
@@ -280,7 +284,7 @@
 		age := w.Now.Sub(n.HeardAt)
 		if n.HeardAt != 0 && (age < reportedFor || n.Leaving && age < leavingReportedFor) {
 			notices = append(notices, event.ReportedNotice{
-				Endpoint: id, StartedUnixMilli: n.StartedUnixMilli, Leaving: n.Leaving, Limited: n.Limited, Limit: n.Limit, Age: w.Now.Sub(n.SaidAt),
+				Endpoint: id, StartedUnixMilli: n.StartedUnixMilli, Leaving: n.Leaving, RateLimited: n.RateLimited, RateLimit: n.RateLimit, Age: w.Now.Sub(n.SaidAt),
 			})
 		}
 		n.Unreported = false
--- a/internal/table/notice.go
+++ b/internal/table/notice.go
@@ -12,10 +12,10 @@
 	Leaving bool
 	// PausedUntil is until when it wants nothing from this router.
 	PausedUntil Instant
-	// Limited is true if it named a limit, Limit how many requests a second it takes from
+	// RateLimited is true if it named a limit, RateLimit how many requests a second it takes from
 	// all routers together.
-	Limited bool
-	Limit   float64
+	RateLimited bool
+	RateLimit   float64
 	// SaidAt is when it said so, and HeardAt when this router itself last heard it, or 0.
 	SaidAt  Instant
 	HeardAt Instant
