gateway: a test reads the log under its lock

TestUndecodableEntryDoesNotHideEndpoints failed once under the race detector: a goroutine that follows the store may log after the shutdown.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -110,12 +110,17 @@
 	return l.buf.Write(p)
 }
 
-// linesFor returns the decoded log lines about a request, in order.
-func (l *logCapture) linesFor(request string) []map[string]any {
+// text returns the output so far.
+func (l *logCapture) text() string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	return l.buf.String()
+}
+
+// linesFor returns the decoded log lines about a request, in order.
+func (l *logCapture) linesFor(request string) []map[string]any {
 	var lines []map[string]any
-	for _, text := range strings.Split(l.buf.String(), "\n") {
+	for _, text := range strings.Split(l.text(), "\n") {
 		var line map[string]any
 		if json.Unmarshal([]byte(text), &line) == nil && line["request"] == request {
 			lines = append(lines, line)
--- a/internal/gateway/odd_entry_test.go
+++ b/internal/gateway/odd_entry_test.go
@@ -43,7 +43,7 @@
 		return err == nil && body == "new"
 	}, time.Minute, 5*time.Millisecond, "an endpoint that is listed later gets requests")
 	gw.shutdownAndWait()
-	require.NotContains(t, gw.logs.buf.String(), `"subject":"platform","id":"store","from":"up","to":"down"`)
+	require.NotContains(t, gw.logs.text(), `"subject":"platform","id":"store","from":"up","to":"down"`)
 }
 
 // Guards against an endpoint that stays in use after another writer has replaced its entry
