--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -392,8 +392,8 @@
 	require.NotEmpty(t, gw.logs.linesFor("r-1"))
 	gw.logs.mu.Lock()
 	defer gw.logs.mu.Unlock()
-	require.NotContains(t, gw.logs.buf.String(), "key-1")
-	require.NotContains(t, gw.logs.buf.String(), "booked")
+	require.NotContains(t, gw.logs.text(), "key-1")
+	require.NotContains(t, gw.logs.text(), "booked")
 }
 
 // Guards against a log that blocks the process when its output is not read.
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -345,5 +345,5 @@
 	require.NoError(t, <-gw.exited)
 	gw.logs.mu.Lock()
 	defer gw.logs.mu.Unlock()
-	require.Equal(t, 1, strings.Count(gw.logs.buf.String(), `"to":"draining"`))
+	require.Equal(t, 1, strings.Count(gw.logs.text(), `"to":"draining"`))
 }
