watch: kinds of objects that only a later release follows are ignored

A report of such a release made a router ask for a kind that it does not know, twice a second. TestKindOfLaterReleaseIsIgnored failed before.

--- a/internal/system/watch/fleet_test.go
+++ b/internal/system/watch/fleet_test.go
@@ -338,6 +338,20 @@
 	require.Zero(t, f.routers[1].world.DirectEndpoints.Len())
 }
 
+// Guards against a router that follows a kind of objects which only a later release knows.
+func TestKindOfLaterReleaseIsIgnored(t *testing.T) {
+	f := newFleet(4, 3)
+	m := f.routers[0]
+	m.inbox = append(m.inbox, event.RouterReport{
+		From:        f.routers[1].process.Holder,
+		LastChanges: map[table.WatchKind]uint64{9: 50},
+		Wants:       map[table.WatchKind]event.WantedChanges{9: {From: m.process.Holder, Covered: 1}},
+	})
+	f.run(settleTime)
+	require.NotContains(t, watch.LastChanges(m.world), table.WatchKind(9))
+	require.Empty(t, watch.Wants(m.world))
+}
+
 // Guards against a list that is sent to another router with the revision of changes that
 // are not applied to it yet.
 func TestStateSentInTickOfChangeIncludesIt(t *testing.T) {
--- a/internal/system/watch/watch.go
+++ b/internal/system/watch/watch.go
@@ -272,10 +272,15 @@
 func onReport(w *world.World, e *event.RouterReport) {
 	judgeOutage(w, e)
 	for kind, revision := range e.LastChanges {
-		if row := w.Watches.Get(kind); row != nil && row.Listed && revision > row.Covered {
+		row := w.Watches.Get(kind)
+		if row == nil {
+			// Later releases may follow other kinds.
+			continue
+		}
+		if row.Listed && revision > row.Covered {
 			markBehind(w, row)
 		}
-		onReportedChange(w, watchOf(w, kind), e, revision)
+		onReportedChange(w, row, e, revision)
 	}
 }
 
@@ -322,7 +327,9 @@
 // sendState sends another router, which has all changes up to a revision, the whole state
 // of a kind of objects if this one knows a later one.
 func sendState(w *world.World, kind table.WatchKind, to table.Holder, covered uint64) {
-	switch row := watchOf(w, kind); {
+	switch row := w.Watches.Get(kind); {
+	case row == nil:
+		return
 	case kind == table.WatchConfig && w.ManifestRevision > covered:
 		w.Out.ManifestRelays = append(w.Out.ManifestRelays, command.RelayManifest{
 			To: []table.Holder{to}, Manifest: event.ManifestReceived{Manifest: w.Manifest, Revision: w.ManifestRevision},
