notice, peers: dead routers don't keep their shares of an endpoint's rate limit

What callers saw: none yet; found while reading. In a fleet whose hosts were replaced for months, endpoints that name a limit would get nothing: routers in the ledger shared it, and the entries of dead ones stay there.

Evidence: TestSharesOfDeadRoutersAreUsed failed before (0 requests in 20 s with 60 dead entries beside three routers).

Why it works: a router counts while a session with it is open and for 30 s after, which covers restarts and cuts that heal (TestRoutersWithoutSessionsKeepTheirShares).

--- a/internal/system/notice/fleet_test.go
+++ b/internal/system/notice/fleet_test.go
@@ -193,7 +193,9 @@
 	out := r.world.Out
 	r.world.ClearOutbox()
 	for _, c := range out.Dials {
-		f.connect(r, f.find(c.Process))
+		if c.Address != "dead" {
+			f.connect(r, f.find(c.Process))
+		}
 	}
 	for _, c := range out.RouterReports {
 		c.Report.From = r.process.Holder
@@ -266,6 +268,27 @@
 	}
 }
 
+// Guards against shares that nobody uses because most routers in the ledger are dead: the
+// entries of hosts that were replaced stay there.
+func TestSharesOfDeadRoutersAreUsed(t *testing.T) {
+	f := newFleet(1, 3, 6)
+	for _, r := range f.routers {
+		for i := range 60 {
+			r.world.LimitLedgerView.Content.Holders = append(r.world.LimitLedgerView.Content.Holders, table.LimitHolder{
+				Holder: table.Holder{Process: table.ProcessID(fmt.Sprintf("dead-%d", i)), Incarnation: 1}, Address: "dead",
+			})
+		}
+		r.world.FleetGeneration++
+	}
+	f.run(time.Minute)
+	f.name(1.2)
+	f.run(stable(3))
+	served := f.served
+	f.run(20 * time.Second)
+	f.requireLimit(t, 1.2)
+	require.GreaterOrEqual(t, float64(f.served-served), 0.7*1.2*20)
+}
+
 // Guards against a limit that outlives the endpoint's word: it is lifted soon after the
 // endpoint names none any more.
 func TestLimitEndsWhenEndpointNamesNone(t *testing.T) {
--- a/internal/system/notice/notice.go
+++ b/internal/system/notice/notice.go
@@ -43,6 +43,11 @@
 	// rate, at once.
 	minBurst  = 3
 	burstTime = 500 * time.Millisecond
+	// maxAbsence is how long a router without a session counts as a member of the fleet. It
+	// exceeds a cut that heals and a restart. shareTime is how long a share is used before
+	// the members are looked at again.
+	maxAbsence = 30 * time.Second
+	shareTime  = 5 * time.Second
 	// maxAge bounds the age that a report may give, so that no message of a peer
 	// overflows a time.
 	maxAge = time.Hour
@@ -193,7 +198,7 @@
 	if n == nil || !n.RateLimited {
 		return nil
 	}
-	if n.ShareGeneration != w.FleetGeneration {
+	if n.ShareGeneration != w.FleetGeneration || n.ShareUntil <= w.Now {
 		updateShare(w, id, n)
 	}
 	n.Fill(w.Now)
@@ -234,7 +239,7 @@
 // request from each router at the same moment.
 func updateShare(w *world.World, id table.EndpointID, n *table.EndpointNotice) {
 	n.Fill(w.Now)
-	n.ShareGeneration, n.Share, n.Burst = w.FleetGeneration, 0, 0
+	n.ShareGeneration, n.ShareUntil, n.Share, n.Burst = w.FleetGeneration, w.Now.Add(shareTime), 0, 0
 	if !n.RateLimited {
 		n.Permits = 0
 		return
@@ -249,26 +254,17 @@
 	n.Permits = min(n.Permits, n.Burst)
 }
 
-// membersByRank returns the routers of the fleet by their rank for an endpoint. Those in
-// the limit ledger count also while no session with them is open: a router that is cut off
-// for a moment must not take the shares of others.
+// membersByRank returns the routers of the fleet by their rank for an endpoint. One that is
+// cut off for a moment still counts: the others must not take its share, nor it theirs.
 func membersByRank(w *world.World, id table.EndpointID) []table.ProcessID {
-	ranks := make(map[table.ProcessID]uint64, len(w.LimitLedgerView.Content.Holders)+1)
-	members := make([]table.ProcessID, 0, len(w.LimitLedgerView.Content.Holders)+1)
-	add := func(p table.ProcessID) {
-		if _, known := ranks[p]; !known {
+	self := w.Self().Process
+	members := []table.ProcessID{self}
+	ranks := map[table.ProcessID]uint64{self: table.RendezvousRank(string(id), string(self))}
+	w.RouterPeers.Each(func(p table.ProcessID, peer *table.RouterPeer) {
+		if peer.Connected || w.Now.Sub(peer.AbsentSince) < maxAbsence {
 			ranks[p] = table.RendezvousRank(string(id), string(p))
 			members = append(members, p)
 		}
-	}
-	add(w.Self().Process)
-	for i := range w.LimitLedgerView.Content.Holders {
-		add(w.LimitLedgerView.Content.Holders[i].Process)
-	}
-	w.RouterPeers.Each(func(p table.ProcessID, peer *table.RouterPeer) {
-		if peer.Connected {
-			add(p)
-		}
 	})
 	slices.SortFunc(members, func(a, b table.ProcessID) int {
 		return cmp.Or(cmp.Compare(ranks[b], ranks[a]), cmp.Compare(a, b))
--- a/internal/system/peers/peers.go
+++ b/internal/system/peers/peers.go
@@ -64,7 +64,7 @@
 	if peer == nil || peer.Session != e.Session {
 		return
 	}
-	peer.Connected, peer.Available = false, nil
+	peer.Connected, peer.AbsentSince, peer.Available = false, w.Now, nil
 	w.FleetGeneration++
 	w.RecordStateChange("router", string(peer.Process), "connected", "", "session ended")
 }
@@ -96,7 +96,7 @@
 		}
 		peer := w.RouterPeers.Get(holder.Process)
 		if peer == nil || peer.Holder != holder.Holder && !peer.Connected {
-			peer = w.RouterPeers.Put(holder.Process, table.RouterPeer{Holder: holder.Holder})
+			peer = w.RouterPeers.Put(holder.Process, table.RouterPeer{Holder: holder.Holder, AbsentSince: w.Now})
 			if holder.Process < w.Self().Process {
 				peer.DialAt = w.Now.Add(dialYieldDelay)
 			}
@@ -115,9 +115,9 @@
 }
 
 // sendReport sends the periodic report to the other routers, and one at once if the
-// store went out of reach or came back, if this router lacks changes, or if an endpoint named
-// another limit: the others choose their delegates by it, send what is missing, or keep to
-// the limit. The reports also keep sessions open, which end after several missing ones.
+// store went out of reach or came back, if this router lacks changes, or if an endpoint said
+// something new: the others choose their delegates by it, send what is missing, or do
+// what the endpoint wants. The reports also keep sessions open, which end after several missing ones.
 func sendReport(w *world.World) {
 	storeDown := !w.PlatformReachable || w.LimitLedgerView.Backoff > 0
 	nextReport := w.ReportSentAt.Add(ReportInterval(w))
@@ -132,7 +132,8 @@
 	w.ReportSentAt, w.ReportedStoreDown = w.Now, storeDown
 	w.WakeAt(w.Now.Add(ReportInterval(w)))
 	w.Out.RouterReports = append(w.Out.RouterReports, command.SendRouterReport{Report: event.RouterReport{
-		Available: allowance.HeldTokens(w), StoreDown: storeDown, FollowedFor: watch.FollowedFor(w), LastChanges: watch.LastChanges(w), Wants: wants, Notices: notice.Report(w),
+		Available: allowance.HeldTokens(w), StoreDown: storeDown, FollowedFor: watch.FollowedFor(w), LastChanges: watch.LastChanges(w),
+		Wants: wants, Notices: notice.Report(w),
 	}})
 }
 
--- a/internal/table/notice.go
+++ b/internal/table/notice.go
@@ -23,10 +23,11 @@
 	Unreported bool
 
 	// Share is how many requests a second this router may send, Burst the most that it may
-	// send at once. They hold for the FleetGeneration ShareGeneration.
+	// send at once. They hold for the FleetGeneration ShareGeneration, until ShareUntil.
 	Share           float64
 	Burst           float64
 	ShareGeneration uint64
+	ShareUntil      Instant
 	// Permits is how many requests it may send now, as of FilledAt.
 	Permits  float64
 	FilledAt Instant
--- a/internal/table/peer.go
+++ b/internal/table/peer.go
@@ -9,6 +9,9 @@
 	Domain    string
 	Cores     float64
 	Connected bool
+	// AbsentSince is when the last session ended or, without any, when the peer became
+	// known.
+	AbsentSince Instant
 	// Session is the number of the session last opened.
 	Session uint64
 	// Available is what the peer last reported that it may still spend, less what
