--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -72,11 +72,17 @@
 	return bytes.Clone(o.buf.Bytes())
 }
 
-func freePort(t *testing.T, host string) int {
-	l, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
-	require.NoError(t, err)
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).Port
+// freePorts returns different free ports. All are open at the same time, or the system
+// could return one of them twice.
+func freePorts(t *testing.T, host string, count int) []int {
+	var ports []int
+	for range count {
+		l, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
+		require.NoError(t, err)
+		defer l.Close()
+		ports = append(ports, l.Addr().(*net.TCPAddr).Port)
+	}
+	return ports
 }
 
 // buildGateway builds the daemon from the source tree under test.
@@ -90,14 +96,14 @@
 // newProcess returns a process that is not started. Its grace period is in seconds.
 func newProcess(t *testing.T, binary, storeAddress string, index, grace int) *process {
 	host := fmt.Sprintf("127.0.0.%d", 10+index)
+	ports := freePorts(t, host, 3)
 	p := &process{
 		name: fmt.Sprintf("edge-%d", index), binary: binary, storeProxy: newFaultProxy(t, storeAddress), state: processDown, output: &outputBuffer{},
-		clientAddress: fmt.Sprintf("%s:%d", host, freePort(t, host)), readinessAddress: fmt.Sprintf("%s:%d", host, freePort(t, host)),
+		clientAddress: fmt.Sprintf("%s:%d", host, ports[0]), readinessAddress: fmt.Sprintf("%s:%d", host, ports[1]),
 	}
-	port := freePort(t, host)
 	settings, err := json.Marshal(map[string]any{
 		"node_name": p.name, "ip": host, "zone": "a", "region": "r",
-		"listen": map[string]any{"front": p.clientAddress, "readiness": p.readinessAddress}, "port_range": []int{port, port},
+		"listen": map[string]any{"front": p.clientAddress, "readiness": p.readinessAddress}, "port_range": []int{ports[2], ports[2]},
 		"bounds":   map[string]any{"grace_s": grace, "retry_ratio": 0.2, "retry_allowance": 50},
 		"platform": map[string]any{"address": p.storeProxy.address},
 	})
