--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -129,11 +129,17 @@
 	return lines
 }
 
-func freePort(t *testing.T) int {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).Port
+// freePorts returns different free ports. All are open at the same time, or the system
+// could return one of them twice.
+func freePorts(t *testing.T, count int) []int {
+	var ports []int
+	for range count {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		defer l.Close()
+		ports = append(ports, l.Addr().(*net.TCPAddr).Port)
+	}
+	return ports
 }
 
 func (c *testCluster) startGateway(name string) *testGateway {
@@ -141,11 +147,11 @@
 }
 
 func (c *testCluster) startGatewayWithGrace(name string, grace time.Duration) *testGateway {
-	port := freePort(c.t)
+	ports := freePorts(c.t, 3)
 	s := &platform.Settings{
 		Name: name, IP: "127.0.0.1", Domain: "a", Region: "r", ShutdownGrace: grace, RetryRatio: 0.2, RetryBurst: 10,
-		ClientAddress: fmt.Sprintf("127.0.0.1:%d", freePort(c.t)), ReadinessAddress: fmt.Sprintf("127.0.0.1:%d", freePort(c.t)),
-		FirstPeerPort: port, LastPeerPort: port, StoreAddress: strings.TrimPrefix(c.storeURL, "http://"),
+		ClientAddress: fmt.Sprintf("127.0.0.1:%d", ports[0]), ReadinessAddress: fmt.Sprintf("127.0.0.1:%d", ports[1]),
+		FirstPeerPort: ports[2], LastPeerPort: ports[2], StoreAddress: strings.TrimPrefix(c.storeURL, "http://"),
 	}
 	capture := &logCapture{drained: make(chan struct{})}
 	g, err := New(s, zerolog.New(capture), c.traceOutput)
