--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -130,7 +130,9 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitNotRun
 	}
-	defer os.RemoveAll(dir)
+	if os.Getenv("KEEP") == "" {
+		defer os.RemoveAll(dir)
+	}
 	log, err := newRecorder(filepath.Join(os.Args[2], "record.txt"))
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/review/driver/poison.go
+++ b/review/driver/poison.go
@@ -36,6 +36,10 @@
 	down     bool
 	crashes  []time.Time
 	served   int
+	// ran are the tenants for which requests ran, by the id of the request.
+	ran map[string]string
+	// arrivedAt are the times at which requests arrived.
+	arrivedAt []time.Time
 }
 
 func startDeskWorker(s *store, log *recorder, id, zone string) (*deskWorker, error) {
@@ -43,7 +47,7 @@
 	if err != nil {
 		return nil, err
 	}
-	wk := &deskWorker{id: id, address: l.Addr().String(), zone: zone, log: log}
+	wk := &deskWorker{id: id, address: l.Addr().String(), zone: zone, log: log, ran: map[string]string{}}
 	wk.serve(l)
 	s.put("servers", id, map[string]any{
 		"backend": "wuno96b", "address": wk.address, "zone": zone, "version": "v1", "capacity": 6, "state": "ready", "cold_left_ms": 0, "sequence": 1, "born": time.Now().UnixMilli(),
@@ -100,6 +104,9 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	wk.mu.Lock()
+	wk.arrivedAt = append(wk.arrivedAt, time.Now())
+	wk.mu.Unlock()
 	body := make([]byte, 200)
 	n, _ := r.Body.Read(body)
 	if string(body[:n]) == poisonBody {
@@ -110,6 +117,7 @@
 	time.Sleep(15 * time.Millisecond)
 	wk.mu.Lock()
 	wk.served++
+	wk.ran[id] = r.Header.Get("Tenant")
 	wk.mu.Unlock()
 	w.Header().Set("Attempt-Id", id)
 	w.Header().Set("Server-Seal", "seal."+wk.id+"."+id)
@@ -118,14 +126,16 @@
 }
 
 // book sends an unsafe request on a new connection and returns the status, or 0.
-func book(address, id, body string) int {
+func book(address, id, body string) int { return bookWithKey(address, id, apiKey, body) }
+
+func bookWithKey(address, id, key, body string) int {
 	c, err := dial(address)
 	if err != nil {
 		return 0
 	}
 	defer c.conn.Close()
 	_ = c.conn.SetDeadline(time.Now().Add(time.Second))
-	fmt.Fprintf(c.conn, "POST /puxa403/2f HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: 1000\r\nKey: %s\r\nContent-Length: %d\r\n\r\n%s", hostname, id, apiKey, len(body), body)
+	fmt.Fprintf(c.conn, "POST /puxa403/2f HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: 1000\r\nKey: %s\r\nContent-Length: %d\r\n\r\n%s", hostname, id, key, len(body), body)
 	resp, err := http.ReadResponse(bufio.NewReader(c.conn), &http.Request{Method: http.MethodPost})
 	if err != nil {
 		return 0
--- a/review/driver/store.go
+++ b/review/driver/store.go
@@ -24,6 +24,10 @@
 	objects  map[string]map[string]*storedObject
 	events   []storeEvent
 	changed  chan struct{}
+	// silent is true while calls get no answer. silences counts the changes, so that a
+	// call which was open during a silence gets no answer later.
+	silent   bool
+	silences int
 }
 
 type storedObject struct {
@@ -61,6 +65,21 @@
 	return s, nil
 }
 
+// setSilent begins or ends an outage in which calls get no answer. Open calls get none
+// either, also after its end: what was lost stays lost.
+func (s *store) setSilent(silent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent = silent
+	s.silences++
+}
+
+// awaitClose blocks until the caller closes the connection.
+func awaitClose(r *http.Request) {
+	<-r.Context().Done()
+	panic(http.ErrAbortHandler)
+}
+
 // put creates or replaces an object like the operator or a worker.
 func (s *store) put(kind, name string, spec any) {
 	data, err := json.Marshal(spec)
@@ -126,6 +145,12 @@
 		reply(w, 404, "unknown path")
 		return
 	}
+	s.mu.Lock()
+	silent := s.silent
+	s.mu.Unlock()
+	if silent {
+		awaitClose(r)
+	}
 	kind, name, _ := strings.Cut(rest, "/")
 	switch r.Method {
 	case http.MethodGet:
@@ -187,8 +212,15 @@
 	since, _ := strconv.ParseUint(r.URL.Query().Get("watch"), 10, 64)
 	wait, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
 	end := time.After(time.Duration(min(wait, 30000)) * time.Millisecond)
+	s.mu.Lock()
+	silences := s.silences
+	s.mu.Unlock()
 	for {
 		s.mu.Lock()
+		if s.silences != silences {
+			s.mu.Unlock()
+			awaitClose(r)
+		}
 		events := []any{}
 		for _, e := range s.events {
 			if e.kind == kind && e.revision > since {
@@ -204,6 +236,12 @@
 		select {
 		case <-changed:
 		case <-end:
+			s.mu.Lock()
+			lost := s.silences != silences
+			s.mu.Unlock()
+			if lost {
+				awaitClose(r)
+			}
 			reply(w, 200, map[string]any{"events": events, "at": at})
 			return
 		case <-r.Context().Done():
