--- a/review/driver/client.go
+++ b/review/driver/client.go
@@ -23,6 +23,8 @@
 type client struct {
 	conn   net.Conn
 	reader *bufio.Reader
+	// prefix lists the parts of the next prompts; empty means two parts, one of them shared.
+	prefix string
 }
 
 // dial opens a connection; clients allow one second for it.
@@ -31,7 +33,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &client{c, bufio.NewReader(c)}, nil
+	return &client{conn: c, reader: bufio.NewReader(c)}, nil
 }
 
 // answer is what a client saw of a request.
@@ -53,10 +55,13 @@
 func (c *client) stream(path, id string, prompt, output int, deadline time.Duration) (a answer) {
 	a.sentAt = time.Now()
 	defer func() { a.endedAt = time.Now() }()
-	body := "prompt of " + id
+	body, prefix := "prompt of "+id, c.prefix
+	if prefix == "" {
+		prefix = fmt.Sprintf("5c1e07a2:%d,%s:%d", prompt/2, id, prompt-prompt/2)
+	}
 	_ = c.conn.SetDeadline(time.Now().Add(deadline))
-	if _, a.err = fmt.Fprintf(c.conn, "POST %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nModel: m\r\nToken-Count: %d,%d\r\nPrefix-Hash: 5c1e07a2:%d,%s:%d\r\nDeadline-Ms: %d\r\nKey: %s\r\nContent-Length: %d\r\n\r\n%s",
-		path, hostname, id, prompt, output, prompt/2, id, prompt-prompt/2, deadline.Milliseconds(), apiKey, len(body), body); a.err != nil {
+	if _, a.err = fmt.Fprintf(c.conn, "POST %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nModel: m\r\nToken-Count: %d,%d\r\nPrefix-Hash: %s\r\nDeadline-Ms: %d\r\nKey: %s\r\nContent-Length: %d\r\n\r\n%s",
+		path, hostname, id, prompt, output, prefix, deadline.Milliseconds(), apiKey, len(body), body); a.err != nil {
 		return a
 	}
 	resp, err := http.ReadResponse(c.reader, &http.Request{Method: http.MethodPost})
