duration: the output of a stream is bounded apart from the time until its first event

Callers: long streams that a router accepted 3.2 to 4.2 s after its SIGTERM were cut off at the end of the drain, in the middle of the answer (review/1, LOST).

Cause: the upper bound of a duration was one bound by size, scaled by the largest ratio that the route showed of late. Short streams hide the time per token in the fixed part of the bound, so a long one of the same route was taken for one of 2.8 s that needs 5.8 s.

Change: the time until the first event and the output behind it have bounds, observations and factors of their own.

--- a/internal/gateway/drain_test.go
+++ b/internal/gateway/drain_test.go
@@ -202,6 +202,42 @@
 	h.requireDraining("/feedback/1", "6.5 s don't fit into 3.5 s")
 }
 
+// Guards against a long stream that is taken late in a drain and cut off, because the short ones before it hid in
+// their fixed part how long the endpoints take for each token.
+func TestPaceOfShortStreamsBoundsLongOneDuringDrain(t *testing.T) {
+	short := func(h *harness) event.HTTPArrival {
+		a := h.patientArrival("/review/1")
+		a.MaxOutput = 25
+		return a
+	}
+	for _, pace := range []struct {
+		perEvent time.Duration
+		taken    bool
+	}{{100 * time.Millisecond, false}, {30 * time.Millisecond, true}} {
+		h := newPatientHarness(t)
+		for range 3 {
+			h.step(short(h))
+			c := h.callsFor(h.lastExchange)[0]
+			h.advance(5 * time.Millisecond)
+			h.step(event.DirectAnswerStarted{Exchange: c.Exchange, Attempt: c.Attempt})
+			h.advance(4 * pace.perEvent)
+			whole := answeredAttempt
+			whole.DeliveredEvents, whole.HeaderDelivered = 5, true
+			h.endAttempt(c, whole)
+		}
+		h.drainFor("/lookup/1", 4*time.Second)
+		long := h.patientArrival("/review/1")
+		long.MaxOutput = 290
+		h.step(long)
+		if !pace.taken {
+			require.Empty(t, h.callsFor(h.lastExchange), "58 events take 5.8 s, 4 s are left")
+			require.Equal(t, table.CodeDraining, h.finishOf(h.lastExchange).Outcome.Code)
+			h.step(short(h))
+		}
+		require.Len(t, h.callsFor(h.lastExchange), 1, "it ends in time")
+	}
+}
+
 // Guards against rows of routes that configurations had once.
 func TestSlowdownsOfFormerRoutesAreRemoved(t *testing.T) {
 	h := newPatientHarness(t)
--- a/internal/table/route.go
+++ b/internal/table/route.go
@@ -55,8 +55,10 @@
 type RouteSlowdown struct {
 	// Service is the service of the latest request.
 	Service ServiceName
-	// Largest is the largest ratio of a request's duration to the bound by its size.
-	Largest WindowMax
+	// Start and Output are the largest ratios of durations to the bounds by size: of the
+	// time until the first event of a stream or of a whole call, and of the output that
+	// followed the first event.
+	Start, Output WindowMax
 }
 
 // DirectService is a service whose endpoints are called without an agent.
