catalog: a call lost in an outage that fails after its end is no new outage

Cause, first of two: calls that begin together in an outage don't fail together. The late failure of one was taken for a new outage although the store had answered another call in between, so that a true removal counted as a lapse once more.

Change: a failed call says for how long its answer had been due. If the store has answered another call since then, the failure is counted and shows nothing else.

The case is not done: its calls also last too long, which is a fault of its own.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -424,7 +424,12 @@
 }
 
 // PlatformState says whether the last call reached the platform.
-type PlatformState struct{ Reachable bool }
+type PlatformState struct {
+	Reachable bool
+	// DueFor is for how long an answer to the call had been due when it failed. The
+	// failure shows nothing about the platform after that.
+	DueFor time.Duration
+}
 
 // Registered says that this process's object is written to the platform.
 type Registered struct {
--- a/internal/gateway/systems_test.go
+++ b/internal/gateway/systems_test.go
@@ -203,6 +203,28 @@
 	require.Positive(t, o.RetryAfter)
 }
 
+// Guards against an endpoint that left and gets requests for seconds, because a call that
+// was lost in an outage of the store fails long after its end.
+func TestLateFailureOfCallIsNoNewOutage(t *testing.T) {
+	for _, late := range []bool{true, false} {
+		h := newServingHarness(t)
+		h.step(event.PlatformState{})
+		h.advance(time.Second)
+		h.step(event.PlatformState{Reachable: true})
+		h.advance(2500 * time.Millisecond)
+		failed := event.PlatformState{}
+		if late {
+			failed.DueFor = 2600 * time.Millisecond
+		}
+		h.step(failed)
+		h.advance(10 * time.Millisecond)
+		h.step(event.PlatformState{Reachable: true})
+		h.step(event.EndpointChanges{Removed: []table.EndpointID{"d1"}})
+		e := h.world.DirectEndpoints.Get("d1")
+		require.Equal(t, !late, e != nil && !e.Leaving, "an entry may have lapsed in a new outage only")
+	}
+}
+
 // Guards against a request that is routed by a shorter path prefix or by a route of
 // another host.
 func TestLongestPathPrefixWins(t *testing.T) {
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -38,6 +39,7 @@
 	var objects []platform.Object
 	var revision uint64
 	var err error
+	sentAt := time.Now()
 	if c.Since == 0 {
 		objects, revision, err = g.store.List(ctx, kind)
 	} else {
@@ -60,7 +62,12 @@
 		// The call was stopped; a failure says nothing about the store.
 		return
 	}
-	g.loop.Post(event.PlatformState{Reachable: result.Status != event.WatchFailed})
+	state := event.PlatformState{Reachable: result.Status != event.WatchFailed}
+	if !state.Reachable && c.Since != 0 {
+		// A list takes several calls, of which only the last one failed.
+		state.DueFor = max(0, time.Since(sentAt)-c.Wait)
+	}
+	g.loop.Post(state)
 	g.loop.Post(result)
 }
 
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -145,6 +145,8 @@
 	// PlatformStateSince is when that last changed.
 	PlatformReachable  bool
 	PlatformStateSince table.Instant
+	// PlatformAnsweredAt is when the platform last answered a call.
+	PlatformAnsweredAt table.Instant
 	// PlatformRestoredAt is when the platform answered again after an outage, or
 	// 0.
 	PlatformRestoredAt table.Instant
