watch: calls lost in a silent outage are replaced in time

Cause: a call that follows the store lasts up to its wait and 1.5 s, 4 s together. One that is lost in the last moment of an outage holds its place longer than the 3 s after which changes must be in force, and a change shortly before the outage lets the calls of all routers begin together. For the same reason the end of the outage was known late, and removals counted as lapses for too long.

Change: after a failure calls don't wait; a call without an answer 0.4 s after its wait is replaced by one that does not wait; waits are bounded so that this fits into the settings' bound for the time after an outage.

Evidence: TestChangeAfterSilenceIsInForceWithinRecoveryBound and TestRemovalAfterSilenceTakesEffectInTime failed on the code before.

Two older tests held the length of a wait as a number: one answers calls after their own wait, the other one has a fleet in which a call waits long enough not to be overdue. Their checks are unchanged.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -169,7 +169,7 @@
 		GrantReturnTimeout: grantReturnTimeout, ClosingPeriod: closingPeriod,
 		Front: world.FrontParams{
 			RetryRatio: g.settings.RetryRatio * retryBudgetShare, RetryBurst: g.settings.RetryBurst * retryBudgetShare,
-			ShutdownGrace: g.settings.ShutdownGrace, PeerAddress: peerAddress, ChangeBound: g.settings.ChangeBound,
+			ShutdownGrace: g.settings.ShutdownGrace, PeerAddress: peerAddress, ChangeBound: g.settings.ChangeBound, RecoveryBound: g.settings.RecoveryBound,
 			LinkBytesPerSecond: g.settings.LinkBytesPerSecond,
 		},
 	}
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -45,6 +45,10 @@
 	} else {
 		objects, revision, err = g.store.Watch(ctx, kind, c.Since, c.Wait)
 	}
+	if ctx.Err() != nil && err != nil {
+		// The call was stopped; a failure says nothing about the store.
+		return
+	}
 	result := event.WatchResult{Kind: c.Kind, Call: c.Call, Status: event.WatchOK, Covered: revision}
 	switch {
 	case errors.Is(err, platform.ErrCompacted):
@@ -58,10 +62,6 @@
 		}
 		g.postObjects(c, objects, &result)
 	}
-	if ctx.Err() != nil && err != nil {
-		// The call was stopped; a failure says nothing about the store.
-		return
-	}
 	state := event.PlatformState{Reachable: result.Status != event.WatchFailed}
 	if !state.Reachable && c.Since != 0 {
 		// A list takes several calls, of which only the last one failed.
--- a/internal/system/watch/fleet_test.go
+++ b/internal/system/watch/fleet_test.go
@@ -22,6 +22,8 @@
 	fleetStep = 10 * time.Millisecond
 	// answerTime is the duration of a call that need not wait.
 	answerTime = 10 * time.Millisecond
+	// callTimeout is how long a call without an answer lasts beyond its wait.
+	callTimeout = 1500 * time.Millisecond
 	// settleTime is how long sessions and reports take after a cut has healed.
 	settleTime = 5 * time.Second
 )
@@ -38,6 +40,9 @@
 	// live are the entries in the list of endpoints.
 	live []event.EndpointEntry
 	gone []removal
+	// silent is true while the store answers nothing. Calls that are open then stay
+	// without an answer.
+	silent bool
 }
 
 type removal struct {
@@ -58,6 +63,7 @@
 type openCall struct {
 	command.WatchObjects
 	sentAt table.Instant
+	lost   bool
 }
 
 // changeBound returns the time within which the deployments of a size want changes to be
@@ -69,6 +75,10 @@
 	return 2 * time.Second
 }
 
+// recoveryBound returns the time after an outage within which the deployments of a size
+// want changes to be in force again.
+func recoveryBound(routers int) time.Duration { return time.Second + changeBound(routers) }
+
 func newFleet(routers, domains int) *fleet {
 	f := &fleet{now: table.Instant(time.Second), revision: 10, endpoints: 10}
 	f.configure()
@@ -93,7 +103,7 @@
 	m.process.Incarnation++
 	m.inbox, m.calls, m.sessions = nil, nil, make(map[table.ProcessID]uint64)
 	m.world = world.New(world.Params{Self: m.process, Front: world.FrontParams{
-		PeerAddress: string(m.process.Process), ChangeBound: changeBound(len(f.routers)),
+		PeerAddress: string(m.process.Process), ChangeBound: changeBound(len(f.routers)), RecoveryBound: recoveryBound(len(f.routers)),
 	}}, uint64(m.process.Incarnation))
 	for _, other := range f.routers {
 		f.register(other, m)
@@ -181,7 +191,7 @@
 		m.calls = slices.DeleteFunc(m.calls, func(open openCall) bool { return open.Kind == c.Kind })
 	}
 	for _, c := range out.WatchCalls {
-		m.calls = append(m.calls, openCall{c, f.now})
+		m.calls = append(m.calls, openCall{WatchObjects: c, sentAt: f.now})
 	}
 	for _, c := range out.Dials {
 		f.connect(m, f.find(c.Process))
@@ -214,6 +224,9 @@
 
 // answer ends the calls of a router whose answer is due.
 func (f *fleet) answer(m *member) {
+	for i := range m.calls {
+		m.calls[i].lost = m.calls[i].lost || f.silent
+	}
 	m.calls = slices.DeleteFunc(m.calls, func(c openCall) bool {
 		last := f.endpoints
 		if c.Kind == table.WatchConfig {
@@ -221,6 +234,10 @@
 		}
 		age := f.now.Sub(c.sentAt)
 		switch {
+		case c.lost && age >= c.Wait+callTimeout:
+			m.inbox = append(m.inbox, event.PlatformState{DueFor: callTimeout}, event.WatchResult{Kind: c.Kind, Call: c.Call, Status: event.WatchFailed})
+		case c.lost:
+			return false
 		case m.turnedAway && age >= answerTime:
 			m.inbox = append(m.inbox, event.PlatformState{Reachable: false}, event.WatchResult{Kind: c.Kind, Call: c.Call, Status: event.WatchFailed})
 		case !m.turnedAway && age >= answerTime && (last > c.Since || age >= c.Wait):
@@ -456,3 +473,56 @@
 		}
 	}
 }
+
+// silence lets the store answer nothing for a time, a while after a change that makes the
+// calls of all delegates begin together.
+func (f *fleet) silence(changedBefore, d time.Duration) {
+	f.configure()
+	f.remove(f.live[0].ID)
+	f.run(changedBefore)
+	f.silent = true
+	f.run(d)
+	f.silent = false
+}
+
+// silences calls play with silences of different lengths that begin while calls to the
+// store begin, wait, or end.
+func silences(t *testing.T, play func(f *fleet, routers int, changedBefore, d time.Duration)) {
+	for _, routers := range []int{1, 3, 4, 12, 103} {
+		step := 400 * time.Millisecond
+		if routers > 60 {
+			step = 1300 * time.Millisecond
+		}
+		for changedBefore := 20 * time.Millisecond; changedBefore < 1200*time.Millisecond; changedBefore += step {
+			for d := 100 * time.Millisecond; d < 5*time.Second; d += step {
+				play(newFleet(routers, 6), routers, changedBefore, d)
+			}
+		}
+	}
+}
+
+// Guards against a change right after a silent outage of the store that is not in force
+// in time, because the calls which follow the store were lost in the outage.
+func TestChangeAfterSilenceIsInForceWithinRecoveryBound(t *testing.T) {
+	silences(t, func(f *fleet, routers int, changedBefore, d time.Duration) {
+		f.silence(changedBefore, d)
+		f.run(2 * fleetStep)
+		f.configure()
+		f.run(recoveryBound(routers) - 2*fleetStep)
+		for _, m := range f.routers {
+			require.Equal(t, f.version, m.world.Manifest.Version, "%d routers, change %s before %s of silence", routers, changedBefore, d)
+		}
+	})
+}
+
+// Guards against an endpoint that left well after a silent outage of the store and stays in
+// use as if its entry had lapsed in it, because the outage is known late.
+func TestRemovalAfterSilenceTakesEffectInTime(t *testing.T) {
+	silences(t, func(f *fleet, routers int, changedBefore, d time.Duration) {
+		f.silence(changedBefore, d)
+		f.run(recoveryBound(routers) + 2*fleetStep)
+		f.remove(f.live[0].ID)
+		f.run(changeBound(routers))
+		require.Empty(t, f.outdated(), "%d routers, change %s before %s of silence", routers, changedBefore, d)
+	})
+}
--- a/internal/system/watch/watch.go
+++ b/internal/system/watch/watch.go
@@ -7,6 +7,7 @@
 package watch
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"time"
@@ -39,6 +40,14 @@
 	// return a change which others know. A younger one may still be on its way over a
 	// slow link.
 	stalledAfter = waitTime
+	// overdueAfter is how long after its wait a call without an answer is replaced. A slow
+	// store takes a few hundred milliseconds.
+	overdueAfter = 400 * time.Millisecond
+	// recoveryReserve is the part of the recovery bound that is left for the call that
+	// replaces an overdue one, and for passing its changes on.
+	recoveryReserve = 600 * time.Millisecond
+	// defaultRecoveryBound applies if the settings name none.
+	defaultRecoveryBound = 3 * time.Second
 	// idlePollInterval is the longest time without a call to the store of a router
 	// that gets changes from others.
 	idlePollInterval = 20 * time.Second
@@ -134,7 +143,7 @@
 // maxAnswerAge returns how old the last answer to a delegate gets while the store
 // answers all its calls.
 func maxAnswerAge(w *world.World, kind table.WatchKind) time.Duration {
-	return batchDelay(w) + delegateWait(delegates(w, kind)) + relayDelay
+	return batchDelay(w) + delegateWait(w, delegates(w, kind)) + relayDelay
 }
 
 // FollowedFor returns for how long this router has followed the list of endpoints
@@ -243,7 +252,11 @@
 		if row.FollowedSince == 0 || w.Now.Sub(row.AnsweredAt) > maxAnswerAge(w, e.Kind) {
 			row.FollowedSince = w.Now
 		}
-		row.Listed, row.Backoff, row.BehindSince, row.AnsweredAt = true, 0, 0, w.Now
+		if row.Overdue {
+			// The call before may have been lost in an outage that nothing else shows.
+			w.PlatformRestoredAt = w.Now
+		}
+		row.Listed, row.Backoff, row.BehindSince, row.AnsweredAt, row.Overdue = true, 0, 0, w.Now, false
 		row.Covered, row.LastChange = max(row.Covered, e.Covered), max(row.LastChange, e.LastChange)
 		row.NextCallAt = w.Now
 		if e.LastChange > 0 {
@@ -264,9 +277,13 @@
 	return max(minBatchDelay, w.Params.Front.ChangeBound/batchDelayDivisor)
 }
 
-// delegateWait returns how long a delegate's call waits for changes.
-func delegateWait(duty *table.Delegates) time.Duration {
-	return waitTime * time.Duration(max(delegate.MinCount, len(duty.Routers))) / delegate.MinCount
+// delegateWait returns how long a delegate's call waits for changes. A call that is lost
+// in the last moment of an outage has to be replaced within the recovery bound: a change
+// makes the calls of all delegates begin together, so that all may be lost.
+func delegateWait(w *world.World, duty *table.Delegates) time.Duration {
+	wait := waitTime * time.Duration(max(delegate.MinCount, len(duty.Routers))) / delegate.MinCount
+	recoveryBound := cmp.Or(w.Params.Front.RecoveryBound, defaultRecoveryBound)
+	return max(pollWait, min(wait, recoveryBound-overdueAfter-recoveryReserve))
 }
 
 func onReport(w *world.World, e *event.RouterReport) {
@@ -389,24 +406,42 @@
 	}
 }
 
+// replaceCall reports whether the open call has to make way for another one, and stops it
+// in that case. Its connection has stalled if it did not return a change which others know,
+// and its answer is lost if it is overdue. A call that does not wait ends by its timeout.
+func replaceCall(w *world.World, kind table.WatchKind, row *table.Watch, behind bool) bool {
+	switch {
+	case row.CallWait > pollWait && w.DueOrWake(row.CallSentAt.Add(row.CallWait+overdueAfter)):
+		row.Overdue, row.FollowedSince = true, 0
+		w.Count("watch.overdue")
+		w.RecordStateChange("watch", kind.String(), "waiting", "overdue", "no answer "+overdueAfter.String()+" after the wait")
+	case behind && w.DueOrWake(row.CallSentAt.Add(stalledAfter)):
+		w.Count("watch.stalled")
+	default:
+		return false
+	}
+	w.Out.WatchStops = append(w.Out.WatchStops, command.StopWatch{Kind: kind})
+	return true
+}
+
 // planCall sends the next call for a kind of objects if it is due.
 func planCall(w *world.World, kind table.WatchKind) {
 	row := watchOf(w, kind)
 	checkMissing(w, kind, row)
 	behind := row.BehindSince != 0 && w.DueOrWake(row.BehindSince.Add(relayDelay))
-	if row.Call != 0 {
-		if !behind || !w.DueOrWake(row.CallSentAt.Add(stalledAfter)) {
-			return
-		}
-		// The open call should have returned the change: its connection has stalled.
-		w.Out.WatchStops = append(w.Out.WatchStops, command.StopWatch{Kind: kind})
-		w.Count("watch.stalled")
+	if row.Call != 0 && !replaceCall(w, kind, row, behind) {
+		return
 	}
 	if !w.DueOrWake(row.NextCallAt) {
 		return
 	}
 	duty := delegates(w, kind)
-	wait := delegateWait(duty)
+	wait := delegateWait(w, duty)
+	if row.Overdue || row.Backoff > 0 {
+		// Only an answer shows that the store is back, and a call that does not wait is
+		// known to be lost soonest.
+		wait = pollWait
+	}
 	if row.Listed && !duty.IncludesSelf {
 		interval := idlePollInterval
 		if !w.PlatformReachable {
@@ -422,7 +457,7 @@
 	if row.Listed {
 		call.Since = row.Covered
 	}
-	row.Call, row.CallSentAt, row.BehindSince = call.Call, w.Now, 0
+	row.Call, row.CallSentAt, row.CallWait, row.BehindSince = call.Call, w.Now, call.Wait, 0
 	w.Out.WatchCalls = append(w.Out.WatchCalls, call)
 	w.Count("watch.calls")
 }
--- a/internal/system/watch/watch_test.go
+++ b/internal/system/watch/watch_test.go
@@ -79,7 +79,7 @@
 // answerWaiting answers the calls whose wait is over.
 func (h *harness) answerWaiting() {
 	h.world.Watches.Each(func(kind table.WatchKind, row *table.Watch) {
-		if row.Call != 0 && h.now.Sub(row.CallSentAt) >= 2500*time.Millisecond {
+		if row.Call != 0 && h.now.Sub(row.CallSentAt) >= row.CallWait {
 			event.WatchResult{Kind: kind, Call: row.Call, Status: event.WatchOK, Covered: row.Covered + 1}.AddTo(&h.world.In)
 		}
 	})
@@ -136,16 +136,18 @@
 // Guards against a router that applies nothing for the length of a wait because its
 // connection to the store went silent.
 func TestStalledCallIsReplacedWhenPeerKnowsLaterChange(t *testing.T) {
-	h := newHarness(4, 0.8)
+	// With a delegate in each of six domains, a call waits 3.75 s.
+	h := newHarness(6, 0.8)
+	h.world.Params.Front.RecoveryBound = 10 * time.Second
 	h.list(10)
 	h.now = h.now.Add(time.Second)
 	h.tick()
 	open := h.world.Watches.Get(table.WatchConfig).Call
 	require.NotZero(t, open)
-	h.now = h.now.Add(5 * time.Second)
+	h.now = h.now.Add(3 * time.Second)
 	h.tick(event.RouterReport{LastChanges: map[table.WatchKind]uint64{table.WatchConfig: 11}})
 	require.Empty(t, h.out.WatchStops)
-	h.now = h.now.Add(time.Second)
+	h.now = h.now.Add(500 * time.Millisecond)
 	h.tick()
 	require.Equal(t, []command.StopWatch{{Kind: table.WatchConfig}}, h.out.WatchStops)
 	require.NotEqual(t, open, h.world.Watches.Get(table.WatchConfig).Call)
--- a/internal/table/watch.go
+++ b/internal/table/watch.go
@@ -31,6 +31,10 @@
 	// Call is the number of the open call, or 0. CallSentAt is when it was sent.
 	Call       uint64
 	CallSentAt Instant
+	// CallWait is how long the open call may wait for changes. Overdue is true if the
+	// last call got no answer shortly after its wait.
+	CallWait time.Duration
+	Overdue  bool
 	// AnsweredAt is when the store last answered a call, or 0.
 	AnsweredAt Instant
 	// FollowedSince is since when the store has answered all calls in time, or 0 after
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -79,6 +79,9 @@
 	// ChangeBound is the time within which a change of the configuration or of the
 	// list of endpoints must be in force; 0 if unknown.
 	ChangeBound time.Duration
+	// RecoveryBound is the time after an outage of the store within which changes must
+	// be in force again; 0 if unknown.
+	RecoveryBound time.Duration
 }
 
 // Tables are the rows of all entities of the process.
