watch: a silence in the outage of one router does not keep endpoints that left

Callers: a router that the store turns away kept an endpoint whose entry was gone for as long as that lasted, if the store was silent for all routers in the middle (DRAIN).

Cause: another router's report shows that an outage is this router's alone only if it has followed the store for as long as the outage. After a silence the others begin to follow it anew and never reach that.

Change: following the store for so long that lapsed entries are listed again is enough, with an answer later than the first failure here.

TestSilenceWithinOutageOfOneRouterDoesNotKeepRemovedEndpoint failed before.

--- a/internal/system/watch/fleet_test.go
+++ b/internal/system/watch/fleet_test.go
@@ -409,6 +409,27 @@
 	require.Empty(t, f.outdated())
 }
 
+// Guards against an endpoint that left and stays in use for as long as the store turns a
+// router away, because the store was silent for all routers for a part of that time.
+func TestSilenceWithinOutageOfOneRouterDoesNotKeepRemovedEndpoint(t *testing.T) {
+	f := newFleet(4, 1)
+	m := f.routers[2]
+	m.turnedAway = true
+	f.run(fleetStep)
+	m.turnedAway, m.cut = false, true
+	f.disconnect(m)
+	f.remove("m0")
+	f.run(4 * fleetStep)
+	require.NotZero(t, m.world.DirectEndpoints.Get("m0").RemovedAt)
+	m.turnedAway, m.cut = true, false
+	f.run(settleTime / 10)
+	f.silent = true
+	f.run(settleTime)
+	f.silent = false
+	f.run(2*settleTime + changeBound(4))
+	require.Empty(t, f.outdated())
+}
+
 // Guards against any order of outages, cuts and restarts after which a router that
 // reaches others lacks what they know, and against a configuration or an endpoint that
 // comes back.
@@ -418,7 +439,7 @@
 		f := newFleet(routers, rapid.IntRange(1, 4).Draw(t, "domains"))
 		for range rapid.IntRange(1, 12).Draw(t, "steps") {
 			m := f.routers[rapid.IntRange(0, routers-1).Draw(t, "router")]
-			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			switch rapid.IntRange(0, 6).Draw(t, "step") {
 			case 0:
 				m.turnedAway = !m.turnedAway
 			case 1:
@@ -434,13 +455,15 @@
 				if len(f.live) > 1 {
 					f.remove(f.live[0].ID)
 				}
+			case 6:
+				f.silent = !f.silent
 			}
 			f.runWithoutReturn(t, time.Duration(rapid.IntRange(0, 300).Draw(t, "wait"))*fleetStep)
 		}
 		for _, m := range f.routers {
 			m.cut = false
 		}
-		f.routers[0].turnedAway = false
+		f.routers[0].turnedAway, f.silent = false, false
 		f.runWithoutReturn(t, 2*settleTime+changeBound(routers))
 		require.Empty(t, f.outdated())
 	})
@@ -526,3 +549,40 @@
 		require.Empty(t, f.outdated(), "%d routers, change %s before %s of silence", routers, changedBefore, d)
 	})
 }
+
+// Guards against any series of outages, of the store or of some routers alone, after which
+// a change is not in force in time.
+func TestChangeAfterOutagesIsInForceWithinRecoveryBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		routers := rapid.SampledFrom([]int{1, 3, 4, 7, 12}).Draw(t, "routers")
+		f := newFleet(routers, rapid.IntRange(1, 6).Draw(t, "domains"))
+		for range rapid.IntRange(1, 10).Draw(t, "steps") {
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0:
+				f.silent = !f.silent
+			case 1:
+				m := f.routers[rapid.IntRange(0, routers-1).Draw(t, "router")]
+				m.turnedAway = !m.turnedAway
+			case 2:
+				f.configure()
+			case 3:
+				if len(f.live) > 1 {
+					f.remove(f.live[0].ID)
+				}
+			}
+			f.run(time.Duration(rapid.IntRange(0, 200).Draw(t, "wait")) * fleetStep)
+		}
+		f.silent = false
+		for _, m := range f.routers {
+			m.turnedAway = false
+		}
+		f.configure()
+		f.run(recoveryBound(routers))
+		for _, m := range f.routers {
+			require.Equal(t, f.version, m.world.Manifest.Version)
+		}
+		f.remove(f.live[0].ID)
+		f.run(changeBound(routers))
+		require.Empty(t, f.outdated())
+	})
+}
--- a/internal/system/watch/watch.go
+++ b/internal/system/watch/watch.go
@@ -157,13 +157,15 @@
 
 // judgeOutage records that the store serves another router while this one does not
 // reach it. The other router's last answer has to be later than the first failure here,
-// or it may not have noticed yet that the store is down.
+// or it may not have noticed yet that the store is down. If the store was down for all in
+// between, what lapsed has to be listed again.
 func judgeOutage(w *world.World, e *event.RouterReport) {
 	if w.PlatformReachable || w.PlatformStateSince == 0 {
 		return
 	}
 	outage := w.Now.Sub(w.PlatformStateSince)
-	if outage > maxAnswerAge(w, table.WatchEndpoints) && e.FollowedFor >= outage {
+	answerAge := maxAnswerAge(w, table.WatchEndpoints)
+	if outage > answerAge && e.FollowedFor >= min(outage, answerAge+relistTime+batchDelay(w)) {
 		w.StoreServedOthersAt = w.Now
 	}
 }
