front: the body of a refusal does not hold the request

Callers: a request that an endpoint refused as not run waited for the rest of the refusal, up to its own timeout, if that body stalled or went on, although other endpoints were free.

Change: 64 KB and 50 ms at most; else the connection is closed.

Evidence: TestRefusalWithoutEndDoesNotHoldRequest did not end within 8 s before, and passes.

--- a/internal/traffic/front/endless_test.go
+++ b/internal/traffic/front/endless_test.go
@@ -165,3 +165,26 @@
 	require.NoError(t, err)
 	require.Equal(t, http.StatusBadGateway, resp.StatusCode, "the response needs memory as well")
 }
+
+// Guards against a request that waits for the body of a refusal, which may never end,
+// instead of going to another endpoint at once.
+func TestRefusalWithoutEndDoesNotHoldRequest(t *testing.T) {
+	for name, body := range map[string]string{"stalled": "full", "without end": strings.Repeat("full", 1<<20)} {
+		t.Run(name, func(t *testing.T) {
+			answered := make(chan struct{})
+			declining := startEndpoint(t, func(r *receivedRequest) bool {
+				r.readBody()
+				_, _ = io.WriteString(r.Conn, "HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: r1\r\nNot-Executed: 1\r\nTransfer-Encoding: chunked\r\n\r\n")
+				_, _ = fmt.Fprintf(r.Conn, "%x\r\n%s\r\n", len(body), body)
+				<-answered
+				return false
+			})
+			control := startServer(t, false, declining, startEndpoint(t, echo))
+			resp, _, err := control.send(t, "r1", "", nil)
+			close(answered)
+			require.NoError(t, err)
+			require.Equal(t, http.StatusOK, resp.StatusCode)
+			require.Equal(t, event.DirectDeclined, control.attemptEnd(0).Status)
+		})
+	}
+}
--- a/internal/traffic/front/exchange.go
+++ b/internal/traffic/front/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"sync"
@@ -175,7 +174,7 @@
 	switch {
 	case head.NotRun || head.Misdirected:
 		end.Status, end.Reason = event.DirectDeclined, "declined with status "+strconv.Itoa(resp.StatusCode)
-		_, _ = io.CopyN(io.Discard, resp.Body, maxResponseBytes)
+		resp.Discard()
 	case impliesNotRun(resp.StatusCode):
 		// Clients conclude from this status that the request did not run, but the
 		// endpoint did not confirm that, so the status must not reach them.
--- a/internal/traffic/upstream/exchange.go
+++ b/internal/traffic/upstream/exchange.go
@@ -23,6 +23,10 @@
 	maxUnmatchedResponses = 2
 	// maxUnmatchedBody bounds the body of a skipped response.
 	maxUnmatchedBody = 1 << 20
+	// maxDiscardedBody and discardTimeout bound what is read of a body that nobody needs.
+	// The request waits meanwhile, and a faulty endpoint sends bytes without end, or none.
+	maxDiscardedBody = 64 << 10
+	discardTimeout   = 50 * time.Millisecond
 )
 
 // Request is a request to an endpoint.
@@ -213,6 +217,18 @@
 	return err == nil || errors.Is(err, os.ErrDeadlineExceeded)
 }
 
+// Discard reads a body that nobody needs, so that Close can return the connection to the
+// pool. It gives up on one that is long or does not arrive with the head.
+func (r *Response) Discard() {
+	if r.conn.SetReadDeadline(time.Now().Add(discardTimeout)) != nil {
+		return
+	}
+	_, _ = io.CopyN(io.Discard, r.Body, maxDiscardedBody)
+	if r.conn.SetReadDeadline(time.Time{}) != nil {
+		r.bodyComplete = false
+	}
+}
+
 // Close releases the connection. It goes back to the pool if both the request and the
 // response are complete, and is closed otherwise.
 func (r *Response) Close() {
