soak: answers without end, and unsafe requests at the end of a drain, on real processes

Neither needed a change of the product.

A first form of the second test hung for 10 minutes: its stand-in did not read the request's body and so never noticed that the connection was closed. That was a fault of the test.

--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -9,6 +9,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -52,6 +54,9 @@
 	buf bytes.Buffer
 }
 
+// memoryLimit is the memory of a process's host, in bytes.
+const memoryLimit = 216 << 20
+
 // maxOutputBytes bounds the output of a process that is kept: beyond it, the buffer is
 // cleared.
 const maxOutputBytes = 4 << 20
@@ -104,6 +109,7 @@
 	settings, err := json.Marshal(map[string]any{
 		"node_name": p.name, "ip": host, "zone": "a", "region": "r",
 		"listen": map[string]any{"front": p.clientAddress, "readiness": p.readinessAddress}, "port_range": []int{ports[2], ports[2]},
+		"limits":   map[string]any{"memory_mb": memoryLimit >> 20},
 		"bounds":   map[string]any{"grace_s": grace, "retry_ratio": 0.2, "retry_allowance": 50},
 		"platform": map[string]any{"address": p.storeProxy.address},
 	})
@@ -157,6 +163,17 @@
 	<-p.exited
 }
 
+// peakMemory returns the most memory that the process has used, in bytes.
+func (p *process) peakMemory(t *testing.T) int {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	require.NoError(t, err)
+	_, rest, found := strings.Cut(string(status), "VmHWM:")
+	require.True(t, found)
+	kilobytes, err := strconv.Atoi(strings.Fields(rest)[0])
+	require.NoError(t, err)
+	return kilobytes << 10
+}
+
 func (p *process) isReady() bool {
 	client := http.Client{Timeout: time.Second}
 	resp, err := client.Get("http://" + p.readinessAddress + "/api/readyz")
--- a/internal/soak/signal_test.go
+++ b/internal/soak/signal_test.go
@@ -18,11 +18,19 @@
 	"laburnumroad.dev/laburnumroad/platform"
 )
 
-const signalGrace = 60
+const (
+	signalGrace = 60
+	// shortGrace is shorter than the work of a request.
+	shortGrace = 2
+)
 
 // newSingleProcess returns a process that is not started, and its store, which has no
 // configuration.
 func newSingleProcess(t *testing.T, binary string, index int) (*process, *platform.Client) {
+	return newProcessWithGrace(t, binary, index, signalGrace)
+}
+
+func newProcessWithGrace(t *testing.T, binary string, index, grace int) (*process, *platform.Client) {
 	t.Parallel()
 	store := fake.NewPlatform(fake.PlatformConfig{})
 	server := httptest.NewServer(store)
@@ -30,7 +38,7 @@
 		store.Close()
 		server.Close()
 	})
-	return newProcess(t, binary, strings.TrimPrefix(server.URL, "http://"), index, signalGrace), platform.New(server.URL, platform.Options{})
+	return newProcess(t, binary, strings.TrimPrefix(server.URL, "http://"), index, grace), platform.New(server.URL, platform.Options{})
 }
 
 // addDesk stores a configuration with one endpoint, which answers with h.
@@ -51,10 +59,15 @@
 // sendBooking sends a request on a new connection and returns a function that reads the
 // answer.
 func (p *process) sendBooking(t *testing.T) (receive func() (status int, body string)) {
+	return p.sendBookingAs(t, "r-1")
+}
+
+// sendBookingAs sends a request with an id.
+func (p *process) sendBookingAs(t *testing.T, id string) (receive func() (status int, body string)) {
 	conn, err := net.Dial("tcp", p.clientAddress)
 	require.NoError(t, err)
 	t.Cleanup(func() { conn.Close() })
-	_, err = io.WriteString(conn, "POST /booking/1 HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: r-1\r\nDeadline-Ms: 60000\r\nContent-Length: 4\r\n\r\nbody")
+	_, err = fmt.Fprintf(conn, "POST /booking/%[1]s HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: %[1]s\r\nDeadline-Ms: 60000\r\nContent-Length: 4\r\n\r\nbody", id)
 	require.NoError(t, err)
 	return func() (int, string) {
 		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
@@ -115,6 +128,27 @@
 	p.requireCleanExit(t)
 }
 
+// Guards against a request that may not be repeated and whose connection ends without an
+// answer, because its work lasts longer than the grace period.
+func testUnsafeRequestAtEndOfDrainIsAnswered(t *testing.T, binary string) {
+	p, store := newProcessWithGrace(t, binary, 25, shortGrace)
+	arrived := make(chan struct{})
+	addDesk(t, store, func(_ http.ResponseWriter, r *http.Request) {
+		// The server notices a closed connection once the body is read.
+		_, _ = io.Copy(io.Discard, r.Body)
+		close(arrived)
+		<-r.Context().Done()
+	})
+	p.start(t)
+	require.Eventually(t, p.isReady, waitTimeout, tickInterval)
+	receive := p.sendBooking(t)
+	<-arrived
+	p.signal(syscall.SIGTERM, processTerminating)
+	status, _ := receive()
+	require.Equal(t, http.StatusBadGateway, status)
+	p.requireCleanExit(t)
+}
+
 // Guards against a change of the settings that kills a process which is starting.
 func testSIGHUPDuringStartDoesNotEndProcess(t *testing.T, binary string) {
 	p, store := newSingleProcess(t, binary, 21)
@@ -160,10 +194,11 @@
 func TestSignals(t *testing.T) {
 	binary := buildGateway(t)
 	for name, test := range map[string]func(*testing.T, string){
-		"signals during the drain":        testSignalsDuringDrainCutNoWork,
-		"SIGHUP during the start":         testSIGHUPDuringStartDoesNotEndProcess,
-		"SIGTERM during the start":        testSIGTERMDuringStartStopsProcessInOrder,
-		"SIGTERM without a configuration": testSIGTERMWithoutConfigurationAnswersAndExits,
+		"signals during the drain":               testSignalsDuringDrainCutNoWork,
+		"unsafe request at the end of the drain": testUnsafeRequestAtEndOfDrainIsAnswered,
+		"SIGHUP during the start":                testSIGHUPDuringStartDoesNotEndProcess,
+		"SIGTERM during the start":               testSIGTERMDuringStartStopsProcessInOrder,
+		"SIGTERM without a configuration":        testSIGTERMWithoutConfigurationAnswersAndExits,
 	} {
 		t.Run(name, func(t *testing.T) { test(t, binary) })
 	}
