upstream: idle connections end with their expiry and with their endpoint

Cause: idle connections were closed only when the next request took one for the same address. Up to 32 for each address that is gone stayed open for good.

Change: a timer closes each idle connection when it expires; all of an address are closed with its endpoint's row.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -67,6 +67,7 @@
 	// The HTTP front and its direct endpoints.
 	EndpointCalls     []CallEndpoint
 	EndpointUses      []SetEndpointUse
+	IdleCloses        []CloseIdle
 	StopAttempts      []StopAttempt
 	FinishExchanges   []FinishExchange
 	BodyReadLimits    []LimitBodyReads
--- a/internal/command/exchange.go
+++ b/internal/command/exchange.go
@@ -29,6 +29,9 @@
 	Allowed  bool
 }
 
+// CloseIdle closes the idle connections to an address that an endpoint no longer has.
+type CloseIdle struct{ Address string }
+
 // StopAttempt ends an attempt whose answer is no longer needed.
 type StopAttempt struct {
 	Exchange table.ExchangeID
--- a/internal/gateway/flush.go
+++ b/internal/gateway/flush.go
@@ -19,6 +19,9 @@
 	for _, c := range out.EndpointUses {
 		g.front.SetEndpointUse(c)
 	}
+	for _, c := range out.IdleCloses {
+		g.pool.CloseIdle(c.Address)
+	}
 	for _, c := range out.BodyReadLimits {
 		g.front.LimitBodyReads(c)
 	}
--- a/internal/gateway/systems_test.go
+++ b/internal/gateway/systems_test.go
@@ -31,6 +31,7 @@
 	calls           []command.CallEndpoint
 	finished        []command.FinishExchange
 	stopped         []command.StopAttempt
+	idleCloses      []command.CloseIdle
 	crashReports    []command.SendCrash
 	// partStoreCalls are the writes of the list of quarantined parts, and partStoreReads
 	// counts its reads. They get no result by themselves.
@@ -115,6 +116,7 @@
 		h.calls = append(h.calls, h.world.Out.EndpointCalls...)
 		h.finished = append(h.finished, h.world.Out.FinishExchanges...)
 		h.stopped = append(h.stopped, h.world.Out.StopAttempts...)
+		h.idleCloses = append(h.idleCloses, h.world.Out.IdleCloses...)
 		h.crashReports = append(h.crashReports, h.world.Out.Crashes...)
 		h.partStoreCalls = append(h.partStoreCalls, h.world.Out.WriteQuarantineLists...)
 		h.partStoreReads += len(h.world.Out.ReadQuarantineLists)
@@ -203,6 +205,22 @@
 	require.Positive(t, o.RetryAfter)
 }
 
+// Guards against connections to endpoints that are gone or moved, which stay open until no
+// descriptor is left.
+func TestIdleConnectionsEndWithEndpoint(t *testing.T) {
+	h := newServingHarness(t)
+	c := h.sendRequest("/lookup/1")
+	h.step(event.EndpointChanges{Removed: []table.EndpointID{c.Endpoint}})
+	h.advance(time.Second)
+	require.Empty(t, h.idleCloses, "a request is in progress there")
+	h.endAttempt(c, answeredAttempt)
+	require.Equal(t, []command.CloseIdle{{Address: c.Address}}, h.idleCloses)
+	moved := endpointEntry("m1", "model")
+	moved.Address = "elsewhere:80"
+	h.step(event.EndpointChanges{Present: []event.EndpointEntry{moved}})
+	require.Equal(t, command.CloseIdle{Address: "m1:80"}, h.idleCloses[len(h.idleCloses)-1])
+}
+
 // Guards against an endpoint that left and gets requests for seconds, because a call that
 // was lost in an outage of the store fails long after its end.
 func TestLateFailureOfCallIsNoNewOutage(t *testing.T) {
--- a/internal/system/catalog/catalog.go
+++ b/internal/system/catalog/catalog.go
@@ -161,6 +161,7 @@
 		inFlight := 0
 		if row != nil {
 			inFlight = row.InFlight
+			closeIdle(w, row.Address)
 		}
 		w.DirectEndpoints.Put(e.ID, table.DirectEndpoint{
 			ID: e.ID, Service: e.Service, Address: e.Address, Domain: e.Domain, Slots: e.Slots,
@@ -239,6 +240,7 @@
 			return false
 		}
 		deleteCachedParts(w, id)
+		closeIdle(w, e.Address)
 		// No attempt is left that the withdrawal binds.
 		w.Out.EndpointUses = append(w.Out.EndpointUses, command.SetEndpointUse{Endpoint: id, Allowed: true})
 		return true
@@ -262,6 +264,11 @@
 	return false
 }
 
+// closeIdle closes the idle connections of an endpoint's former process or address.
+func closeIdle(w *world.World, address string) {
+	w.Out.IdleCloses = append(w.Out.IdleCloses, command.CloseIdle{Address: address})
+}
+
 func deleteCachedParts(w *world.World, id table.EndpointID) {
 	w.CachedParts.DeleteIf(func(k table.CachedPart, _ *table.Instant) bool { return k.Endpoint == id })
 }
--- a/internal/traffic/upstream/pool.go
+++ b/internal/traffic/upstream/pool.go
@@ -8,6 +8,7 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -43,8 +44,10 @@
 	limit     headLimit
 	reader    *bufio.Reader
 	abortOnce sync.Once
-	// expiresAt is the time from which the idle connection must not be reused.
+	// expiresAt is the time from which the idle connection must not be reused. expiry
+	// closes it then.
 	expiresAt time.Time
+	expiry    *time.Timer
 }
 
 func newConn(c net.Conn) *conn {
@@ -91,10 +94,43 @@
 		return nil
 	}
 	c := conns[len(conns)-1]
-	p.idle[address] = conns[:len(conns)-1]
+	p.removeAt(address, len(conns)-1)
 	return c
 }
 
+// removeAt removes an idle connection, and the address with its last one. The caller
+// holds p.mu.
+func (p *Pool) removeAt(address string, i int) {
+	conns := p.idle[address]
+	conns[i].expiry.Stop()
+	if len(conns) == 1 {
+		delete(p.idle, address)
+		return
+	}
+	p.idle[address] = slices.Delete(conns, i, i+1)
+}
+
+// expire closes a connection that is still idle. Without that, the connections to an
+// endpoint that is gone would stay open, because no request asks for them again.
+func (p *Pool) expire(address string, c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if i := slices.Index(p.idle[address], c); i >= 0 {
+		p.removeAt(address, i)
+		c.Close()
+	}
+}
+
+// CloseIdle closes the idle connections to an address.
+func (p *Pool) CloseIdle(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for len(p.idle[address]) > 0 {
+		p.idle[address][0].Close()
+		p.removeAt(address, 0)
+	}
+}
+
 // put adds a connection without an outstanding request or response to the pool.
 func (p *Pool) put(address string, c *conn, idleTimeout time.Duration) {
 	c.expiresAt = time.Now().Add(idleTimeout)
@@ -104,6 +140,7 @@
 		c.Close()
 		return
 	}
+	c.expiry = time.AfterFunc(idleTimeout, func() { p.expire(address, c) })
 	p.idle[address] = append(p.idle[address], c)
 }
 
