quarantine: routers that don't know of a quarantined request are told

Cause: quarantined requests are in memory, and a gateway told one that connects of quarantined prompt parts only.

Change: each gateway tells one that connects which requests are in quarantine, and one that reports a crash of such a request. Earlier releases ignore the message.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -267,6 +267,9 @@
 	// Parts, if set, is a report about prompt parts, and the other fields are empty.
 	// Earlier releases ignore such a message.
 	Parts *PartReport `msgpack:",omitempty"`
+	// Quarantined, if set, are requests that the sender has in quarantine, and the other
+	// fields are empty. Earlier releases ignore such a message.
+	Quarantined []QuarantineEntry `msgpack:",omitempty"`
 }
 
 // PartReport is what a router reports about prompt parts that may crash endpoints.
--- a/internal/gateway/systems_test.go
+++ b/internal/gateway/systems_test.go
@@ -39,7 +39,10 @@
 	partStoreReads int
 }
 
-var customerKey = table.KeyHash{1}
+var (
+	customerKey = table.KeyHash{1}
+	otherRouter = table.Process{Holder: table.Holder{Process: "edge-2", Incarnation: 3}, Role: table.RoleRouter, Domain: "a"}
+)
 
 func newHarness(t *testing.T) *harness { return newNamedHarness(t, "edge-1") }
 
@@ -555,6 +558,41 @@
 	h.sendRequest("/feedback/2")
 }
 
+// Guards against a router that was restarted, or missed reports, and lets a request crash
+// further endpoints although the other routers have it in quarantine.
+func TestQuarantinedRequestIsToldToRouterThatDoesNotKnow(t *testing.T) {
+	const poison table.Fingerprint = 77
+	knows := newServingHarness(t)
+	for i := range uint64(crashLimit) {
+		knows.step(event.Crash{ID: table.CrashID{Agent: otherRouter.Holder, Sequence: i + 1}, Endpoint: "d1", Fingerprints: []table.Fingerprint{poison}})
+	}
+	refuses := func(h *harness) bool {
+		a := h.newArrival("/booking/1")
+		a.Fingerprint = poison
+		h.step(a)
+		return len(h.callsFor(a.Exchange)) == 0 && h.finishOf(a.Exchange).Outcome.Code == table.CodeQuarantined
+	}
+	require.True(t, refuses(knows))
+	restarted := otherRouter
+	restarted.Incarnation++
+	for name, news := range map[string]event.Event{
+		"connects":        event.SessionOpened{Session: 1, Process: restarted},
+		"reports a crash": event.Crash{ID: table.CrashID{Agent: restarted.Holder, Sequence: 1}, Endpoint: "d2", Fingerprints: []table.Fingerprint{poison}},
+	} {
+		knows.crashReports = nil
+		knows.step(news)
+		require.Len(t, knows.crashReports, 1, name)
+		require.Equal(t, []table.Holder{restarted.Holder}, knows.crashReports[0].To, name)
+		h := newServingHarness(t)
+		require.False(t, refuses(h), name)
+		h.step(knows.crashReports[0].Crash)
+		require.True(t, refuses(h), name)
+	}
+	knows.crashReports = nil
+	knows.step(event.Crash{ID: table.CrashID{Agent: restarted.Holder, Sequence: 2}, Endpoint: "d2", Fingerprints: []table.Fingerprint{78}})
+	require.Empty(t, knows.crashReports, "another request")
+}
+
 // Guards against a request that ran during crashes by coincidence and is still
 // suspected after it succeeded.
 func TestSuccessClearsCrashSuspicion(t *testing.T) {
--- a/internal/system/quarantine/gateway.go
+++ b/internal/system/quarantine/gateway.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"laburnumroad.dev/laburnumroad/internal/command"
 	"laburnumroad.dev/laburnumroad/internal/event"
 	"laburnumroad.dev/laburnumroad/internal/table"
 	"laburnumroad.dev/laburnumroad/internal/world"
@@ -15,10 +16,54 @@
 		onDirectAttemptEnd(w, &w.In.DirectAttemptEnds[i])
 	}
 	runParts(w)
+	applyVerdicts(w)
 	applyCrashes(w)
+	tellVerdicts(w)
 	removeExpired(w)
 }
 
+// applyVerdicts applies what other routers have in quarantine.
+func applyVerdicts(w *world.World) {
+	for i := range w.In.Crashes {
+		for _, e := range w.In.Crashes[i].Quarantined {
+			if e.Remaining > 0 {
+				addQuarantine(w, e.Fingerprint, w.Now.Add(e.Remaining))
+			}
+		}
+	}
+}
+
+// tellVerdicts tells the routers that connected in this tick which requests are in
+// quarantine, and those that report a crash of such a request: a router that was restarted,
+// or that missed reports, counts from the start and would let it crash more endpoints.
+func tellVerdicts(w *world.World) {
+	if len(w.In.SessionsOpened) > 0 {
+		var to []table.Holder
+		for i := range w.In.SessionsOpened {
+			to = append(to, w.In.SessionsOpened[i].Process.Holder)
+		}
+		tell(w, to, w.Quarantined.Keys())
+	}
+	for i := range w.In.Crashes {
+		if c := &w.In.Crashes[i]; c.ID.Agent != w.Self() && !c.Cleared {
+			tell(w, []table.Holder{c.ID.Agent}, c.Fingerprints)
+		}
+	}
+}
+
+// tell sends those of the given requests that are in quarantine to other routers.
+func tell(w *world.World, to []table.Holder, requests []table.Fingerprint) {
+	var entries []event.QuarantineEntry
+	for _, f := range requests {
+		if until, quarantined := Active(w, f); quarantined {
+			entries = append(entries, event.QuarantineEntry{Fingerprint: f, Remaining: until.Sub(w.Now)})
+		}
+	}
+	if len(entries) > 0 {
+		w.Out.Crashes = append(w.Out.Crashes, command.SendCrash{To: to, Crash: event.Crash{Quarantined: entries}})
+	}
+}
+
 func onDirectAttemptEnd(w *world.World, e *event.DirectAttemptEnd) {
 	x := w.Exchanges.Get(e.Exchange)
 	if x == nil || x.Attempt != e.Attempt || x.State != table.ExchangeRunning || x.Fingerprint == 0 {
