duration: the typical time of a stream follows the pace of its route

Callers: a stream that arrived in the first 2.5 s of a drain was accepted by half of the bound by its size, and cut off at the end if the route's endpoints take longer for each token.

Change: the mean ratio of the time of the output to its bound counts, if it is larger.

--- a/internal/gateway/drain_test.go
+++ b/internal/gateway/drain_test.go
@@ -202,39 +202,51 @@
 	h.requireDraining("/feedback/1", "6.5 s don't fit into 3.5 s")
 }
 
-// Guards against a long stream that is taken late in a drain and cut off, because the short ones before it hid in
-// their fixed part how long the endpoints take for each token.
-func TestPaceOfShortStreamsBoundsLongOneDuringDrain(t *testing.T) {
-	short := func(h *harness) event.HTTPArrival {
-		a := h.patientArrival("/review/1")
-		a.MaxOutput = 25
-		return a
+// completePacedStreams serves short streams whose events come at a pace.
+func (h *harness) completePacedStreams(n int, perEvent time.Duration) {
+	for range n {
+		short := h.patientArrival("/review/1")
+		short.MaxOutput = 25
+		h.step(short)
+		c := h.callsFor(h.lastExchange)[0]
+		h.advance(5 * time.Millisecond)
+		h.step(event.DirectAnswerStarted{Exchange: c.Exchange, Attempt: c.Attempt})
+		h.advance(4 * perEvent)
+		whole := answeredAttempt
+		whole.DeliveredEvents, whole.HeaderDelivered = 5, true
+		h.endAttempt(c, whole)
 	}
-	for _, pace := range []struct {
-		perEvent time.Duration
-		taken    bool
-	}{{100 * time.Millisecond, false}, {30 * time.Millisecond, true}} {
-		h := newPatientHarness(t)
-		for range 3 {
-			h.step(short(h))
-			c := h.callsFor(h.lastExchange)[0]
-			h.advance(5 * time.Millisecond)
-			h.step(event.DirectAnswerStarted{Exchange: c.Exchange, Attempt: c.Attempt})
-			h.advance(4 * pace.perEvent)
-			whole := answeredAttempt
-			whole.DeliveredEvents, whole.HeaderDelivered = 5, true
-			h.endAttempt(c, whole)
-		}
-		h.drainFor("/lookup/1", 4*time.Second)
-		long := h.patientArrival("/review/1")
-		long.MaxOutput = 290
-		h.step(long)
-		if !pace.taken {
-			require.Empty(t, h.callsFor(h.lastExchange), "58 events take 5.8 s, 4 s are left")
-			require.Equal(t, table.CodeDraining, h.finishOf(h.lastExchange).Outcome.Code)
-			h.step(short(h))
-		}
-		require.Len(t, h.callsFor(h.lastExchange), 1, "it ends in time")
+}
+
+// Guards against a long stream that is taken in a drain and cut off, because the short ones before it hid in their fixed
+// part how long the endpoints take for each token.
+func TestPaceOfShortStreamsBoundsLongOneDuringDrain(t *testing.T) {
+	for name, c := range map[string]struct {
+		perEvent, after time.Duration
+		events          int
+		taken           bool
+	}{
+		"slow, late":          {100 * time.Millisecond, 4 * time.Second, 58, false},
+		"slow, late, short":   {100 * time.Millisecond, 4 * time.Second, 5, true},
+		"quick, late":         {30 * time.Millisecond, 4 * time.Second, 58, true},
+		"slow, early":         {100 * time.Millisecond, time.Second, 120, false},
+		"slow, early, medium": {100 * time.Millisecond, time.Second, 58, true},
+		"quick, early":        {30 * time.Millisecond, time.Second, 120, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newPatientHarness(t)
+			h.completePacedStreams(3, c.perEvent)
+			h.drainFor("/lookup/1", c.after)
+			a := h.patientArrival("/review/1")
+			a.MaxOutput = table.Tokens(c.events) * 5
+			h.step(a)
+			if !c.taken {
+				require.Empty(t, h.callsFor(h.lastExchange))
+				require.Equal(t, table.CodeDraining, h.finishOf(h.lastExchange).Outcome.Code)
+				return
+			}
+			require.Len(t, h.callsFor(h.lastExchange), 1, "it ends in time")
+		})
 	}
 }
 
--- a/internal/system/duration/duration.go
+++ b/internal/system/duration/duration.go
@@ -51,6 +51,9 @@
 		observed := slowdownOf(w, x)
 		s.Start.Observe(w.Now, observed.start, slowdownPeriod)
 		s.Output.Observe(w.Now, observed.output, slowdownPeriod)
+		if _, output := boundsBySize(x); x.FirstEventAt != 0 && output > 0 {
+			s.MeanOutput = table.UpdateMovingAverage(s.MeanOutput, float64(w.Now.Sub(x.FirstEventAt))/float64(output))
+		}
 	}
 	if w.RouteSlowdowns.Len() > len(w.Manifest.Routes) {
 		removeFormerRoutes(w)
@@ -66,9 +69,14 @@
 	w.RouteSlowdowns.DeleteIf(func(name string, _ *table.RouteSlowdown) bool { return !routes[name] })
 }
 
-// Typical returns the duration that a new request does not exceed as a rule.
+// Typical returns the duration that a new request does not exceed as a rule. Its output
+// takes longer if that of the route's streams did on average.
 func Typical(w *world.World, x *table.Exchange) time.Duration {
-	return scale(w, x, slowdown{start: typicalShare, output: typicalShare})
+	typical := slowdown{start: typicalShare, output: typicalShare}
+	if s := w.RouteSlowdowns.Get(x.Route); s != nil {
+		typical.output = max(typical.output, s.MeanOutput)
+	}
+	return scale(w, x, typical)
 }
 
 // UpperBound returns the duration that a request is unlikely to exceed from now on: the
--- a/internal/table/average.go
+++ b/internal/table/average.go
@@ -5,18 +5,18 @@
 	"time"
 )
 
-// sampleWeight is the weight of a new sample in a moving average of durations.
+// sampleWeight is the weight of a new sample in a moving average.
 // With 0.2, the last ten samples or so determine the average.
 const sampleWeight = 0.2
 
 // UpdateMovingAverage returns the exponential moving average after a sample. A
 // mean of 0 means that there was no sample yet, so the first sample is taken
 // unchanged.
-func UpdateMovingAverage(mean, sample time.Duration) time.Duration {
+func UpdateMovingAverage[T ~int64 | ~float64](mean, sample T) T {
 	if mean == 0 {
 		return sample
 	}
-	return mean + time.Duration(sampleWeight*float64(sample-mean))
+	return mean + T(sampleWeight*float64(sample-mean))
 }
 
 // DecayingRate is a moving average of a rate in which added amounts decay
--- a/internal/table/route.go
+++ b/internal/table/route.go
@@ -59,6 +59,9 @@
 	// time until the first event of a stream or of a whole call, and of the output that
 	// followed the first event.
 	Start, Output WindowMax
+	// MeanOutput is a moving average of the ratio of the time of the output to its bound,
+	// over streams that ended; 0 if there was none.
+	MeanOutput float64
 }
 
 // DirectService is a service whose endpoints are called without an agent.
