intake: a client that leaves as its request arrives is noticed

Cause: the attempt system handles the disconnects of a tick before intake admits the arrivals of the same tick.

Change: intake does not admit a request whose client left in the tick.

Evidence: TestClientThatLeavesOnArrivalIsNoticed failed before.

--- a/internal/gateway/systems_test.go
+++ b/internal/gateway/systems_test.go
@@ -558,6 +558,17 @@
 	h.sendRequest("/feedback/2")
 }
 
+// Guards against a request that runs although its client left in the tick in which it
+// arrived.
+func TestClientThatLeavesOnArrivalIsNoticed(t *testing.T) {
+	h := newServingHarness(t)
+	h.step(h.newArrival("/booking/1"), event.ClientDisconnect{Exchange: h.lastExchange})
+	h.advance(time.Second)
+	require.Empty(t, h.callsFor(h.lastExchange))
+	require.Equal(t, table.CodeCancelled, h.finishOf(h.lastExchange).Outcome.Code)
+	require.Zero(t, h.world.Exchanges.Len())
+}
+
 // Guards against a router that was restarted, or missed reports, and lets a request crash
 // further endpoints although the other routers have it in quarantine.
 func TestQuarantinedRequestIsToldToRouterThatDoesNotKnow(t *testing.T) {
--- a/internal/system/intake/intake.go
+++ b/internal/system/intake/intake.go
@@ -6,6 +6,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -55,8 +56,17 @@
 }
 
 func onArrival(w *world.World, a *event.HTTPArrival) {
-	x, refused := admit(w, a)
 	id := table.RequestID(a.Request)
+	if slices.ContainsFunc(w.In.ClientDisconnects, func(e event.ClientDisconnect) bool { return e.Exchange == a.Exchange }) {
+		// The attempt system found no row when it handled the disconnect.
+		w.Count("intake.client_gone")
+		w.RecordDecision(id, System, "the client left before the request was admitted")
+		w.Out.FinishExchanges = append(w.Out.FinishExchanges, command.FinishExchange{
+			Exchange: a.Exchange, Outcome: table.Outcome{Code: table.CodeCancelled, Reason: "the client left", Ran: table.NotRun},
+		})
+		return
+	}
+	x, refused := admit(w, a)
 	if refused != nil {
 		w.Count("intake.refused." + string(refused.code))
 		inputs := []table.Input{versionInput(w)}
