notice: a pause that an endpoint asked for outlasts its entry

Change: it stays until the pause is over, unless another process of the endpoint is listed.

Evidence: TestPauseOutlastsRemovalOfEntry failed before.

--- a/internal/gateway/notice_test.go
+++ b/internal/gateway/notice_test.go
@@ -143,6 +143,25 @@
 	require.True(t, reported(), "a router that starts later hears it too")
 }
 
+// Guards against a pause that is forgotten because the endpoint's entry was gone for a
+// moment.
+func TestPauseOutlastsRemovalOfEntry(t *testing.T) {
+	h := newServingHarness(t)
+	c, end := h.answerOf(event.EndpointNotice{Pause: 20 * time.Second}, event.DirectDeclined)
+	h.endAttempt(c, end)
+	h.step(event.EndpointChanges{Removed: []table.EndpointID{c.Endpoint}})
+	h.advance(time.Second)
+	require.Nil(t, h.world.DirectEndpoints.Get(c.Endpoint))
+	h.step(event.EndpointChanges{Present: []event.EndpointEntry{endpointEntry(string(c.Endpoint), "desk")}})
+	h.advance(time.Second)
+	require.False(t, h.usesEndpoint(c.Endpoint))
+	h.advance(20 * time.Second)
+	require.True(t, h.usesEndpoint(c.Endpoint))
+	h.step(event.EndpointChanges{Removed: []table.EndpointID{c.Endpoint}})
+	h.advance(time.Minute)
+	require.Nil(t, h.world.EndpointNotices.Get(c.Endpoint))
+}
+
 // Guards against requests within a pause that endpoints asked for, against pauses that
 // hold requests until their deadline, and against one without end.
 func TestPausesOfEndpointsAreKept(t *testing.T) {
--- a/internal/system/notice/notice.go
+++ b/internal/system/notice/notice.go
@@ -83,10 +83,10 @@
 
 // outlived reports whether a notice no longer counts: another process of the endpoint is
 // listed, or no router has heard it for its lifetime. The entry of an endpoint that leaves
-// may be missing for a while.
+// or wants a pause may be missing for a while.
 func outlived(w *world.World, id table.EndpointID, n *table.EndpointNotice) bool {
 	e := w.DirectEndpoints.Get(id)
-	if e != nil && e.StartedUnixMilli != n.StartedUnixMilli || e == nil && !n.Leaving {
+	if e != nil && e.StartedUnixMilli != n.StartedUnixMilli || e == nil && !n.Leaving && w.DueOrWake(n.PausedUntil) {
 		return true
 	}
 	end := n.SaidAt.Add(lifetime)
