watch: an overdue call of a former delegate is replaced once

Cause: a call that waits when its router ceases to be a delegate was stopped again in each tick once it was overdue, and replaced after up to 20 s only.

Change: a stopped call is no longer the open one, and its replacement does not wait for the next poll.

--- a/internal/system/watch/fleet_test.go
+++ b/internal/system/watch/fleet_test.go
@@ -392,19 +392,26 @@
 	require.Len(t, list.Present, 4)
 }
 
+// removeAfterOutageOf deletes the entry of an endpoint right after an outage of a router
+// alone, and lets that router see it.
+func (f *fleet) removeAfterOutageOf(t *testing.T, m *member, id table.EndpointID) {
+	m.turnedAway = true
+	f.run(fleetStep)
+	m.turnedAway, m.cut = false, true
+	f.disconnect(m)
+	f.remove(id)
+	f.run(4 * fleetStep)
+	require.NotZero(t, m.world.DirectEndpoints.Get(id).RemovedAt)
+	m.cut = false
+}
+
 // Guards against an endpoint that left and stays in use while the store turns a router
 // away, because the router saw the removal right after an earlier outage of its own.
 func TestRemovalBetweenTwoOutagesTakesEffect(t *testing.T) {
 	f := newFleet(4, 1)
 	m := f.routers[2]
+	f.removeAfterOutageOf(t, m, "m0")
 	m.turnedAway = true
-	f.run(fleetStep)
-	m.turnedAway, m.cut = false, true
-	f.disconnect(m)
-	f.remove("m0")
-	f.run(4 * fleetStep)
-	require.NotZero(t, m.world.DirectEndpoints.Get("m0").RemovedAt)
-	m.turnedAway, m.cut = true, false
 	f.run(2*settleTime + changeBound(4))
 	require.Empty(t, f.outdated())
 }
@@ -414,14 +421,8 @@
 func TestSilenceWithinOutageOfOneRouterDoesNotKeepRemovedEndpoint(t *testing.T) {
 	f := newFleet(4, 1)
 	m := f.routers[2]
+	f.removeAfterOutageOf(t, m, "m0")
 	m.turnedAway = true
-	f.run(fleetStep)
-	m.turnedAway, m.cut = false, true
-	f.disconnect(m)
-	f.remove("m0")
-	f.run(4 * fleetStep)
-	require.NotZero(t, m.world.DirectEndpoints.Get("m0").RemovedAt)
-	m.turnedAway, m.cut = true, false
 	f.run(settleTime / 10)
 	f.silent = true
 	f.run(settleTime)
--- a/internal/system/watch/watch.go
+++ b/internal/system/watch/watch.go
@@ -423,6 +423,7 @@
 		return false
 	}
 	w.Out.WatchStops = append(w.Out.WatchStops, command.StopWatch{Kind: kind})
+	row.Call = 0
 	return true
 }
 
@@ -450,7 +451,8 @@
 			// Only a call shows that the store is back, which the other routers have to know.
 			interval = waitTime
 		}
-		if !behind && !w.DueOrWake(row.CallSentAt.Add(interval)) {
+		isReplacement := row.Overdue && row.Backoff == 0
+		if !behind && !isReplacement && !w.DueOrWake(row.CallSentAt.Add(interval)) {
 			return
 		}
 		wait = pollWait
--- a/internal/system/watch/watch_test.go
+++ b/internal/system/watch/watch_test.go
@@ -153,6 +153,44 @@
 	require.NotEqual(t, open, h.world.Watches.Get(table.WatchConfig).Call)
 }
 
+// Guards against a router that is no delegate any more and does not replace its last waiting
+// call, or stops it again in each tick.
+func TestOverdueCallOfFormerDelegateIsReplacedOnce(t *testing.T) {
+	h := newHarness(4, 0.8)
+	h.list(10)
+	h.now = h.now.Add(time.Second)
+	h.tick()
+	require.NotZero(t, h.world.Watches.Get(table.WatchConfig).Call)
+	for i := range 40 {
+		id := table.ProcessID(fmt.Sprintf("edge-new-%d", i))
+		peer := table.RouterPeer{Holder: table.Holder{Process: id, Incarnation: 1}, Domain: fmt.Sprintf("n%d", i), Cores: 0.8, Connected: true}
+		h.world.RouterPeers.Put(id, peer)
+		h.world.LimitLedgerView.Registered[peer.Holder] = true
+	}
+	h.world.Params.Self.Cores = 0.1
+	h.world.RouterPeers.Put("edge-same", table.RouterPeer{Holder: table.Holder{Process: "edge-same", Incarnation: 1}, Domain: "d0", Cores: 0.8, Connected: true})
+	h.world.LimitLedgerView.Registered[table.Holder{Process: "edge-same", Incarnation: 1}] = true
+	h.world.FleetGeneration++
+	stops, polls := 0, 0
+	for range 40 {
+		h.now = h.now.Add(100 * time.Millisecond)
+		h.tick()
+		for _, c := range h.out.WatchStops {
+			if c.Kind == table.WatchConfig {
+				stops++
+			}
+		}
+		for _, c := range h.calls {
+			if c.Kind == table.WatchConfig {
+				polls++
+				require.Equal(t, time.Millisecond, c.Wait)
+			}
+		}
+	}
+	require.Equal(t, 1, stops)
+	require.Equal(t, 1, polls)
+}
+
 // Guards against changes that only the delegates know.
 func TestDelegatePassesChangesToItsDomain(t *testing.T) {
 	h := newHarness(4, 0.8)
