watch: only lapsed entries end when another router follows the store again

Change: following the store for so long that lapsed entries are listed again ends the grace period of entries that are missing, and nothing else.

--- a/internal/system/catalog/catalog.go
+++ b/internal/system/catalog/catalog.go
@@ -70,7 +70,7 @@
 	}
 	w.PlatformReachable, w.PlatformStateSince = reachable, max(w.Now, 1)
 	if !reachable {
-		w.StoreServedOthersAt = 0
+		w.StoreServedOthersAt, w.EntriesRelistedAt = 0, 0
 	}
 	// This router may do duties for others now, or no longer.
 	w.FleetGeneration++
@@ -250,13 +250,15 @@
 // graceEnded reports whether the time is over in which a lapsed entry may come back,
 // and requests a tick at its end otherwise. Without the store, only another router can
 // tell that: if the store has served one since this router does not reach it, the entry
-// lapsed in an earlier outage.
+// lapsed in an earlier outage. An entry that is listed again is passed on.
 func graceEnded(w *world.World, e *table.DirectEndpoint) bool {
 	switch {
 	case e.LapseGraceEnd != 0:
 		return w.DueOrWake(e.LapseGraceEnd)
 	case w.PlatformReachable:
 		return w.DueOrWake(watch.LapseGraceEnd(w))
+	case w.EntriesRelistedAt != 0:
+		return true
 	case w.StoreServedOthersAt != 0:
 		return w.DueOrWake(watch.RelistEnd(w, w.PlatformStateSince))
 	}
--- a/internal/system/watch/watch.go
+++ b/internal/system/watch/watch.go
@@ -157,17 +157,24 @@
 
 // judgeOutage records that the store serves another router while this one does not
 // reach it. The other router's last answer has to be later than the first failure here,
-// or it may not have noticed yet that the store is down. If the store was down for all in
-// between, what lapsed has to be listed again.
+// or it may not have noticed yet that the store is down. If the other one follows the store
+// for a shorter time, because it was down for all in between, what lapsed then is listed
+// again some time later.
 func judgeOutage(w *world.World, e *event.RouterReport) {
 	if w.PlatformReachable || w.PlatformStateSince == 0 {
 		return
 	}
 	outage := w.Now.Sub(w.PlatformStateSince)
 	answerAge := maxAnswerAge(w, table.WatchEndpoints)
-	if outage > answerAge && e.FollowedFor >= min(outage, answerAge+relistTime+batchDelay(w)) {
+	if outage <= answerAge {
+		return
+	}
+	if e.FollowedFor >= outage {
 		w.StoreServedOthersAt = w.Now
 	}
+	if e.FollowedFor >= answerAge+relistTime+batchDelay(w) {
+		w.EntriesRelistedAt = w.Now
+	}
 }
 
 // LapseGraceEnd returns until when entries that lapsed in this router's last outage may
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -156,6 +156,10 @@
 	// StoreServedOthersAt is when another router last showed that the store serves it,
 	// while this one does not reach the store; 0 if none did in the last outage.
 	StoreServedOthersAt table.Instant
+	// EntriesRelistedAt is when another router last showed, while this one does not reach
+	// the store, that it has followed the store for so long that entries which lapsed
+	// before are listed again; 0 if none did in the last outage.
+	EntriesRelistedAt table.Instant
 	// AwaitingRegistration is true until this process is registered. A router
 	// takes no grant before that, so that its start number is older than its
 	// grants.
