quarantine, catalog: one list of newly connected routers, a check without effects

No change of behaviour. The loop over the sessions that opened stood twice; the check for a late failure also recorded the time of answers and counted.

--- a/internal/system/catalog/catalog.go
+++ b/internal/system/catalog/catalog.go
@@ -28,9 +28,11 @@
 // Run applies the manifests and the endpoint changes of this tick.
 func Run(w *world.World) {
 	for _, e := range w.In.PlatformStates {
-		if !isLateFailure(w, e) {
-			onPlatformState(w, e.Reachable)
+		if isLateFailure(w, e) {
+			w.Count("catalog.late_failures")
+			continue
 		}
+		onPlatformState(w, e.Reachable)
 	}
 	for i := range w.In.Manifests {
 		applyManifest(w, &w.In.Manifests[i])
@@ -45,18 +47,13 @@
 // answered another one. It was lost in an outage that is over: calls that begin together
 // in an outage don't fail together.
 func isLateFailure(w *world.World, e event.PlatformState) bool {
-	if e.Reachable {
-		w.PlatformAnsweredAt = w.Now
-		return false
-	}
-	if w.PlatformAnsweredAt == 0 || w.Now.Sub(w.PlatformAnsweredAt) > e.DueFor {
-		return false
-	}
-	w.Count("catalog.late_failures")
-	return true
+	return !e.Reachable && w.PlatformAnsweredAt != 0 && w.Now.Sub(w.PlatformAnsweredAt) <= e.DueFor
 }
 
 func onPlatformState(w *world.World, reachable bool) {
+	if reachable {
+		w.PlatformAnsweredAt = w.Now
+	}
 	if reachable == w.PlatformReachable && w.PlatformStateSince != 0 {
 		return
 	}
--- a/internal/system/quarantine/gateway.go
+++ b/internal/system/quarantine/gateway.go
@@ -37,11 +37,7 @@
 // quarantine, and those that report a crash of such a request: a router that was restarted,
 // or that missed reports, counts from the start and would let it crash more endpoints.
 func tellVerdicts(w *world.World) {
-	if len(w.In.SessionsOpened) > 0 {
-		var to []table.Holder
-		for i := range w.In.SessionsOpened {
-			to = append(to, w.In.SessionsOpened[i].Process.Holder)
-		}
+	if to := newlyConnected(w); len(to) > 0 {
 		tell(w, to, w.Quarantined.Keys())
 	}
 	for i := range w.In.Crashes {
@@ -51,6 +47,15 @@
 	}
 }
 
+// newlyConnected returns the routers that connected in this tick.
+func newlyConnected(w *world.World) []table.Holder {
+	var routers []table.Holder
+	for i := range w.In.SessionsOpened {
+		routers = append(routers, w.In.SessionsOpened[i].Process.Holder)
+	}
+	return routers
+}
+
 // tell sends those of the given requests that are in quarantine to other routers.
 func tell(w *world.World, to []table.Holder, requests []table.Fingerprint) {
 	var entries []event.QuarantineEntry
--- a/internal/system/quarantine/partreport.go
+++ b/internal/system/quarantine/partreport.go
@@ -110,17 +110,14 @@
 
 // greetRouters sends the quarantined parts to the routers that connected in this tick.
 func greetRouters(w *world.World) {
-	if len(w.In.SessionsOpened) == 0 {
+	to := newlyConnected(w)
+	if len(to) == 0 {
 		return
 	}
 	entries := quarantinedEntries(w)
 	if len(entries) == 0 {
 		return
 	}
-	var to []table.Holder
-	for i := range w.In.SessionsOpened {
-		to = append(to, w.In.SessionsOpened[i].Process.Holder)
-	}
 	w.Out.Crashes = append(w.Out.Crashes, command.SendCrash{To: to, Crash: event.Crash{Parts: &event.PartReport{Quarantined: entries}}})
 }
 
