placement, platform: one check of an endpoint, one estimate of its load

Cause: evacuations, cold endpoints, queueing for room and even load all need to ask why an endpoint may not get a request and how busy it is. Placement asked the notices and the list itself, and its cost read the load reports itself.

Change: eligibility.Check names the reason and when it ends; load.Of estimates the load; placement has a file for the candidates, the cost and the wait. Settings and the configuration are read up to the bounds of cold starts and evacuations and the memory of model engines, which nothing uses yet.

--- a/internal/system/placement/cost.go
+++ b/internal/system/placement/cost.go
@@ -1,8 +1,7 @@
 package placement
 
 import (
-	"time"
-
+	"laburnumroad.dev/laburnumroad/internal/system/load"
 	"laburnumroad.dev/laburnumroad/internal/table"
 	"laburnumroad.dev/laburnumroad/internal/world"
 )
@@ -32,9 +31,6 @@
 	// stallWeight weighs the delay that a prompt causes in each stream running at
 	// the same endpoint, in milliseconds per millisecond.
 	stallWeight = 0.05
-	// maxReportAge is how long an endpoint's load report is used. An endpoint's
-	// load changes within some hundred milliseconds.
-	maxReportAge = time.Second
 )
 
 // scoredEndpoint is a candidate endpoint with its cost in milliseconds.
@@ -80,25 +76,21 @@
 // estimateCost returns the estimated time until the first event plus the cost
 // of the request to other requests, in milliseconds.
 func estimateCost(w *world.World, x *table.Exchange, e *table.DirectEndpoint, home bool) float64 {
-	slowdown, running := 1.0, float64(e.InFlight)
-	total := failureCost * e.FailureRate
+	l := load.Of(w, e)
+	total := failureCost*e.FailureRate + waitingCost*l.Waiting*l.Slowdown
 	if e.Domain != w.Params.Self.Domain {
 		total += crossDomainCost
 	}
-	if w.Now.Sub(e.ReportedAt) < maxReportAge {
-		slowdown, running = max(1, e.ReportedSlowdown), max(running, float64(e.ReportedRunning))
-		total += waitingCost * float64(e.ReportedWaiting) * slowdown
-	}
 	if x.PromptTokens == 0 {
-		return total + callCost*running*slowdown/float64(max(1, e.Slots))
+		return total + callCost*l.Running*l.Slowdown/float64(max(1, e.Slots))
 	}
 	uncached := float64(x.PromptTokens - cachedTokens(w, x, e))
 	if !home {
 		total += sharedTokenCost * max(0, uncached-float64(x.PromptTokens-sharedTokens(x)))
 	}
-	total += (float64(e.PrefillTokens) + uncached) / prefillTokensPerMs * slowdown
-	total += stepCost * running * slowdown
-	total += stallWeight * running * uncached / prefillTokensPerMs
+	total += (float64(e.PrefillTokens) + uncached) / prefillTokensPerMs * l.Slowdown
+	total += stepCost * l.Running * l.Slowdown
+	total += stallWeight * l.Running * uncached / prefillTokensPerMs
 	return total
 }
 
--- a/internal/system/placement/placement.go
+++ b/internal/system/placement/placement.go
@@ -7,12 +7,11 @@
 package placement
 
 import (
-	"slices"
 	"strconv"
 	"time"
 
 	"laburnumroad.dev/laburnumroad/internal/command"
-	"laburnumroad.dev/laburnumroad/internal/system/notice"
+	"laburnumroad.dev/laburnumroad/internal/system/eligibility"
 	"laburnumroad.dev/laburnumroad/internal/table"
 	"laburnumroad.dev/laburnumroad/internal/world"
 )
@@ -20,21 +19,8 @@
 // System is the name of this system in recorded decisions.
 const System = "placement"
 
-const (
-	// A request waits for an endpoint for its latency objective divided by
-	// waitObjectiveDivisor, but at least for minEndpointWait.
-	waitObjectiveDivisor = 8
-	minEndpointWait      = 20 * time.Millisecond
-	// recheckInterval is the interval at which waiting requests are checked
-	// again.
-	recheckInterval = 10 * time.Millisecond
-	// noEndpointRetryAfter is the retry delay sent to refused clients: a crashed
-	// endpoint restarts, or a replacement is listed, within a second or two.
-	noEndpointRetryAfter = 500 * time.Millisecond
-	// minTimeLeft is the least time until its timeout for which a request is
-	// sent.
-	minTimeLeft = 5 * time.Millisecond
-)
+// minTimeLeft is the least time until its timeout for which a request is sent.
+const minTimeLeft = 5 * time.Millisecond
 
 // Run sends the waiting requests to endpoints.
 func Run(w *world.World) {
@@ -57,65 +43,6 @@
 	send(w, x, best, scored)
 }
 
-// waitOrRefuse keeps a request waiting for an endpoint, or refuses it early
-// enough for the client to retry.
-func waitOrRefuse(w *world.World, x *table.Exchange) {
-	waitEnd := x.ArrivedAt.Add(max(minEndpointWait, x.LatencyObjective/waitObjectiveDivisor))
-	if x.SentAttempts > 0 {
-		waitEnd = x.AttemptSentAt.Add(max(minEndpointWait, x.LatencyObjective))
-	}
-	limited, wait := limitsEndIn(w, x.Service)
-	if w.Now < waitEnd && !(limited && w.Now.Add(wait) > waitEnd) {
-		w.WakeAt(min(waitEnd, w.Now.Add(recheckInterval)))
-		return
-	}
-	outcome := table.Outcome{Code: table.CodeNoEndpoint, Reason: "no endpoint of the service can take work", Ran: table.NotRun, RetryAfter: noEndpointRetryAfter}
-	if limited {
-		w.Count("placement.limited")
-		outcome.Reason = "the limits that the endpoints named are used up"
-		// Clients that are refused at the same time come back one after the other.
-		outcome.RetryAfter = wait + time.Duration(w.Rand.Int64N(int64(noEndpointRetryAfter)))
-	}
-	if x.MayHaveRun {
-		outcome.Code, outcome.Reason, outcome.Ran = table.CodeEndpointFailed, "no endpoint is left after: "+x.LastFailure, table.RanUnknown
-	}
-	w.Count("placement.refused")
-	w.RecordDecision(x.Request, System, "refused: "+outcome.Reason, table.Input{Name: "age", Value: w.Now.Sub(x.ArrivedAt).String()})
-	w.FinishExchange(x, false, outcome)
-}
-
-// limitsEndIn reports whether only the limits that endpoints of a service named keep this
-// router from sending to them, and how long it takes until one takes a request. If none
-// does as long as its limit stands, that is the time after which a client may try again,
-// at another router.
-func limitsEndIn(w *world.World, service table.ServiceName) (bool, time.Duration) {
-	limited, anyShare, wait := false, false, noEndpointRetryAfter
-	w.DirectEndpoints.Each(func(_ table.EndpointID, e *table.DirectEndpoint) {
-		if e.Service != service || e.Leaving {
-			return
-		}
-		limited = true
-		if in, hasShare := notice.AdmitsIn(w, e.ID); hasShare && (!anyShare || in < wait) {
-			anyShare, wait = true, in
-		}
-	})
-	return limited, wait
-}
-
-// eligibleEndpoints returns the endpoints that may get the request. Endpoints
-// that it was sent to before and suspect endpoints are excluded unless no
-// others remain; those whose limit this router has used up always are.
-func eligibleEndpoints(w *world.World, x *table.Exchange) []*table.DirectEndpoint {
-	var usable []*table.DirectEndpoint
-	w.DirectEndpoints.Each(func(_ table.EndpointID, e *table.DirectEndpoint) {
-		if e.Service == x.Service && !e.Leaving && notice.Admits(w, e.ID) {
-			usable = append(usable, e)
-		}
-	})
-	usable = table.FilterOrAll(usable, func(e *table.DirectEndpoint) bool { return !slices.Contains(x.TriedEndpoints, e.ID) })
-	return table.FilterOrAll(usable, func(e *table.DirectEndpoint) bool { return e.SuspectUntil <= w.Now })
-}
-
 // send starts an attempt at an endpoint and adds it to the endpoint's load.
 func send(w *world.World, x *table.Exchange, e *table.DirectEndpoint, scored []scoredEndpoint) {
 	timeLeft := min(x.RouteDeadline, x.ClientDeadline).Sub(w.Now)
@@ -123,7 +50,7 @@
 		// The timer of the exchange ends it.
 		return
 	}
-	notice.Take(w, e.ID)
+	eligibility.Take(w, e)
 	w.ExchangesWaiting.Remove(x.ID)
 	x.State = table.ExchangeRunning
 	x.Attempt++
--- /dev/null
+++ b/internal/system/placement/wait.go
@@ -0,0 +1,71 @@
+package placement
+
+import (
+	"time"
+
+	"laburnumroad.dev/laburnumroad/internal/system/eligibility"
+	"laburnumroad.dev/laburnumroad/internal/table"
+	"laburnumroad.dev/laburnumroad/internal/world"
+)
+
+const (
+	// A request waits for an endpoint for its latency objective divided by
+	// waitObjectiveDivisor, but at least for minEndpointWait.
+	waitObjectiveDivisor = 8
+	minEndpointWait      = 20 * time.Millisecond
+	// recheckInterval is the interval at which waiting requests are checked
+	// again.
+	recheckInterval = 10 * time.Millisecond
+	// noEndpointRetryAfter is the retry delay sent to refused clients: a crashed
+	// endpoint restarts, or a replacement is listed, within a second or two.
+	noEndpointRetryAfter = 500 * time.Millisecond
+)
+
+// waitOrRefuse keeps a request waiting for an endpoint, or refuses it early
+// enough for the client to retry.
+func waitOrRefuse(w *world.World, x *table.Exchange) {
+	waitEnd := x.ArrivedAt.Add(max(minEndpointWait, x.LatencyObjective/waitObjectiveDivisor))
+	if x.SentAttempts > 0 {
+		waitEnd = x.AttemptSentAt.Add(max(minEndpointWait, x.LatencyObjective))
+	}
+	limited, wait := limitsEndIn(w, x)
+	if w.Now < waitEnd && !(limited && w.Now.Add(wait) > waitEnd) {
+		w.WakeAt(min(waitEnd, w.Now.Add(recheckInterval)))
+		return
+	}
+	outcome := table.Outcome{Code: table.CodeNoEndpoint, Reason: "no endpoint of the service can take work", Ran: table.NotRun, RetryAfter: noEndpointRetryAfter}
+	if limited {
+		w.Count("placement.limited")
+		outcome.Reason = "the limits that the endpoints named are used up"
+		// Clients that are refused at the same time come back one after the other.
+		outcome.RetryAfter = wait + time.Duration(w.Rand.Int64N(int64(noEndpointRetryAfter)))
+	}
+	if x.MayHaveRun {
+		outcome.Code, outcome.Reason, outcome.Ran = table.CodeEndpointFailed, "no endpoint is left after: "+x.LastFailure, table.RanUnknown
+	}
+	w.Count("placement.refused")
+	w.RecordDecision(x.Request, System, "refused: "+outcome.Reason, table.Input{Name: "age", Value: w.Now.Sub(x.ArrivedAt).String()})
+	w.FinishExchange(x, false, outcome)
+}
+
+// limitsEndIn reports whether only the limits that endpoints of the service named keep this
+// router from sending to them, and how long it takes until one takes a request. If none
+// does as long as its limit stands, that is the time after which a client may try again,
+// at another router.
+func limitsEndIn(w *world.World, x *table.Exchange) (bool, time.Duration) {
+	limited, anyShare, wait := false, false, noEndpointRetryAfter
+	w.DirectEndpoints.Each(func(_ table.EndpointID, e *table.DirectEndpoint) {
+		if e.Service != x.Service {
+			return
+		}
+		verdict := eligibility.Check(w, x, e)
+		if verdict.Reason == eligibility.Leaving {
+			return
+		}
+		limited = true
+		if verdict.HasEnd && (!anyShare || verdict.RetryIn < wait) {
+			anyShare, wait = true, verdict.RetryIn
+		}
+	})
+	return limited, wait
+}
--- a/internal/table/route.go
+++ b/internal/table/route.go
@@ -70,6 +70,14 @@
 	// MaxEventTokens is the most tokens in one event of a stream; 0 for services
 	// other than model engines.
 	MaxEventTokens Tokens
+	// MemoryTokens is how many tokens of prompts and output the requests at a model engine
+	// may hold; 0 if unknown.
+	MemoryTokens Tokens
+	// ColdTime is how long an endpoint is cold after it starts during traffic, and
+	// ColdRate how many requests a second it bears meanwhile from all routers together;
+	// 0 for services without cold starts.
+	ColdTime time.Duration
+	ColdRate float64
 	// RetryBucketLevel is the level of the retry budget's token bucket minus its
 	// burst, in retries: 0 when full, and 1 less after each retry.
 	RetryBucketLevel float64
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -82,6 +82,13 @@
 	// RecoveryBound is the time after an outage of the store within which changes must
 	// be in force again; 0 if unknown.
 	RecoveryBound time.Duration
+	// A cold endpoint may get its service's rate times ColdOvershoot, plus ColdAllowance
+	// requests, in any second.
+	ColdOvershoot float64
+	ColdAllowance float64
+	// EvacuationBound is the time within which an evacuated failure domain must get no
+	// more requests; 0 if the deployment evacuates none.
+	EvacuationBound time.Duration
 }
 
 // Tables are the rows of all entities of the process.
