quarantine: a crash right after a conviction is confirmed by a second one

Cause: three crashes convict the part furthest back that they share.

Change: for 3 s after the conviction such a part needs two crashes with different causes, as the first may be explained by the convicted part; afterwards one is enough as before.

Changed test: TestOnlyOneOfSeveralSuspectPartsIsConvicted required the opposite for the same reports (three crashes that two parts share, then one that names only the second, a second later), so that no rule could pass both. It now requires conviction after the second crash within the 3 s, five in all, which is the number that the users' rule allows, after a single one later, and that the sound part is never refused.

--- a/internal/gateway/parts_evidence_test.go
+++ b/internal/gateway/parts_evidence_test.go
@@ -161,3 +161,22 @@
 	}
 	require.Zero(t, refused, "of 2400 sound requests")
 }
+
+// Guards against one crash after the conviction of a part, reported by two routers, that
+// convicts a part which the convicted one's requests share.
+func TestOneCrashReportedTwiceIsNotConfirmed(t *testing.T) {
+	h := newServingHarness(t)
+	for i := range 3 {
+		h.step(crashReport(fmt.Sprint("x", i), time.Millisecond, "class", "tainted"))
+		h.advance(time.Second)
+	}
+	h.refusePrompt("/feedback/1", "class", "tainted")
+	for range 2 {
+		h.step(crashReport("x3", time.Millisecond, "class", "sound"))
+		h.advance(100 * time.Millisecond)
+	}
+	h.sendPrompt("/feedback/1", "class", "sound")
+	h.advance(time.Second)
+	h.step(crashReport("x4", time.Millisecond, "class", "sound"))
+	h.refusePrompt("/feedback/1", "class", "sound")
+}
--- a/internal/gateway/parts_test.go
+++ b/internal/gateway/parts_test.go
@@ -285,13 +285,28 @@
 	h.refusePrompt("/feedback/1", "class", "subject", "tainted")
 	h.endAttempt(h.sendPrompt("/feedback/1", "class", "subject", "sound"), answeredAttempt)
 
-	h = newServingHarness(t)
-	for range 3 {
-		h.crash("/feedback/1", "class", "tainted", "first")
-		h.endAttempt(h.sendPrompt("/feedback/1", "class", "sound"), answeredAttempt)
+	// "first" is convicted in place of "tainted". A request with it that is still at an
+	// endpoint could be the cause of a crash a moment later, so that "tainted" takes a second
+	// one then, and a single one afterwards: at most five crashes in all.
+	convictFirst := func() {
+		h = newServingHarness(t)
+		for range 3 {
+			h.crash("/feedback/1", "class", "tainted", "first")
+			h.endAttempt(h.sendPrompt("/feedback/1", "class", "sound"), answeredAttempt)
+		}
+		h.refusePrompt("/feedback/1", "class", "tainted", "first")
 	}
+	convictFirst()
+	h.crash("/feedback/1", "class", "tainted", "second")
+	h.crash("/feedback/1", "class", "tainted", "third")
+	h.refusePrompt("/feedback/1", "class", "tainted", "fourth")
+	h.endAttempt(h.sendPrompt("/feedback/1", "class", "sound"), answeredAttempt)
+
+	convictFirst()
+	h.advance(3 * time.Second)
 	h.crash("/feedback/1", "class", "tainted", "second")
 	h.refusePrompt("/feedback/1", "class", "tainted", "third")
+	h.endAttempt(h.sendPrompt("/feedback/1", "class", "sound"), answeredAttempt)
 }
 
 // Guards against a quarantine that never ends, and against many crashes when it ends and
--- a/internal/system/quarantine/parts.go
+++ b/internal/system/quarantine/parts.go
@@ -45,6 +45,9 @@
 	// minLoggedCrashes is the number of crashes from which changes of a part are logged.
 	// Each crash has many parts that are cleared soon.
 	minLoggedCrashes = 2
+	// overlapTime is how long after the conviction of a part requests with it may still end
+	// endpoints: those that were sent before, or by routers which learn of it late.
+	overlapTime = 3 * time.Second
 	// clearedMemory is how long after the proof lists and messages that still name the
 	// part are disregarded.
 	clearedMemory = time.Minute
@@ -214,15 +217,15 @@
 		return false
 	}
 	for _, c := range s.Crashes {
-		if c.Endpoint == endpoint && (w.Now.Sub(c.At) < sameCrashWindow || w.Now.Add(-p.SinceSent) <= c.At) {
+		if c.Endpoint == endpoint && isSameCrash(w, c, p) {
 			return false
 		}
 	}
-	if n := len(s.Crashes); n > 0 {
-		last := s.Crashes[n-1].At
-		if w.Now.Sub(last) < minCrashGap && w.Now.Add(-p.SinceSent) <= last {
-			return false
-		}
+	if n := len(s.Crashes); n > 0 && hasCommonCause(w, s.Crashes[n-1], p) {
+		return false
+	}
+	if needsConfirmation(w, s, endpoint, p) {
+		return false
 	}
 	s.Crashes = append(s.Crashes, table.PartCrash{Endpoint: endpoint, At: w.Now})
 	w.PartSuspectTimers.Schedule(p.Part, partExpiry(s))
@@ -233,6 +236,56 @@
 	return true
 }
 
+// needsConfirmation reports whether a crash is no evidence against a part yet. All crashes
+// counted for the part so far are those of one that was quarantined a moment ago. A request
+// with that one may have ended this endpoint too, unseen, so that a second crash has to
+// confirm the first.
+func needsConfirmation(w *world.World, s *table.PartSuspect, endpoint table.EndpointID, p event.CrashedPart) bool {
+	if s.OverlapUntil <= w.Now {
+		return false
+	}
+	first := s.Unconfirmed
+	if first.At == 0 {
+		s.Unconfirmed = table.PartCrash{Endpoint: endpoint, At: w.Now}
+		w.Count("quarantine.crashes_unconfirmed")
+		return true
+	}
+	if first.Endpoint == endpoint && isSameCrash(w, first, p) || hasCommonCause(w, first, p) {
+		return true
+	}
+	s.OverlapUntil = 0
+	return false
+}
+
+// isSameCrash reports whether a report about an endpoint concerns a crash of it that was
+// counted before.
+func isSameCrash(w *world.World, counted table.PartCrash, p event.CrashedPart) bool {
+	return w.Now.Sub(counted.At) < sameCrashWindow || w.Now.Add(-p.SinceSent) <= counted.At
+}
+
+// hasCommonCause reports whether a crash may have the cause of another one just before.
+func hasCommonCause(w *world.World, last table.PartCrash, p event.CrashedPart) bool {
+	return w.Now.Sub(last.At) < minCrashGap && w.Now.Add(-p.SinceSent) <= last.At
+}
+
+// markOverlap marks the parts whose crashes are all crashes of a part that is quarantined
+// now.
+func markOverlap(w *world.World, convicted table.Fingerprint, crashes []table.PartCrash) {
+	w.PartSuspects.Each(func(f table.Fingerprint, s *table.PartSuspect) {
+		if f == convicted || s.QuarantinedUntil != 0 || len(s.Crashes) == 0 {
+			return
+		}
+		for _, c := range s.Crashes {
+			if !slices.ContainsFunc(crashes, func(o table.PartCrash) bool {
+				return o.Endpoint == c.Endpoint && c.At.Sub(o.At).Abs() < sameCrashWindow
+			}) {
+				return
+			}
+		}
+		s.OverlapUntil, s.Unconfirmed = w.Now.Add(overlapTime), table.PartCrash{}
+	})
+}
+
 // isSuspect reports whether there is anything against a part. The record of one that was
 // cleared is kept for a while.
 func isSuspect(s *table.PartSuspect) bool { return len(s.Crashes) > 0 || s.QuarantinedUntil != 0 }
@@ -273,6 +326,7 @@
 	}
 	if s.QuarantinedUntil == 0 {
 		s.Quarantines++
+		markOverlap(w, f, s.Crashes)
 		w.Count("quarantine.parts_quarantined")
 		w.RecordStateChange("prompt_part", partName(f), from, "quarantined", reason)
 	}
--- a/internal/table/part.go
+++ b/internal/table/part.go
@@ -14,6 +14,11 @@
 	// admitted one request at a time; Trial is the last one admitted.
 	Quarantines int
 	Trial       ExchangeID
+	// OverlapUntil is until when a single crash is no evidence, or 0: another part was
+	// quarantined for the same crashes, and requests with that one may still end endpoints.
+	// Unconfirmed is that single crash, if there was one.
+	OverlapUntil Instant
+	Unconfirmed  PartCrash
 	// ClearedAt is when a proof ended a quarantine or a suspicion, or 0.
 	ClearedAt Instant
 }
