evacuation, watch: nothing is sent to evacuated failure domains

Delegates follow the entries as a third kind of objects, and each report to the other routers names the whole set with the revision of the store at which it is, so that routers that the store turns away have it too. Only a later set without the domain ends an evacuation. A router that has just started is not ready before it knows the set, for the bound at most. Endpoints in an evacuated domain are no candidates; attempts on their way are withdrawn before their first byte, which is no failure of the endpoint. If all domains of a service are evacuated, requests are refused at once.

catalog.UpdateUse is the one place that computes whether attempts on their way may be sent, also for endpoints that another one answers for; orders are emitted on change only.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -82,6 +82,7 @@
 	DirectAttemptEnds    []DirectAttemptEnd
 	Manifests            []ManifestReceived
 	EndpointChanges      []EndpointChanges
+	EvacuationChanges    []EvacuationChanges
 	WatchResults         []WatchResult
 	ConnectTimes         []ConnectTime
 	LimitLedgerResults   []LimitLedgerResult
--- a/internal/event/exchange.go
+++ b/internal/event/exchange.go
@@ -174,6 +174,23 @@
 	LapseGrace time.Duration
 }
 
+// EvacuationChanges carries the evacuated failure domains at a revision of the store, if
+// Full, or the changes of them between two revisions.
+type EvacuationChanges struct {
+	Full bool
+	// Since and Covered are the revisions; Since is 0 if Full.
+	Since   uint64
+	Covered uint64
+	// LastChange is the highest revision of an entry that the store returned, or 0.
+	LastChange uint64
+	Present    []string
+	Removed    []string
+	// Relayed is true if another router sent them; SenderStoreDown is true if that one does
+	// not reach the store.
+	Relayed         bool
+	SenderStoreDown bool
+}
+
 // WatchStatus is how a call that follows a kind of objects ended.
 type WatchStatus uint8
 
@@ -227,6 +244,10 @@
 	// Notices are what endpoints said of themselves to the sender itself, as far as it
 	// binds other routers.
 	Notices []ReportedNotice
+	// Evacuated are all evacuated failure domains at the revision EvacuationsCovered of
+	// the store. The revision is 0 if the sender does not say which are.
+	Evacuated          []string
+	EvacuationsCovered uint64
 }
 
 // ReportedNotice is what an endpoint said of itself to a router.
@@ -325,6 +346,9 @@
 // AddTo implements Event.
 func (e EndpointChanges) AddTo(in *Inbox) { in.EndpointChanges = append(in.EndpointChanges, e) }
 
+// AddTo implements Event.
+func (e EvacuationChanges) AddTo(in *Inbox) { in.EvacuationChanges = append(in.EvacuationChanges, e) }
+
 // AddTo implements Event.
 func (e WatchResult) AddTo(in *Inbox) { in.WatchResults = append(in.WatchResults, e) }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 
 	"laburnumroad.dev/laburnumroad/internal/control"
 	"laburnumroad.dev/laburnumroad/internal/event"
+	"laburnumroad.dev/laburnumroad/internal/system/evacuation"
 	"laburnumroad.dev/laburnumroad/internal/system/peers"
 	"laburnumroad.dev/laburnumroad/internal/table"
 	"laburnumroad.dev/laburnumroad/internal/traffic/front"
@@ -246,9 +247,10 @@
 
 // isReady reports whether the load balancer may send requests to this router. Without
 // the list of quarantined parts, a router that starts would send what crashes endpoints
-// once more; if the store does not answer, it serves without the list.
+// once more; if the store does not answer, it serves without the list. Without the set of
+// evacuated failure domains it would send to them.
 func isReady(w *world.World) bool {
-	return w.PartList.Attempted && w.Manifest.Version > 0 && w.DirectEndpoints.Len() > 0 && !w.Draining && !w.Link.OutOfRotation
+	return w.PartList.Attempted && evacuation.Known(w) && w.Manifest.Version > 0 && w.DirectEndpoints.Len() > 0 && !w.Draining && !w.Link.OutOfRotation
 }
 
 // publish copies the state that other goroutines read: metrics, readiness, limits
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -34,6 +34,8 @@
 	storeClient *platform.Client
 	// traceOutput is the file to which the gateways write spans.
 	traceOutput string
+	// evacuationBound is 0 in a deployment that evacuates no failure domains.
+	evacuationBound time.Duration
 }
 
 func newTestCluster(t *testing.T) *testCluster {
@@ -75,14 +77,18 @@
 // startEndpoint starts an endpoint that answers with h and registers it in the
 // store.
 func (c *testCluster) startEndpoint(id, service string, h http.HandlerFunc) {
+	c.startEndpointIn("a", id, service, h)
+}
+
+func (c *testCluster) startEndpointIn(domain, id, service string, h http.HandlerFunc) {
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("Attempt-Id", r.Header.Get("Attempt-Id"))
 		w.Header().Set("Server-Seal", "seal-"+id)
 		h(w, r)
 	}))
 	c.t.Cleanup(server.Close)
-	c.putObject("servers", id, fmt.Sprintf(`{"backend":%q,"address":%q,"zone":"a","capacity":8,"state":"ready","born":1}`,
-		service, server.Listener.Addr().String()))
+	c.putObject("servers", id, fmt.Sprintf(`{"backend":%q,"address":%q,"zone":%q,"capacity":8,"state":"ready","born":1}`,
+		service, server.Listener.Addr().String(), domain))
 }
 
 // testGateway is a running gateway with its log output.
@@ -152,6 +158,7 @@
 		Name: name, IP: "127.0.0.1", Domain: "a", Region: "r", ShutdownGrace: grace, RetryRatio: 0.2, RetryBurst: 10,
 		ClientAddress: fmt.Sprintf("127.0.0.1:%d", ports[0]), ReadinessAddress: fmt.Sprintf("127.0.0.1:%d", ports[1]),
 		FirstPeerPort: ports[2], LastPeerPort: ports[2], StoreAddress: strings.TrimPrefix(c.storeURL, "http://"),
+		EvacuationBound: c.evacuationBound,
 	}
 	capture := &logCapture{drained: make(chan struct{})}
 	g, err := New(s, zerolog.New(capture), c.traceOutput)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -82,6 +82,7 @@
 		}
 	})
 	m.counters["endpoints.limited"] = limited
+	m.counters["domains.evacuated"] = int64(w.Evacuations.Len())
 	quarantinedParts := int64(0)
 	w.PartSuspects.Each(func(_ table.Fingerprint, s *table.PartSuspect) {
 		if s.QuarantinedUntil > w.Now {
--- a/internal/gateway/systems.go
+++ b/internal/gateway/systems.go
@@ -6,6 +6,7 @@
 	"laburnumroad.dev/laburnumroad/internal/system/catalog"
 	"laburnumroad.dev/laburnumroad/internal/system/drain"
 	"laburnumroad.dev/laburnumroad/internal/system/duration"
+	"laburnumroad.dev/laburnumroad/internal/system/evacuation"
 	"laburnumroad.dev/laburnumroad/internal/system/explain"
 	"laburnumroad.dev/laburnumroad/internal/system/health"
 	"laburnumroad.dev/laburnumroad/internal/system/intake"
@@ -23,6 +24,7 @@
 	return []world.System{
 		world.SystemFunc(watch.Run),
 		world.SystemFunc(catalog.Run),
+		world.SystemFunc(evacuation.Run),
 		world.SystemFunc(health.Run),
 		world.SystemFunc(notice.Run),
 		world.SystemFunc(quarantine.RunGateway),
--- a/internal/gateway/systems_test.go
+++ b/internal/gateway/systems_test.go
@@ -26,12 +26,15 @@
 	revision     uint64
 	// storeRevision is the revision of the last change of the list of endpoints.
 	storeRevision uint64
+	// evacuationRevision is that of the last set of evacuated failure domains.
+	evacuationRevision uint64
 	// ledgerReachable is false while writes to the ledger get no result.
 	ledgerReachable bool
 	calls           []command.CallEndpoint
 	finished        []command.FinishExchange
 	stopped         []command.StopAttempt
 	idleCloses      []command.CloseIdle
+	uses            []command.SetEndpointUse
 	crashReports    []command.SendCrash
 	// partStoreCalls are the writes of the list of quarantined parts, and partStoreReads
 	// counts its reads. They get no result by themselves.
@@ -119,6 +122,7 @@
 		h.calls = append(h.calls, h.world.Out.EndpointCalls...)
 		h.finished = append(h.finished, h.world.Out.FinishExchanges...)
 		h.stopped = append(h.stopped, h.world.Out.StopAttempts...)
+		h.uses = append(h.uses, h.world.Out.EndpointUses...)
 		h.idleCloses = append(h.idleCloses, h.world.Out.IdleCloses...)
 		h.crashReports = append(h.crashReports, h.world.Out.Crashes...)
 		h.partStoreCalls = append(h.partStoreCalls, h.world.Out.WriteQuarantineLists...)
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -12,6 +12,11 @@
 	"laburnumroad.dev/laburnumroad/platform"
 )
 
+// storeKinds are the store's names of the kinds of objects that routers follow.
+var storeKinds = map[table.WatchKind]string{
+	table.WatchConfig: platform.KindConfig, table.WatchEndpoints: platform.KindEndpoint, table.WatchEvacuations: platform.KindEvacuation,
+}
+
 // startWatch carries out a call in the background. It runs on the control thread.
 func (g *Gateway) startWatch(c command.WatchObjects) {
 	ctx, cancel := context.WithCancel(g.ctx)
@@ -32,10 +37,7 @@
 // followObjects calls the store and posts the objects that it returns, and then the
 // result of the call.
 func (g *Gateway) followObjects(ctx context.Context, c command.WatchObjects) {
-	kind := platform.KindConfig
-	if c.Kind == table.WatchEndpoints {
-		kind = platform.KindEndpoint
-	}
+	kind := storeKinds[c.Kind]
 	var objects []platform.Object
 	var revision uint64
 	var err error
@@ -79,11 +81,18 @@
 		}
 		return
 	}
-	if c.Since == 0 || len(objects) > 0 {
-		changes := event.EndpointChanges{Full: c.Since == 0, Since: c.Since, Covered: result.Covered, LastChange: result.LastChange}
-		g.addEndpoints(&changes, objects)
+	if c.Since != 0 && len(objects) == 0 {
+		return
+	}
+	if c.Kind == table.WatchEvacuations {
+		changes := event.EvacuationChanges{Full: c.Since == 0, Since: c.Since, Covered: result.Covered, LastChange: result.LastChange}
+		g.addEvacuations(&changes, objects)
 		g.loop.Post(changes)
+		return
 	}
+	changes := event.EndpointChanges{Full: c.Since == 0, Since: c.Since, Covered: result.Covered, LastChange: result.LastChange}
+	g.addEndpoints(&changes, objects)
+	g.loop.Post(changes)
 }
 
 // postConfig decodes a configuration object and posts it to the control thread. An
@@ -103,15 +112,7 @@
 // addEndpoints adds the last state of each stored entry to changes. An invalid entry
 // is logged and counts as removed.
 func (g *Gateway) addEndpoints(changes *event.EndpointChanges, objects []platform.Object) {
-	last := make(map[string]int, len(objects))
-	for i := range objects {
-		last[objects[i].Name] = i
-	}
-	for i := range objects {
-		o := &objects[i]
-		if last[o.Name] != i {
-			continue
-		}
+	for _, o := range lastStates(objects) {
 		if o.Deleted() {
 			changes.Removed = append(changes.Removed, table.EndpointID(o.Name))
 			continue
@@ -126,3 +127,34 @@
 		changes.Present = append(changes.Present, e)
 	}
 }
+
+// addEvacuations adds the last state of each stored entry to changes. An entry that names
+// no failure domain is logged and skipped.
+func (g *Gateway) addEvacuations(changes *event.EvacuationChanges, objects []platform.Object) {
+	for _, o := range lastStates(objects) {
+		domain, err := platform.DecodeEvacuation(o.Name)
+		switch {
+		case err != nil:
+			g.log.Warn().Err(err).Msg("skipped invalid evacuation entry")
+		case o.Deleted():
+			changes.Removed = append(changes.Removed, domain)
+		default:
+			changes.Present = append(changes.Present, domain)
+		}
+	}
+}
+
+// lastStates returns the last of the objects of each name, in order.
+func lastStates(objects []platform.Object) []*platform.Object {
+	last := make(map[string]int, len(objects))
+	for i := range objects {
+		last[objects[i].Name] = i
+	}
+	var states []*platform.Object
+	for i := range objects {
+		if o := &objects[i]; last[o.Name] == i {
+			states = append(states, o)
+		}
+	}
+	return states
+}
--- a/internal/system/catalog/catalog.go
+++ b/internal/system/catalog/catalog.go
@@ -155,16 +155,16 @@
 	row := w.DirectEndpoints.Get(e.ID)
 	if row == nil || row.StartedUnixMilli != e.StartedUnixMilli || row.Address != e.Address {
 		deleteCachedParts(w, e.ID)
-		inFlight := 0
+		inFlight, withdrawn := 0, false
 		if row != nil {
-			inFlight = row.InFlight
+			inFlight, withdrawn = row.InFlight, row.Withdrawn
 			closeIdle(w, row.Address)
 		}
-		w.DirectEndpoints.Put(e.ID, table.DirectEndpoint{
+		row = w.DirectEndpoints.Put(e.ID, table.DirectEndpoint{
 			ID: e.ID, Service: e.Service, Address: e.Address, Domain: e.Domain, Slots: e.Slots,
-			Leaving: e.Leaving, StartedUnixMilli: e.StartedUnixMilli, InFlight: inFlight, ReportedSlowdown: 1,
+			Leaving: e.Leaving, Withdrawn: withdrawn, StartedUnixMilli: e.StartedUnixMilli, InFlight: inFlight, ReportedSlowdown: 1,
 		})
-		w.Out.EndpointUses = append(w.Out.EndpointUses, command.SetEndpointUse{Endpoint: e.ID, Allowed: !e.Leaving})
+		UpdateUse(w, row)
 		w.RecordStateChange("endpoint", string(e.ID), "", stateName(e.Leaving), "listed for "+string(e.Service)+" at "+e.Address)
 		return
 	}
@@ -172,8 +172,8 @@
 	if row.Leaving != leaving || row.RemovedAt != 0 {
 		w.RecordStateChange("endpoint", string(e.ID), stateName(row.Leaving), stateName(leaving), "entry changed")
 	}
-	setLeaving(w, row, leaving)
 	row.Service, row.Domain, row.Slots, row.RemovedAt = e.Service, e.Domain, e.Slots, 0
+	SetLeaving(w, row, leaving)
 }
 
 func stateName(leaving bool) string {
@@ -198,7 +198,7 @@
 		return
 	}
 	w.RecordStateChange("endpoint", string(id), stateName(row.Leaving), "leaving", "entry removed")
-	setLeaving(w, row, true)
+	SetLeaving(w, row, true)
 }
 
 // Withdraw takes an endpoint out of use whose process said that it leaves.
@@ -207,16 +207,24 @@
 		w.RecordStateChange("endpoint", string(row.ID), stateName(row.Leaving), "leaving", "it said so, by "+source)
 	}
 	row.SaidLeaving = true
-	setLeaving(w, row, true)
+	SetLeaving(w, row, true)
 }
 
-// setLeaving sets whether an endpoint gets no new work, also from attempts that are
+// SetLeaving sets whether an endpoint gets no new work, also from attempts that are
 // already on their way to it.
-func setLeaving(w *world.World, row *table.DirectEndpoint, leaving bool) {
-	if row.Leaving != leaving {
-		w.Out.EndpointUses = append(w.Out.EndpointUses, command.SetEndpointUse{Endpoint: row.ID, Allowed: !leaving})
-	}
+func SetLeaving(w *world.World, row *table.DirectEndpoint, leaving bool) {
 	row.Leaving = leaving
+	UpdateUse(w, row)
+}
+
+// UpdateUse decides whether attempts that are already on their way to an endpoint may be
+// sent, and orders it if that has changed.
+func UpdateUse(w *world.World, row *table.DirectEndpoint) {
+	withdrawn := row.Leaving || w.Evacuations.Get(row.Domain) != nil
+	if row.Withdrawn != withdrawn {
+		w.Out.EndpointUses = append(w.Out.EndpointUses, command.SetEndpointUse{Endpoint: row.ID, Allowed: !withdrawn})
+	}
+	row.Withdrawn = withdrawn
 }
 
 // deleteRemoved ends the grace period of lapsed entries, and deletes the rows of
@@ -230,7 +238,7 @@
 			if !graceEnded(w, e) {
 				return false
 			}
-			setLeaving(w, e, true)
+			SetLeaving(w, e, true)
 			w.RecordStateChange("endpoint", string(id), "unlisted", "leaving", "entry did not come back")
 		}
 		if e.InFlight > 0 {
--- a/internal/system/eligibility/eligibility.go
+++ b/internal/system/eligibility/eligibility.go
@@ -19,6 +19,7 @@
 const (
 	Allowed     Reason = ""
 	Leaving     Reason = "leaving"
+	Evacuated   Reason = "evacuated"
 	RateLimited Reason = "paused or at its rate limit"
 )
 
@@ -40,6 +41,9 @@
 	if e.Leaving {
 		return Verdict{Reason: Leaving}
 	}
+	if w.Evacuations.Get(e.Domain) != nil {
+		return Verdict{Reason: Evacuated}
+	}
 	if in, hasShare := notice.AdmitsIn(w, e.ID); !hasShare || in > 0 {
 		return Verdict{Reason: RateLimited, HasEnd: hasShare, RetryIn: in}
 	}
--- /dev/null
+++ b/internal/system/evacuation/evacuation.go
@@ -0,0 +1,120 @@
+// Package evacuation keeps failure domains out of use that the operator evacuates.
+//
+// The operator takes a domain out of use before work on it, or while it is in trouble, and
+// wants certainty within a bound: no request may reach an endpoint there, also not from a
+// router that the store turns away or that has just started. Only the removal of the
+// operator's entry ends an evacuation. What already runs in the domain goes on.
+package evacuation
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"laburnumroad.dev/laburnumroad/internal/event"
+	"laburnumroad.dev/laburnumroad/internal/system/catalog"
+	"laburnumroad.dev/laburnumroad/internal/table"
+	"laburnumroad.dev/laburnumroad/internal/world"
+)
+
+// maxReportedDomains is the most domains that reports to other routers name. Each router
+// asks the store itself if there are more.
+const maxReportedDomains = 100
+
+// Run puts the evacuations of this tick in force. Package watch has dropped those that are
+// not new.
+func Run(w *world.World) {
+	if w.Params.Front.EvacuationBound <= 0 {
+		return
+	}
+	for i := range w.In.EvacuationChanges {
+		apply(w, &w.In.EvacuationChanges[i])
+	}
+	if !w.EvacuationsKnown {
+		awaitFirstSet(w)
+	}
+}
+
+// Known reports whether this router may send requests, as far as evacuations go. One that
+// has just started does not know which domains are evacuated.
+func Known(w *world.World) bool {
+	return w.Params.Front.EvacuationBound <= 0 || w.EvacuationsKnown
+}
+
+// Report returns the evacuated domains for a report to the other routers, and the revision
+// of the store at which they are; 0 if this router can't say that.
+func Report(w *world.World) ([]string, uint64) {
+	w.EvacuationsUnreported = false
+	row := w.Watches.Get(table.WatchEvacuations)
+	if row == nil || w.Evacuations.Len() > maxReportedDomains {
+		return nil, 0
+	}
+	var domains []string
+	w.Evacuations.Each(func(domain string, _ *table.Evacuation) { domains = append(domains, domain) })
+	return domains, row.Covered
+}
+
+func apply(w *world.World, e *event.EvacuationChanges) {
+	changed := false
+	for _, domain := range e.Present {
+		if w.Evacuations.Get(domain) == nil {
+			w.Evacuations.Put(domain, table.Evacuation{Since: w.Now})
+			w.Count("evacuation.begun")
+			w.RecordStateChange("domain", domain, "in use", "evacuated", describe(w, domain))
+			changed = true
+		}
+	}
+	w.Evacuations.DeleteIf(func(domain string, row *table.Evacuation) bool {
+		if !slices.Contains(e.Removed, domain) && (!e.Full || slices.Contains(e.Present, domain)) {
+			return false
+		}
+		w.RecordStateChange("domain", domain, "evacuated", "in use", "after "+w.Now.Sub(row.Since).Round(time.Millisecond).String())
+		changed = true
+		return true
+	})
+	if !changed {
+		return
+	}
+	w.EvacuationsUnreported = w.EvacuationsUnreported || !e.Relayed
+	w.DirectEndpoints.Each(func(_ table.EndpointID, row *table.DirectEndpoint) { catalog.UpdateUse(w, row) })
+}
+
+// describe says what an evacuation that begins concerns. A domain without endpoints may be
+// misspelled.
+func describe(w *world.World, domain string) string {
+	there, elsewhere, running := 0, 0, 0
+	w.DirectEndpoints.Each(func(_ table.EndpointID, e *table.DirectEndpoint) {
+		switch {
+		case e.Domain == domain:
+			there++
+			running += e.InFlight
+		case w.Evacuations.Get(e.Domain) == nil:
+			elsewhere++
+		}
+	})
+	switch {
+	case there == 0:
+		return "no endpoint is listed there"
+	case elsewhere == 0:
+		return fmt.Sprintf("%d endpoints, %d attempts run there; no endpoint is left elsewhere", there, running)
+	}
+	return fmt.Sprintf("%d endpoints, %d attempts run there", there, running)
+}
+
+// awaitFirstSet ends the wait of a router that has started for the first set of evacuated
+// domains. It waits for as long as an evacuation may take to be in force.
+func awaitFirstSet(w *world.World) {
+	if row := w.Watches.Get(table.WatchEvacuations); row != nil && row.Listed {
+		w.EvacuationsKnown = true
+		return
+	}
+	if w.EvacuationsAwaitedSince == 0 {
+		w.EvacuationsAwaitedSince = max(w.Now, 1)
+	}
+	if w.DueOrWake(w.EvacuationsAwaitedSince.Add(w.Params.Front.EvacuationBound)) {
+		w.EvacuationsKnown = true
+		w.Count("evacuation.assumed")
+		w.RecordStateChange("evacuations", string(w.Self().Process), "awaited", "assumed",
+			fmt.Sprintf("neither the store nor a router that it answers has named them; %d are known", w.Evacuations.Len()))
+	}
+}
--- a/internal/system/health/health.go
+++ b/internal/system/health/health.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"laburnumroad.dev/laburnumroad/internal/event"
+	"laburnumroad.dev/laburnumroad/internal/system/catalog"
 	"laburnumroad.dev/laburnumroad/internal/table"
 	"laburnumroad.dev/laburnumroad/internal/world"
 )
@@ -122,7 +123,9 @@
 	switch {
 	case e.Misdirected:
 		w.RecordStateChange("endpoint", string(row.ID), "live", "leaving", "another endpoint answers at its address")
-		row.Leaving = true
+		catalog.SetLeaving(w, row, true)
+	case e.Status == event.DirectNotSent && row.Withdrawn:
+		// The attempt was withdrawn, which says nothing about the endpoint.
 	case !e.Failed():
 		row.FailureRate -= failureWeight * row.FailureRate
 		if row.ConsecutiveFailures > 0 {
--- a/internal/system/intake/intake.go
+++ b/internal/system/intake/intake.go
@@ -13,6 +13,7 @@
 	"laburnumroad.dev/laburnumroad/internal/command"
 	"laburnumroad.dev/laburnumroad/internal/event"
 	"laburnumroad.dev/laburnumroad/internal/system/duration"
+	"laburnumroad.dev/laburnumroad/internal/system/evacuation"
 	"laburnumroad.dev/laburnumroad/internal/system/link"
 	"laburnumroad.dev/laburnumroad/internal/system/quarantine"
 	"laburnumroad.dev/laburnumroad/internal/table"
@@ -102,6 +103,9 @@
 	if w.Manifest.Version == 0 {
 		return nil, &refusal{code: table.CodeNotReady, reason: "no configuration is known yet", retryAfter: notReadyRetryAfter}
 	}
+	if !evacuation.Known(w) {
+		return nil, &refusal{code: table.CodeNotReady, reason: "it is not known yet which failure domains are evacuated", retryAfter: notReadyRetryAfter}
+	}
 	route := matchRoute(w, a.Host, a.Path)
 	if route == nil {
 		return nil, refuseUnknown(w, table.CodeUnknownRoute, "no route for this host and path")
--- a/internal/system/peers/peers.go
+++ b/internal/system/peers/peers.go
@@ -8,6 +8,7 @@
 	"laburnumroad.dev/laburnumroad/internal/command"
 	"laburnumroad.dev/laburnumroad/internal/event"
 	"laburnumroad.dev/laburnumroad/internal/system/allowance"
+	"laburnumroad.dev/laburnumroad/internal/system/evacuation"
 	"laburnumroad.dev/laburnumroad/internal/system/notice"
 	"laburnumroad.dev/laburnumroad/internal/system/watch"
 	"laburnumroad.dev/laburnumroad/internal/table"
@@ -115,14 +116,14 @@
 }
 
 // sendReport sends the periodic report to the other routers, and one at once if the
-// store went out of reach or came back, if this router lacks changes, or if an endpoint said
-// something new: the others choose their delegates by it, send what is missing, or do
-// what the endpoint wants. The reports also keep sessions open, which end after several missing ones.
+// store went out of reach or came back, if this router lacks changes, if an endpoint said
+// something new, or if the store told it of an evacuation: the others choose their delegates
+// by it, send what is missing, or do what the endpoint or the operator wants. The reports also keep sessions open, which end after several missing ones.
 func sendReport(w *world.World) {
 	storeDown := !w.PlatformReachable || w.LimitLedgerView.Backoff > 0
 	nextReport := w.ReportSentAt.Add(ReportInterval(w))
 	wants := watch.Wants(w)
-	if storeDown != w.ReportedStoreDown || len(wants) > 0 || notice.HasNews(w) {
+	if storeDown != w.ReportedStoreDown || len(wants) > 0 || notice.HasNews(w) || w.EvacuationsUnreported {
 		nextReport = min(nextReport, w.ReportSentAt.Add(minReportInterval))
 	}
 	if nextReport > w.Now {
@@ -131,9 +132,10 @@
 	}
 	w.ReportSentAt, w.ReportedStoreDown = w.Now, storeDown
 	w.WakeAt(w.Now.Add(ReportInterval(w)))
+	evacuated, evacuationsCovered := evacuation.Report(w)
 	w.Out.RouterReports = append(w.Out.RouterReports, command.SendRouterReport{Report: event.RouterReport{
 		Available: allowance.HeldTokens(w), StoreDown: storeDown, FollowedFor: watch.FollowedFor(w), LastChanges: watch.LastChanges(w),
-		Wants: wants, Notices: notice.Report(w),
+		Wants: wants, Notices: notice.Report(w), Evacuated: evacuated, EvacuationsCovered: evacuationsCovered,
 	}})
 }
 
--- a/internal/system/placement/wait.go
+++ b/internal/system/placement/wait.go
@@ -19,6 +19,10 @@
 	// noEndpointRetryAfter is the retry delay sent to refused clients: a crashed
 	// endpoint restarts, or a replacement is listed, within a second or two.
 	noEndpointRetryAfter = 500 * time.Millisecond
+	// evacuatedRetryAfter is the retry delay sent to clients of a service whose endpoints are
+	// all in evacuated failure domains, and the spread of that delay: all its clients are
+	// refused together.
+	evacuatedRetryAfter = 2 * time.Second
 )
 
 // waitOrRefuse keeps a request waiting for an endpoint, or refuses it early
@@ -29,7 +33,8 @@
 		waitEnd = x.AttemptSentAt.Add(max(minEndpointWait, x.LatencyObjective))
 	}
 	limited, wait := limitsEndIn(w, x)
-	if w.Now < waitEnd && !(limited && w.Now.Add(wait) > waitEnd) {
+	evacuated := !limited && evacuatedEndpointsLeft(w, x)
+	if w.Now < waitEnd && !evacuated && !(limited && w.Now.Add(wait) > waitEnd) {
 		w.WakeAt(min(waitEnd, w.Now.Add(recheckInterval)))
 		return
 	}
@@ -40,6 +45,11 @@
 		// Clients that are refused at the same time come back one after the other.
 		outcome.RetryAfter = wait + time.Duration(w.Rand.Int64N(int64(noEndpointRetryAfter)))
 	}
+	if evacuated {
+		w.Count("placement.evacuated")
+		outcome.Reason = "the endpoints of the service are in evacuated failure domains"
+		outcome.RetryAfter = evacuatedRetryAfter + time.Duration(w.Rand.Int64N(int64(evacuatedRetryAfter)))
+	}
 	if x.MayHaveRun {
 		outcome.Code, outcome.Reason, outcome.Ran = table.CodeEndpointFailed, "no endpoint is left after: "+x.LastFailure, table.RanUnknown
 	}
@@ -59,7 +69,7 @@
 			return
 		}
 		verdict := eligibility.Check(w, x, e)
-		if verdict.Reason == eligibility.Leaving {
+		if verdict.Reason == eligibility.Leaving || verdict.Reason == eligibility.Evacuated {
 			return
 		}
 		limited = true
@@ -69,3 +79,13 @@
 	})
 	return limited, wait
 }
+
+// evacuatedEndpointsLeft reports whether the service has endpoints that only an evacuation
+// keeps out of use.
+func evacuatedEndpointsLeft(w *world.World, x *table.Exchange) bool {
+	found := false
+	w.DirectEndpoints.Each(func(_ table.EndpointID, e *table.DirectEndpoint) {
+		found = found || e.Service == x.Service && eligibility.Check(w, x, e).Reason == eligibility.Evacuated
+	})
+	return found
+}
--- a/internal/system/watch/fleet_test.go
+++ b/internal/system/watch/fleet_test.go
@@ -12,6 +12,7 @@
 	"laburnumroad.dev/laburnumroad/internal/command"
 	"laburnumroad.dev/laburnumroad/internal/event"
 	"laburnumroad.dev/laburnumroad/internal/system/catalog"
+	evacuationsystem "laburnumroad.dev/laburnumroad/internal/system/evacuation"
 	"laburnumroad.dev/laburnumroad/internal/system/peers"
 	"laburnumroad.dev/laburnumroad/internal/system/watch"
 	"laburnumroad.dev/laburnumroad/internal/table"
@@ -40,6 +41,13 @@
 	// live are the entries in the list of endpoints.
 	live []event.EndpointEntry
 	gone []removal
+	// evacuationBound is 0 in a deployment that evacuates no failure domains.
+	evacuationBound time.Duration
+	evacuations     []evacuation
+	// compacted is the revision up to which the store has dropped its history.
+	compacted uint64
+	// onCall, if set, is told of each call to the store.
+	onCall func(table.WatchKind)
 	// silent is true while the store answers nothing. Calls that are open then stay
 	// without an answer.
 	silent bool
@@ -50,6 +58,13 @@
 	revision uint64
 }
 
+// evacuation is an entry of the operator. removed is the revision of its removal, or 0.
+type evacuation struct {
+	domain         string
+	begun, removed uint64
+	at             table.Instant
+}
+
 type member struct {
 	process  table.Process
 	world    *world.World
@@ -58,6 +73,8 @@
 	sessions map[table.ProcessID]uint64
 	// turnedAway routers get errors from the store, cut ones have no sessions.
 	turnedAway, cut bool
+	// withdrawn are the endpoints to which the router may not send attempts on their way.
+	withdrawn map[table.EndpointID]bool
 }
 
 type openCall struct {
@@ -79,11 +96,13 @@
 // want changes to be in force again.
 func recoveryBound(routers int) time.Duration { return time.Second + changeBound(routers) }
 
-func newFleet(routers, domains int) *fleet {
-	f := &fleet{now: table.Instant(time.Second), revision: 10, endpoints: 10}
+func newFleet(routers, domains int) *fleet { return newFleetThatEvacuates(routers, domains, 0) }
+
+func newFleetThatEvacuates(routers, domains int, evacuationBound time.Duration) *fleet {
+	f := &fleet{now: table.Instant(time.Second), revision: 10, endpoints: 10, evacuationBound: evacuationBound}
 	f.configure()
 	for i := range 5 {
-		f.live = append(f.live, event.EndpointEntry{ID: table.EndpointID(fmt.Sprintf("m%d", i)), Service: "model", Address: "10.0.0.1:80", Slots: 4})
+		f.live = append(f.live, event.EndpointEntry{ID: table.EndpointID(fmt.Sprintf("m%d", i)), Service: "model", Address: "10.0.0.1:80", Domain: fmt.Sprintf("d%d", i%3), Slots: 4})
 	}
 	for i := range routers {
 		f.routers = append(f.routers, &member{process: table.Process{
@@ -101,9 +120,10 @@
 func (f *fleet) start(m *member) {
 	f.disconnect(m)
 	m.process.Incarnation++
-	m.inbox, m.calls, m.sessions = nil, nil, make(map[table.ProcessID]uint64)
+	m.inbox, m.calls, m.sessions, m.withdrawn = nil, nil, make(map[table.ProcessID]uint64), make(map[table.EndpointID]bool)
 	m.world = world.New(world.Params{Self: m.process, Front: world.FrontParams{
 		PeerAddress: string(m.process.Process), ChangeBound: changeBound(len(f.routers)), RecoveryBound: recoveryBound(len(f.routers)),
+		EvacuationBound: f.evacuationBound,
 	}}, uint64(m.process.Incarnation))
 	for _, other := range f.routers {
 		f.register(other, m)
@@ -184,14 +204,20 @@
 		e.AddTo(&m.world.In)
 	}
 	m.inbox = nil
-	m.world.Tick(f.now, []world.System{world.SystemFunc(watch.Run), world.SystemFunc(catalog.Run), world.SystemFunc(peers.Run)})
+	m.world.Tick(f.now, []world.System{world.SystemFunc(watch.Run), world.SystemFunc(catalog.Run), world.SystemFunc(evacuationsystem.Run), world.SystemFunc(peers.Run)})
 	out := m.world.Out
 	m.world.ClearOutbox()
+	for _, c := range out.EndpointUses {
+		m.withdrawn[c.Endpoint] = !c.Allowed
+	}
 	for _, c := range out.WatchStops {
 		m.calls = slices.DeleteFunc(m.calls, func(open openCall) bool { return open.Kind == c.Kind })
 	}
 	for _, c := range out.WatchCalls {
 		m.calls = append(m.calls, openCall{WatchObjects: c, sentAt: f.now})
+		if f.onCall != nil {
+			f.onCall(c.Kind)
+		}
 	}
 	for _, c := range out.Dials {
 		f.connect(m, f.find(c.Process))
@@ -228,10 +254,7 @@
 		m.calls[i].lost = m.calls[i].lost || f.silent
 	}
 	m.calls = slices.DeleteFunc(m.calls, func(c openCall) bool {
-		last := f.endpoints
-		if c.Kind == table.WatchConfig {
-			last = f.config
-		}
+		last := f.lastChange(c.Kind)
 		age := f.now.Sub(c.sentAt)
 		switch {
 		case c.lost && age >= c.Wait+callTimeout:
@@ -240,6 +263,8 @@
 			return false
 		case m.turnedAway && age >= answerTime:
 			m.inbox = append(m.inbox, event.PlatformState{Reachable: false}, event.WatchResult{Kind: c.Kind, Call: c.Call, Status: event.WatchFailed})
+		case !m.turnedAway && age >= answerTime && c.Since > 0 && c.Since < f.compacted:
+			m.inbox = append(m.inbox, event.PlatformState{Reachable: true}, event.WatchResult{Kind: c.Kind, Call: c.Call, Status: event.WatchCompacted})
 		case !m.turnedAway && age >= answerTime && (last > c.Since || age >= c.Wait):
 			f.answerWithChanges(m, c, last)
 		default:
@@ -249,6 +274,21 @@
 	})
 }
 
+// lastChange returns the revision of the last change of a kind of objects.
+func (f *fleet) lastChange(kind table.WatchKind) uint64 {
+	switch kind {
+	case table.WatchConfig:
+		return f.config
+	case table.WatchEndpoints:
+		return f.endpoints
+	}
+	last := uint64(1)
+	for _, e := range f.evacuations {
+		last = max(last, e.begun, e.removed)
+	}
+	return last
+}
+
 func (f *fleet) answerWithChanges(m *member, c openCall, last uint64) {
 	result := event.WatchResult{Kind: c.Kind, Call: c.Call, Status: event.WatchOK, Covered: f.revision}
 	if last > c.Since {
@@ -258,6 +298,8 @@
 	case result.LastChange == 0:
 	case c.Kind == table.WatchConfig:
 		m.inbox = append(m.inbox, event.ManifestReceived{Manifest: table.Manifest{Version: f.version}, Revision: f.config})
+	case c.Kind == table.WatchEvacuations:
+		m.inbox = append(m.inbox, f.evacuationChanges(c.Since))
 	default:
 		changes := event.EndpointChanges{Full: c.Since == 0, Since: c.Since, Covered: f.revision, LastChange: last, Present: f.live}
 		for _, r := range f.gone {
--- a/internal/system/watch/watch.go
+++ b/internal/system/watch/watch.go
@@ -75,6 +75,9 @@
 		judgeLapse(w, &w.In.EndpointChanges[i])
 	}
 	w.In.EndpointChanges = slices.DeleteFunc(w.In.EndpointChanges, func(e event.EndpointChanges) bool { return !accept(w, &e) })
+	if followsEvacuations(w) {
+		acceptEvacuations(w)
+	}
 	for i := range w.In.WatchResults {
 		onResult(w, &w.In.WatchResults[i])
 	}
@@ -83,6 +86,9 @@
 	}
 	planCall(w, table.WatchConfig)
 	planCall(w, table.WatchEndpoints)
+	if followsEvacuations(w) {
+		planCall(w, table.WatchEvacuations)
+	}
 }
 
 // delegates returns the routers that follow a kind of objects for the others.
@@ -453,13 +459,8 @@
 		wait = pollWait
 	}
 	if row.Listed && !duty.IncludesSelf {
-		interval := idlePollInterval
-		if !w.PlatformReachable {
-			// Only a call shows that the store is back, which the other routers have to know.
-			interval = waitTime
-		}
 		isReplacement := row.Overdue && row.Backoff == 0
-		if !behind && !isReplacement && !w.DueOrWake(row.CallSentAt.Add(interval)) {
+		if !behind && !isReplacement && !w.DueOrWake(idlePollAt(w, kind, row)) {
 			return
 		}
 		wait = pollWait
@@ -472,3 +473,17 @@
 	w.Out.WatchCalls = append(w.Out.WatchCalls, call)
 	w.Count("watch.calls")
 }
+
+// idlePollAt returns when a router that gets changes from others asks the store itself.
+func idlePollAt(w *world.World, kind table.WatchKind, row *table.Watch) table.Instant {
+	switch {
+	case kind == table.WatchEvacuations:
+		// Reports bring a later set all the time, unless the delegates are of a release that
+		// does not follow this kind.
+		return max(row.CallSentAt, row.ToldAt).Add(w.Params.Front.EvacuationBound)
+	case !w.PlatformReachable:
+		// Only a call shows that the store is back, which the other routers have to know.
+		return row.CallSentAt.Add(waitTime)
+	}
+	return row.CallSentAt.Add(idlePollInterval)
+}
--- a/internal/table/exchange.go
+++ b/internal/table/exchange.go
@@ -123,6 +123,7 @@
 	RouteSlowdowns Table[string, RouteSlowdown]
 
 	PartTables
+	EvacuationTables
 
 	Accounts Table[CustomerID, Account]
 	// DemandByPriority is the demand that arrives at this router, by the priority of
--- a/internal/table/route.go
+++ b/internal/table/route.go
@@ -125,6 +125,8 @@
 	// said so itself: its entry does not change that.
 	Leaving     bool
 	SaidLeaving bool
+	// Withdrawn is true if attempts that are on their way to the endpoint may not be sent.
+	Withdrawn bool
 	// RemovedAt is when the entry was removed from the platform's list, or 0.
 	RemovedAt Instant
 	// LapseGraceEnd is until when the entry may come back, if another router reported
--- a/internal/table/watch.go
+++ b/internal/table/watch.go
@@ -9,11 +9,13 @@
 const (
 	WatchConfig WatchKind = iota + 1
 	WatchEndpoints
+	// WatchEvacuations is followed only where the settings name an evacuation bound.
+	WatchEvacuations
 )
 
 // String returns the lower-case name of the kind.
 func (k WatchKind) String() string {
-	return [...]string{"unknown", "config", "endpoints"}[k]
+	return [...]string{"unknown", "config", "endpoints", "evacuations"}[k]
 }
 
 // Watch is how far this router follows the objects of a kind. Revisions are those of
@@ -44,6 +46,9 @@
 	// last failed one.
 	NextCallAt Instant
 	Backoff    time.Duration
+	// ToldAt is when another router last sent a later state, for the kinds that reports
+	// carry.
+	ToldAt Instant
 	// BehindSince is when another router first reported a later change, or 0.
 	BehindSince Instant
 	// ReportedChange is the highest revision of a change that another router reported,
