--- a/internal/gateway/evacuation_test.go
+++ b/internal/gateway/evacuation_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -91,6 +92,9 @@
 	}
 	require.Greater(t, len(delays), 15)
 	require.Empty(t, h.calls)
+	require.True(t, slices.ContainsFunc(h.decisions, func(d table.Decision) bool {
+		return slices.Contains(d.Inputs, table.Input{Name: "endpoints", Value: "2 evacuated"})
+	}), "the record of a refusal names the reason")
 }
 
 // Guards against an attempt that is sent after it was withdrawn, against orders that repeat
--- a/internal/gateway/systems_test.go
+++ b/internal/gateway/systems_test.go
@@ -35,6 +35,7 @@
 	stopped         []command.StopAttempt
 	idleCloses      []command.CloseIdle
 	uses            []command.SetEndpointUse
+	decisions       []table.Decision
 	crashReports    []command.SendCrash
 	// partStoreCalls are the writes of the list of quarantined parts, and partStoreReads
 	// counts its reads. They get no result by themselves.
@@ -122,6 +123,7 @@
 		h.calls = append(h.calls, h.world.Out.EndpointCalls...)
 		h.finished = append(h.finished, h.world.Out.FinishExchanges...)
 		h.stopped = append(h.stopped, h.world.Out.StopAttempts...)
+		h.decisions = append(h.decisions, h.world.Decisions...)
 		h.uses = append(h.uses, h.world.Out.EndpointUses...)
 		h.idleCloses = append(h.idleCloses, h.world.Out.IdleCloses...)
 		h.crashReports = append(h.crashReports, h.world.Out.Crashes...)
--- a/internal/system/placement/wait.go
+++ b/internal/system/placement/wait.go
@@ -1,6 +1,9 @@
 package placement
 
 import (
+	"fmt"
+	"slices"
+	"strings"
 	"time"
 
 	"laburnumroad.dev/laburnumroad/internal/system/eligibility"
@@ -54,7 +57,8 @@
 		outcome.Code, outcome.Reason, outcome.Ran = table.CodeEndpointFailed, "no endpoint is left after: "+x.LastFailure, table.RanUnknown
 	}
 	w.Count("placement.refused")
-	w.RecordDecision(x.Request, System, "refused: "+outcome.Reason, table.Input{Name: "age", Value: w.Now.Sub(x.ArrivedAt).String()})
+	w.RecordDecision(x.Request, System, "refused: "+outcome.Reason, table.Input{Name: "age", Value: w.Now.Sub(x.ArrivedAt).String()},
+		table.Input{Name: "endpoints", Value: obstacles(w, x)})
 	w.FinishExchange(x, false, outcome)
 }
 
@@ -89,3 +93,20 @@
 	})
 	return found
 }
+
+// obstacles returns, for the record of a refusal, how many endpoints of the service each
+// reason keeps from the request.
+func obstacles(w *world.World, x *table.Exchange) string {
+	counts := make(map[eligibility.Reason]int)
+	w.DirectEndpoints.Each(func(_ table.EndpointID, e *table.DirectEndpoint) {
+		if e.Service == x.Service {
+			counts[eligibility.Check(w, x, e).Reason]++
+		}
+	})
+	texts := make([]string, 0, len(counts))
+	for reason, n := range counts {
+		texts = append(texts, fmt.Sprintf("%d %s", n, reason))
+	}
+	slices.Sort(texts)
+	return strings.Join(texts, ", ")
+}
