warmup: pace what cold endpoints get

An endpoint that has started bears a rate from all routers together; nothing kept to it. The rate is divided into slots that admit one request a second at most, dealt out to the routers in the limit ledger by rank. Not measured yet.

--- a/internal/event/exchange.go
+++ b/internal/event/exchange.go
@@ -151,6 +151,10 @@
 	Leaving bool
 	// StartedUnixMilli is the endpoint's start in milliseconds of Unix time.
 	StartedUnixMilli int64
+	// ColdKnown is true if the entry says whether the endpoint is cold, and ColdLeft for how
+	// long it stays so. Releases before these fields don't pass them on.
+	ColdKnown bool
+	ColdLeft  time.Duration
 }
 
 // EndpointChanges carries all changes of the platform's list of endpoints between two
@@ -227,6 +231,18 @@
 	// Notices are what endpoints said of themselves to the sender itself, as far as it
 	// binds other routers.
 	Notices []ReportedNotice
+	// Lost are the endpoints that the sender itself found lost lately.
+	Lost []LostEndpoint
+}
+
+// LostEndpoint is an endpoint that did not accept a connection or broke its answers, so
+// that another process may come back in its place.
+type LostEndpoint struct {
+	Endpoint table.EndpointID
+	// StartedUnixMilli is the start of the process that was listed then.
+	StartedUnixMilli int64
+	// Age is how long ago it was found lost.
+	Age time.Duration
 }
 
 // ReportedNotice is what an endpoint said of itself to a router.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -82,6 +82,13 @@
 		}
 	})
 	m.counters["endpoints.limited"] = limited
+	cold := int64(0)
+	w.ColdEndpoints.Each(func(_ table.EndpointID, c *table.ColdEndpoint) {
+		if c.IsCold(w.Now) {
+			cold++
+		}
+	})
+	m.counters["endpoints.cold"] = cold
 	quarantinedParts := int64(0)
 	w.PartSuspects.Each(func(_ table.Fingerprint, s *table.PartSuspect) {
 		if s.QuarantinedUntil > w.Now {
--- a/internal/gateway/systems.go
+++ b/internal/gateway/systems.go
@@ -14,6 +14,7 @@
 	"laburnumroad.dev/laburnumroad/internal/system/peers"
 	"laburnumroad.dev/laburnumroad/internal/system/placement"
 	"laburnumroad.dev/laburnumroad/internal/system/quarantine"
+	"laburnumroad.dev/laburnumroad/internal/system/warmup"
 	"laburnumroad.dev/laburnumroad/internal/system/watch"
 	"laburnumroad.dev/laburnumroad/internal/world"
 )
@@ -25,6 +26,7 @@
 		world.SystemFunc(catalog.Run),
 		world.SystemFunc(health.Run),
 		world.SystemFunc(notice.Run),
+		world.SystemFunc(warmup.Run),
 		world.SystemFunc(quarantine.RunGateway),
 		world.SystemFunc(link.Run),
 		world.SystemFunc(attempt.Run),
--- a/internal/system/catalog/catalog.go
+++ b/internal/system/catalog/catalog.go
@@ -162,7 +162,7 @@
 		}
 		w.DirectEndpoints.Put(e.ID, table.DirectEndpoint{
 			ID: e.ID, Service: e.Service, Address: e.Address, Domain: e.Domain, Slots: e.Slots,
-			Leaving: e.Leaving, StartedUnixMilli: e.StartedUnixMilli, InFlight: inFlight, ReportedSlowdown: 1,
+			Leaving: e.Leaving, StartedUnixMilli: e.StartedUnixMilli, ListedAt: w.Now, InFlight: inFlight, ReportedSlowdown: 1,
 		})
 		w.Out.EndpointUses = append(w.Out.EndpointUses, command.SetEndpointUse{Endpoint: e.ID, Allowed: !e.Leaving})
 		w.RecordStateChange("endpoint", string(e.ID), "", stateName(e.Leaving), "listed for "+string(e.Service)+" at "+e.Address)
--- a/internal/system/eligibility/eligibility.go
+++ b/internal/system/eligibility/eligibility.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"laburnumroad.dev/laburnumroad/internal/system/notice"
+	"laburnumroad.dev/laburnumroad/internal/system/warmup"
 	"laburnumroad.dev/laburnumroad/internal/table"
 	"laburnumroad.dev/laburnumroad/internal/world"
 )
@@ -20,6 +21,7 @@
 	Allowed     Reason = ""
 	Leaving     Reason = "leaving"
 	RateLimited Reason = "paused or at its rate limit"
+	Cold        Reason = "cold"
 )
 
 // Verdict is the answer for one endpoint.
@@ -43,8 +45,14 @@
 	if in, hasShare := notice.AdmitsIn(w, e.ID); !hasShare || in > 0 {
 		return Verdict{Reason: RateLimited, HasEnd: hasShare, RetryIn: in}
 	}
+	if in, hasShare := warmup.AdmitsIn(w, e); !hasShare || in > 0 {
+		return Verdict{Reason: Cold, HasEnd: hasShare, RetryIn: in}
+	}
 	return Verdict{}
 }
 
 // Take uses what an endpoint admits for a request that is sent to it.
-func Take(w *world.World, e *table.DirectEndpoint) { notice.Take(w, e.ID) }
+func Take(w *world.World, e *table.DirectEndpoint) {
+	notice.Take(w, e.ID)
+	warmup.Take(w, e)
+}
--- a/internal/system/notice/notice.go
+++ b/internal/system/notice/notice.go
@@ -11,7 +11,6 @@
 package notice
 
 import (
-	"cmp"
 	"fmt"
 	"math"
 	"slices"
@@ -19,6 +18,7 @@
 
 	"laburnumroad.dev/laburnumroad/internal/event"
 	"laburnumroad.dev/laburnumroad/internal/system/catalog"
+	"laburnumroad.dev/laburnumroad/internal/system/share"
 	"laburnumroad.dev/laburnumroad/internal/table"
 	"laburnumroad.dev/laburnumroad/internal/world"
 )
@@ -43,11 +43,6 @@
 	// rate, at once.
 	minBurst  = 3
 	burstTime = 500 * time.Millisecond
-	// maxAbsence is how long a router without a session counts as a member of the fleet. It
-	// exceeds a cut that heals and a restart. shareTime is how long a share is used before
-	// the members are looked at again.
-	maxAbsence = 30 * time.Second
-	shareTime  = 5 * time.Second
 	// maxAge bounds the age that a report may give, so that no message of a peer
 	// overflows a time.
 	maxAge = time.Hour
@@ -239,13 +234,13 @@
 // request from each router at the same moment.
 func updateShare(w *world.World, id table.EndpointID, n *table.EndpointNotice) {
 	n.Fill(w.Now)
-	n.ShareGeneration, n.ShareUntil, n.Share, n.Burst = w.FleetGeneration, w.Now.Add(shareTime), 0, 0
+	n.ShareGeneration, n.ShareUntil, n.Share, n.Burst = w.FleetGeneration, w.Now.Add(share.RecheckTime), 0, 0
 	if !n.RateLimited {
 		n.Permits = 0
 		return
 	}
 	burst := minBurst + burstTime.Seconds()*n.RateLimit
-	members := membersByRank(w, id)
+	members := share.Rank(id, share.Present(w))
 	senders := min(len(members), int(burst))
 	if slices.Contains(members[:senders], w.Self().Process) {
 		n.Share = max(n.RateLimit, minRate) / float64(senders)
@@ -254,24 +249,6 @@
 	n.Permits = min(n.Permits, n.Burst)
 }
 
-// membersByRank returns the routers of the fleet by their rank for an endpoint. One that is
-// cut off for a moment still counts: the others must not take its share, nor it theirs.
-func membersByRank(w *world.World, id table.EndpointID) []table.ProcessID {
-	self := w.Self().Process
-	members := []table.ProcessID{self}
-	ranks := map[table.ProcessID]uint64{self: table.RendezvousRank(string(id), string(self))}
-	w.RouterPeers.Each(func(p table.ProcessID, peer *table.RouterPeer) {
-		if peer.Connected || w.Now.Sub(peer.AbsentSince) < maxAbsence {
-			ranks[p] = table.RendezvousRank(string(id), string(p))
-			members = append(members, p)
-		}
-	})
-	slices.SortFunc(members, func(a, b table.ProcessID) int {
-		return cmp.Or(cmp.Compare(ranks[b], ranks[a]), cmp.Compare(a, b))
-	})
-	return members
-}
-
 // Report returns what the endpoints last said to this router itself, for a report to the
 // other routers.
 func Report(w *world.World) []event.ReportedNotice {
--- a/internal/system/peers/peers.go
+++ b/internal/system/peers/peers.go
@@ -9,6 +9,7 @@
 	"laburnumroad.dev/laburnumroad/internal/event"
 	"laburnumroad.dev/laburnumroad/internal/system/allowance"
 	"laburnumroad.dev/laburnumroad/internal/system/notice"
+	"laburnumroad.dev/laburnumroad/internal/system/warmup"
 	"laburnumroad.dev/laburnumroad/internal/system/watch"
 	"laburnumroad.dev/laburnumroad/internal/table"
 	"laburnumroad.dev/laburnumroad/internal/world"
@@ -133,7 +134,7 @@
 	w.WakeAt(w.Now.Add(ReportInterval(w)))
 	w.Out.RouterReports = append(w.Out.RouterReports, command.SendRouterReport{Report: event.RouterReport{
 		Available: allowance.HeldTokens(w), StoreDown: storeDown, FollowedFor: watch.FollowedFor(w), LastChanges: watch.LastChanges(w),
-		Wants: wants, Notices: notice.Report(w),
+		Wants: wants, Notices: notice.Report(w), Lost: warmup.Report(w),
 	}})
 }
 
--- a/internal/system/placement/placement.go
+++ b/internal/system/placement/placement.go
@@ -7,6 +7,8 @@
 package placement
 
 import (
+	"cmp"
+	"slices"
 	"strconv"
 	"time"
 
@@ -24,21 +26,28 @@
 
 // Run sends the waiting requests to endpoints.
 func Run(w *world.World) {
+	var waiting []*table.Exchange
 	for _, id := range w.ExchangesWaiting.Keys() {
-		x := w.Exchanges.Get(id)
-		if x.State != table.ExchangePlacing {
-			continue
+		if x := w.Exchanges.Get(id); x.State == table.ExchangePlacing {
+			waiting = append(waiting, x)
 		}
+	}
+	// The more urgent requests get what endpoints admit.
+	slices.SortStableFunc(waiting, func(a, b *table.Exchange) int { return cmp.Compare(a.Priority, b.Priority) })
+	for _, x := range waiting {
 		place(w, x)
 	}
 }
 
 func place(w *world.World, x *table.Exchange) {
-	candidates := eligibleEndpoints(w, x)
+	candidates, avoidedCold := eligibleEndpoints(w, x)
 	if len(candidates) == 0 {
 		waitOrRefuse(w, x)
 		return
 	}
+	if avoidedCold {
+		w.Count("placement.avoided_cold")
+	}
 	best, scored := chooseEndpoint(w, x, candidates)
 	send(w, x, best, scored)
 }
--- a/internal/system/placement/wait.go
+++ b/internal/system/placement/wait.go
@@ -28,7 +28,7 @@
 	if x.SentAttempts > 0 {
 		waitEnd = x.AttemptSentAt.Add(max(minEndpointWait, x.LatencyObjective))
 	}
-	limited, wait := limitsEndIn(w, x)
+	limited, cold, wait := limitsEndIn(w, x)
 	if w.Now < waitEnd && !(limited && w.Now.Add(wait) > waitEnd) {
 		w.WakeAt(min(waitEnd, w.Now.Add(recheckInterval)))
 		return
@@ -37,6 +37,10 @@
 	if limited {
 		w.Count("placement.limited")
 		outcome.Reason = "the limits that the endpoints named are used up"
+		if cold {
+			w.Count("placement.refused_cold")
+			outcome.Reason = "the rates that the cold endpoints bear are used up"
+		}
 		// Clients that are refused at the same time come back one after the other.
 		outcome.RetryAfter = wait + time.Duration(w.Rand.Int64N(int64(noEndpointRetryAfter)))
 	}
@@ -48,12 +52,13 @@
 	w.FinishExchange(x, false, outcome)
 }
 
-// limitsEndIn reports whether only the limits that endpoints of the service named keep this
-// router from sending to them, and how long it takes until one takes a request. If none
-// does as long as its limit stands, that is the time after which a client may try again,
-// at another router.
-func limitsEndIn(w *world.World, x *table.Exchange) (bool, time.Duration) {
-	limited, anyShare, wait := false, false, noEndpointRetryAfter
+// limitsEndIn reports whether only the limits that endpoints of the service named, or the
+// rates that cold ones bear, keep this router from sending to them, whether some are cold,
+// and how long it takes until one takes a request. If none does as long as its limit
+// stands, that is the time after which a client may try again, at another router.
+func limitsEndIn(w *world.World, x *table.Exchange) (limited, cold bool, wait time.Duration) {
+	anyShare := false
+	wait = noEndpointRetryAfter
 	w.DirectEndpoints.Each(func(_ table.EndpointID, e *table.DirectEndpoint) {
 		if e.Service != x.Service {
 			return
@@ -63,9 +68,10 @@
 			return
 		}
 		limited = true
+		cold = cold || verdict.Reason == eligibility.Cold
 		if verdict.HasEnd && (!anyShare || verdict.RetryIn < wait) {
 			anyShare, wait = true, verdict.RetryIn
 		}
 	})
-	return limited, wait
+	return limited, cold, wait
 }
--- a/internal/system/watch/watch.go
+++ b/internal/system/watch/watch.go
@@ -373,9 +373,14 @@
 	changes := event.EndpointChanges{Full: true, Covered: row.Covered, LastChange: row.LastChange}
 	w.DirectEndpoints.Each(func(id table.EndpointID, e *table.DirectEndpoint) {
 		if e.RemovedAt == 0 {
-			changes.Present = append(changes.Present, event.EndpointEntry{
+			entry := event.EndpointEntry{
 				ID: id, Service: e.Service, Address: e.Address, Domain: e.Domain, Slots: e.Slots, Leaving: e.Leaving, StartedUnixMilli: e.StartedUnixMilli,
-			})
+				ColdKnown: true,
+			}
+			if cold := w.ColdEndpoints.Get(id); cold != nil {
+				entry.ColdKnown, entry.ColdLeft = cold.MarkedUntil <= w.Now, max(0, cold.EntryUntil.Sub(w.Now))
+			}
+			changes.Present = append(changes.Present, entry)
 		}
 	})
 	markLapses(w, &changes)
--- a/internal/table/exchange.go
+++ b/internal/table/exchange.go
@@ -107,6 +107,12 @@
 	DirectServices  Table[ServiceName, DirectService]
 	// EndpointNotices are what endpoints say of themselves, as far as it binds routers.
 	EndpointNotices Table[EndpointID, EndpointNotice]
+	// ColdEndpoints are the endpoints that are cold or have lately been.
+	ColdEndpoints Table[EndpointID, ColdEndpoint]
+	// HeardAt is when the store or another router last told this one something. Silent is
+	// true once that is too long ago to know of endpoints that start again.
+	HeardAt Instant
+	Silent  bool
 	// CachedParts maps a prompt part at an endpoint to its last use there.
 	CachedParts Table[CachedPart, Instant]
 
--- a/internal/table/route.go
+++ b/internal/table/route.go
@@ -134,6 +134,8 @@
 	// later one under the same id is a new process that has no state of the old
 	// one.
 	StartedUnixMilli int64
+	// ListedAt is when this process of the endpoint was first listed here.
+	ListedAt Instant
 
 	// InFlight counts this router's open attempts, AwaitingFirstEvent those of
 	// them without a first event. PrefillTokens sums up the uncached prompt tokens
@@ -156,6 +158,8 @@
 	// new work is sent before SuspectUntil unless no other endpoint is left.
 	ConsecutiveFailures int
 	SuspectUntil        Instant
+	// BrokenAt is when an attempt last lost its connection, or 0.
+	BrokenAt Instant
 }
 
 // PromptPart is a part of a prompt that several requests may share.
