--- a/internal/system/placement/cost.go
+++ b/internal/system/placement/cost.go
@@ -2,7 +2,6 @@
 
 import (
 	"laburnumroad.dev/laburnumroad/internal/system/load"
-	"laburnumroad.dev/laburnumroad/internal/system/warmup"
 	"laburnumroad.dev/laburnumroad/internal/table"
 	"laburnumroad.dev/laburnumroad/internal/world"
 )
@@ -26,9 +25,6 @@
 	// milliseconds. It exceeds the engine's time because other requests are
 	// delayed too, and because processed tokens are paid for.
 	sharedTokenCost = 0.06
-	// coldCost is the cost of an endpoint that has just started and is slow for some
-	// seconds, in milliseconds.
-	coldCost = 40.0
 	// failureCost is the cost of an endpoint that fails every request, in
 	// milliseconds.
 	failureCost = 1500.0
@@ -85,9 +81,6 @@
 	if e.Domain != w.Params.Self.Domain {
 		total += crossDomainCost
 	}
-	if warmup.IsCold(w, e) {
-		total += coldCost
-	}
 	if x.PromptTokens == 0 {
 		return total + callCost*l.Running*l.Slowdown/float64(max(1, e.Slots))
 	}
