--- a/internal/system/warmup/warmup_test.go
+++ b/internal/system/warmup/warmup_test.go
@@ -35,12 +35,10 @@
 func TestColdRateIsUsedFromTheStart(t *testing.T) {
 	for _, routers := range sizes {
 		f := newFleet(1, routers, 13)
-		f.down = true
-		f.run(2 * time.Second)
-		f.down, f.born, f.coldUntil = false, 2, f.now.Add(coldTime)
-		f.tellAll()
+		f.turnCold(coldTime)
+		f.run(step)
 		sent := f.sent
-		f.run(coldTime)
+		f.run(coldTime - step)
 		f.requireBound(t)
 		require.GreaterOrEqual(t, f.sent-sent, int(0.9*13*coldTime.Seconds()), "%d routers", routers)
 	}
@@ -59,6 +57,12 @@
 			}
 			f.run(700 * time.Millisecond)
 		}
+		for _, r := range f.routers[:4] {
+			for range 30 {
+				f.start(r)
+				f.run(2 * step)
+			}
+		}
 		f.run(2 * time.Second)
 		f.requireBound(t)
 	}
@@ -298,3 +302,46 @@
 		f.requireBound(t)
 	})
 }
+
+// Guards against an endpoint that crashes and is back before its next process is listed: what
+// answers then may be cold.
+func TestEndpointThatFailedIsColdUntilItAnsweredForItsColdTime(t *testing.T) {
+	for name, ends := range map[string][]event.DirectAttemptEnd{
+		"unreached":    {{Status: event.DirectNotSent}},
+		"gone":         {{Status: event.DirectOutcomeUnknown, ConnectionLost: true, EndpointGone: true}},
+		"broken twice": {{Status: event.DirectOutcomeUnknown, ConnectionLost: true}, {Status: event.DirectOutcomeUnknown, ConnectionLost: true}},
+	} {
+		f := newFleet(13, 4, 13)
+		r := f.routers[0]
+		cold := func() bool { return warmup.IsCold(r.world, r.world.DirectEndpoints.Get(endpointID)) }
+		for i := range ends {
+			require.False(t, cold(), "%s: one broken answer", name)
+			r.world.Exchanges.Put(1<<40, table.Exchange{Attempt: 1, Endpoint: endpointID, State: table.ExchangeRunning, AttemptSentAt: f.now})
+			ends[i].Exchange, ends[i].Attempt = 1<<40, 1
+			r.inbox = append(r.inbox, ends[i])
+			f.run(step)
+		}
+		require.True(t, cold(), name)
+		f.run(2 * time.Second)
+		require.True(t, cold(), name)
+		f.run(coldTime)
+		require.False(t, cold(), name)
+	}
+}
+
+// Guards against slots that move with each session that is reset, and stay unused for an
+// interval each time.
+func TestResetSessionsDoNotMoveSlots(t *testing.T) {
+	for _, routers := range sizes {
+		f := newFleet(14, routers, 13)
+		f.restartEndpoint(2*time.Second, time.Minute)
+		f.run(3 * time.Second)
+		sent := f.sent
+		for i := range 25 {
+			f.disconnect(f.routers[i%routers])
+			f.run(400 * time.Millisecond)
+		}
+		f.requireBound(t)
+		require.GreaterOrEqual(t, float64(f.sent-sent), 0.9*13*10, "%d routers", routers)
+	}
+}
