--- a/internal/system/warmup/warmup.go
+++ b/internal/system/warmup/warmup.go
@@ -142,6 +142,8 @@
 		return
 	}
 	c.Step = 0
+	// The slots admit requests from now on, not from the first that asks.
+	refresh(w, e, c, coldService(w, e))
 	duration := "until it is heard"
 	if c.WarmAt() != table.Never {
 		duration = "for " + c.WarmAt().Sub(w.Now).Round(time.Millisecond).String()
--- a/internal/system/watch/fleet_test.go
+++ b/internal/system/watch/fleet_test.go
@@ -392,6 +392,41 @@
 	require.Len(t, list.Present, 4)
 }
 
+// Guards against a list that is sent to another router without the cold times of endpoints,
+// with those of some time ago, or as if the sender knew that a lost endpoint is warm.
+func TestStateSentCarriesColdTimes(t *testing.T) {
+	f := newFleet(4, 3)
+	m, asker := f.routers[0], f.routers[1]
+	f.remove("m1")
+	now := f.now
+	m.world.ColdEndpoints.Put("m2", table.ColdEndpoint{EntryUntil: now.Add(2 * time.Second)})
+	m.world.ColdEndpoints.Put("m3", table.ColdEndpoint{MarkedUntil: now.Add(time.Minute)})
+	m.inbox = append(m.inbox,
+		event.EndpointChanges{Since: 11, Covered: 12, LastChange: 12, Removed: []table.EndpointID{"m1"}, Relayed: true},
+		event.RouterReport{From: asker.process.Holder, Wants: map[table.WatchKind]event.WantedChanges{
+			table.WatchEndpoints: {From: m.process.Holder, Covered: 11},
+		}})
+	asker.inbox = nil
+	f.tick(m)
+	found := 0
+	for _, e := range asker.inbox {
+		changes, ok := e.(event.EndpointChanges)
+		if !ok || !changes.Full {
+			continue
+		}
+		for _, entry := range changes.Present {
+			found++
+			require.Equal(t, entry.ID != "m3", entry.ColdKnown, entry.ID)
+			if entry.ID == "m2" {
+				require.Equal(t, now.Add(2*time.Second).Sub(m.world.Now), entry.ColdLeft)
+			} else {
+				require.Zero(t, entry.ColdLeft, entry.ID)
+			}
+		}
+	}
+	require.Equal(t, 4, found)
+}
+
 // removeAfterOutageOf deletes the entry of an endpoint right after an outage of a router
 // alone, and lets that router see it.
 func (f *fleet) removeAfterOutageOf(t *testing.T, m *member, id table.EndpointID) {
