--- a/internal/system/warmup/warmup.go
+++ b/internal/system/warmup/warmup.go
@@ -2,7 +2,7 @@
 //
 // A cold endpoint bears few requests a second from all routers together, and a failure
 // domain that comes back brings many cold endpoints at once, under load. The rate of each is
-// divided into slots, which each router deals out to the members of the fleet alike; see
+// divided into send slots, which each router deals out to the members of the fleet alike; see
 // docs/design/cold-endpoints.md for what this withstands.
 package warmup
 
