--- a/internal/system/share/share.go
+++ b/internal/system/share/share.go
@@ -23,8 +23,9 @@
 // member's absence ends without an event.
 const RecheckTime = 5 * time.Second
 
-// Rank orders members by their rank for an endpoint, highest first. It changes the slice.
+// Rank returns members by their rank for an endpoint, highest first.
 func Rank(id table.EndpointID, members []table.ProcessID) []table.ProcessID {
+	members = slices.Clone(members)
 	ranks := make(map[table.ProcessID]uint64, len(members))
 	for _, p := range members {
 		ranks[p] = table.RendezvousRank(string(id), string(p))
@@ -52,6 +53,14 @@
 // Those that have long been absent are left out if this router is connected with most of
 // them: a part of the fleet that is cut off must not take what the others use.
 func Registered(w *world.World) []table.ProcessID {
+	m := &w.LedgerMembers
+	if m.Generation != w.FleetGeneration || m.RecheckAt <= w.Now {
+		*m = table.Members{Names: registered(w), Generation: w.FleetGeneration, RecheckAt: w.Now.Add(RecheckTime)}
+	}
+	return m.Names
+}
+
+func registered(w *world.World) []table.ProcessID {
 	content := &w.LimitLedgerView.Content
 	if !w.LimitLedgerView.ContentKnown {
 		return nil
--- a/internal/table/exchange.go
+++ b/internal/table/exchange.go
@@ -144,6 +144,8 @@
 	// change that may affect them.
 	Delegates       Table[string, Delegates]
 	FleetGeneration uint64
+	// LedgerMembers are the routers in the limit ledger that share what cold endpoints bear.
+	LedgerMembers Members
 	// Link is the state of this router's own link.
 	Link Link
 	// Watches are the kinds of objects in the store that this router follows.
--- a/internal/table/peer.go
+++ b/internal/table/peer.go
@@ -31,6 +31,14 @@
 	DialBackoff time.Duration
 }
 
+// Members are the routers that share what an endpoint admits, as this router sees them for
+// a FleetGeneration until RecheckAt.
+type Members struct {
+	Names      []ProcessID
+	Generation uint64
+	RecheckAt  Instant
+}
+
 // Delegates are the routers that do a duty for the others, as this router sees them,
 // those in its failure domain first.
 type Delegates struct {
