--- a/internal/system/warmup/fleet_test.go
+++ b/internal/system/warmup/fleet_test.go
@@ -52,7 +52,6 @@
 	inbox    []event.Event
 	sessions map[table.ProcessID]uint64
 	next     table.ExchangeID
-	sentNow  int
 	// storeCut and peersCut are links that don't work; cutAt is since when neither does.
 	storeCut, peersCut bool
 	cutAt              table.Instant
