--- a/internal/gateway/systems.go
+++ b/internal/gateway/systems.go
@@ -15,6 +15,7 @@
 	"laburnumroad.dev/laburnumroad/internal/system/peers"
 	"laburnumroad.dev/laburnumroad/internal/system/placement"
 	"laburnumroad.dev/laburnumroad/internal/system/quarantine"
+	"laburnumroad.dev/laburnumroad/internal/system/warmup"
 	"laburnumroad.dev/laburnumroad/internal/system/watch"
 	"laburnumroad.dev/laburnumroad/internal/world"
 )
@@ -27,6 +28,7 @@
 		world.SystemFunc(evacuation.Run),
 		world.SystemFunc(health.Run),
 		world.SystemFunc(notice.Run),
+		world.SystemFunc(warmup.Run),
 		world.SystemFunc(quarantine.RunGateway),
 		world.SystemFunc(link.Run),
 		world.SystemFunc(attempt.Run),
--- a/internal/system/evacuation/evacuation.go
+++ b/internal/system/evacuation/evacuation.go
@@ -13,6 +13,7 @@
 
 	"laburnumroad.dev/laburnumroad/internal/event"
 	"laburnumroad.dev/laburnumroad/internal/system/catalog"
+	"laburnumroad.dev/laburnumroad/internal/system/warmup"
 	"laburnumroad.dev/laburnumroad/internal/table"
 	"laburnumroad.dev/laburnumroad/internal/world"
 )
@@ -76,7 +77,14 @@
 		return
 	}
 	w.EvacuationsUnreported = w.EvacuationsUnreported || !e.Relayed
-	w.DirectEndpoints.Each(func(_ table.EndpointID, row *table.DirectEndpoint) { catalog.UpdateUse(w, row) })
+	w.DirectEndpoints.Each(func(_ table.EndpointID, row *table.DirectEndpoint) {
+		withdrawn := row.Withdrawn
+		catalog.UpdateUse(w, row)
+		if withdrawn && !row.Withdrawn {
+			// Its process may have started again during the evacuation.
+			warmup.MarkCold(w, row, "the evacuation of its failure domain ended")
+		}
+	})
 }
 
 // describe says what an evacuation that begins concerns. A domain without endpoints may be
--- a/internal/system/peers/peers.go
+++ b/internal/system/peers/peers.go
@@ -10,6 +10,7 @@
 	"laburnumroad.dev/laburnumroad/internal/system/allowance"
 	"laburnumroad.dev/laburnumroad/internal/system/evacuation"
 	"laburnumroad.dev/laburnumroad/internal/system/notice"
+	"laburnumroad.dev/laburnumroad/internal/system/warmup"
 	"laburnumroad.dev/laburnumroad/internal/system/watch"
 	"laburnumroad.dev/laburnumroad/internal/table"
 	"laburnumroad.dev/laburnumroad/internal/world"
@@ -135,7 +136,7 @@
 	evacuated, evacuationsCovered := evacuation.Report(w)
 	w.Out.RouterReports = append(w.Out.RouterReports, command.SendRouterReport{Report: event.RouterReport{
 		Available: allowance.HeldTokens(w), StoreDown: storeDown, FollowedFor: watch.FollowedFor(w), LastChanges: watch.LastChanges(w),
-		Wants: wants, Notices: notice.Report(w), Evacuated: evacuated, EvacuationsCovered: evacuationsCovered,
+		Wants: wants, Notices: notice.Report(w), Evacuated: evacuated, EvacuationsCovered: evacuationsCovered, Lost: warmup.Report(w),
 	}})
 }
 
--- a/internal/table/exchange.go
+++ b/internal/table/exchange.go
@@ -107,6 +107,12 @@
 	DirectServices  Table[ServiceName, DirectService]
 	// EndpointNotices are what endpoints say of themselves, as far as it binds routers.
 	EndpointNotices Table[EndpointID, EndpointNotice]
+	// ColdEndpoints are the endpoints that are cold or have lately been.
+	ColdEndpoints Table[EndpointID, ColdEndpoint]
+	// HeardAt is when the store or another router last told this one something. Silent is
+	// true once that is too long ago to know of endpoints that start again.
+	HeardAt Instant
+	Silent  bool
 	// CachedParts maps a prompt part at an endpoint to its last use there.
 	CachedParts Table[CachedPart, Instant]
 
@@ -139,6 +145,8 @@
 	// change that may affect them.
 	Delegates       Table[string, Delegates]
 	FleetGeneration uint64
+	// LedgerMembers are the routers in the limit ledger that share what cold endpoints bear.
+	LedgerMembers Members
 	// Link is the state of this router's own link.
 	Link Link
 	// Watches are the kinds of objects in the store that this router follows.
