link: a router that most demand enters leaves the rotation in time

Cause: the load balancer chooses by client.

Change: the link counts answers by the length learned for their route and what refused requests bring in; it leaves the rotation at half of its rate, or when connections open slowly, as long as the routers that report room are at least half of the domain, and stays away for longer while they have it. RouterReport.LinkFull is new.

Trials on a copy of the site tell which of link and processor binds.

The signature of link.Admit in link_test.go follows the code; its bounds are the same.

--- a/internal/event/exchange.go
+++ b/internal/event/exchange.go
@@ -117,6 +117,8 @@
 	Reason          string
 	Report          LoadReport
 	Notice          EndpointNotice
+	// AnswerBytes is the length of the part of the answer's body that arrived.
+	AnswerBytes int64
 	// LongestGap is the longest pause between two events of the attempt.
 	LongestGap time.Duration
 }
@@ -227,6 +229,9 @@
 	// Notices are what endpoints said of themselves to the sender itself, as far as it
 	// binds other routers.
 	Notices []ReportedNotice
+	// LinkFull is true while the sender's link has no room for more requests. Releases
+	// that don't know the field never report it.
+	LinkFull bool
 }
 
 // ReportedNotice is what an endpoint said of itself to a router.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -13,6 +13,7 @@
 
 	"laburnumroad.dev/laburnumroad/internal/command"
 	"laburnumroad.dev/laburnumroad/internal/control"
+	"laburnumroad.dev/laburnumroad/internal/system/link"
 	"laburnumroad.dev/laburnumroad/internal/table"
 	"laburnumroad.dev/laburnumroad/internal/world"
 )
@@ -90,6 +91,12 @@
 	})
 	m.counters["quarantine.parts"] = quarantinedParts
 	m.counters["endpoints.suspect"] = suspects
+	queueTime, demand := link.Load(w)
+	m.counters["link.queue_us"], m.counters["link.demand_bytes_per_s"] = queueTime.Microseconds(), int64(demand)
+	m.counters["link.out_of_rotation"] = 0
+	if w.Link.OutOfRotation {
+		m.counters["link.out_of_rotation"] = 1
+	}
 	m.counters["budget.free_tokens"] = available
 	m.counters["budget.reserved_tokens"] = reserved
 }
--- a/internal/system/intake/intake.go
+++ b/internal/system/intake/intake.go
@@ -32,9 +32,6 @@
 	// drainingRetryAfter is the time until a router that shuts down is likely to
 	// be back, if no other router takes the request.
 	drainingRetryAfter = time.Second
-	// congestedRetryAfter is the retry delay while the link is congested: a retry goes
-	// to another router.
-	congestedRetryAfter = 50 * time.Millisecond
 	// defaultTimeout bounds requests without a timeout from client or route.
 	defaultTimeout = 60 * time.Second
 )
@@ -118,8 +115,8 @@
 	if until, quarantined := quarantine.Active(w, a.Fingerprint); quarantined {
 		return nil, &refusal{code: table.CodeQuarantined, reason: "endpoints died while they ran this request", retryAfter: until.Sub(w.Now)}
 	}
-	if !link.Admit(w, a.BodyBytes) {
-		return nil, &refusal{code: table.CodeLinkCongested, reason: "packets wait for the link of this router", retryAfter: congestedRetryAfter}
+	if !link.Admit(w, route, a.BodyBytes) {
+		return nil, &refusal{code: table.CodeLinkCongested, reason: "packets wait for the link of this router", retryAfter: link.RetryAfter}
 	}
 	x := newExchange(w, a, route, customer)
 	if !acceptsWhileDraining(w, x) {
--- a/internal/system/link/link.go
+++ b/internal/system/link/link.go
@@ -6,6 +6,9 @@
 // leaves the rotation of the load balancer while it lasts. It knows of a full link by
 // the bytes that it takes on and the rate of the link, and by the time that
 // connections to endpoints take, which open within milliseconds otherwise.
+//
+// It answers a load that enters few routers: a load balancer that chooses by client sends
+// one of them all requests of a large customer, and the same ones again when it returns.
 package link
 
 import (
@@ -21,16 +24,20 @@
 	maxConnectTime = 200 * time.Millisecond
 	// maxQueueTime is the time that what waits for the link may take.
 	maxQueueTime = 100 * time.Millisecond
-	// requestOverhead is what a request adds to its body on the link: the headers and
-	// the answer, in bytes.
-	requestOverhead = 2 << 10
+	// requestOverhead is what a request and its answer add to their bodies on the link:
+	// headers, in bytes. defaultAnswerBytes is the length of an answer of a route that was
+	// not answered yet.
+	requestOverhead    = 1 << 10
+	defaultAnswerBytes = 1 << 10
+	// maxAnswerBytes bounds the length that is learned from one answer, and maxBacklog what
+	// is assumed to wait for the link: one absurd request must not close the router.
+	maxAnswerBytes = 1 << 20
+	maxBacklog     = 2 * time.Second
+	// minAnswerShare is the least share of the link's way in that answers get.
+	minAnswerShare = 0.25
 	// sampleLifetime is how long the mean is used after the last sample. A congested
 	// router opens no connections, and its queue drains meanwhile.
 	sampleLifetime = 300 * time.Millisecond
-	// A router leaves the rotation after the link was congested in leaveTime of the
-	// last time, and returns after returnTime without congestion.
-	leaveTime  = time.Second
-	returnTime = 3 * time.Second
 )
 
 // Run applies the connect times of this tick.
@@ -38,40 +45,42 @@
 	l := &w.Link
 	for _, s := range w.In.ConnectTimes {
 		if w.Now.Sub(l.SampledAt) > sampleLifetime {
-			l.MeanConnectTime = 0
+			l.MeanConnectTime, l.SlowConnectShare = 0, 0
 		}
 		l.MeanConnectTime = table.UpdateMovingAverage(l.MeanConnectTime, s.Duration)
 		l.SampledAt = w.Now
+		observeConnect(w, s.Duration)
 	}
+	recordAnswerSizes(w)
 	updateCongestion(w)
 	updateRotation(w)
 }
 
-// Admit reports whether the link has room for a request with a body of the given
-// length, and adds it to what waits for the link if so.
-func Admit(w *world.World, bodyBytes int) bool {
-	l := &w.Link
-	updateQueue(w)
-	if l.Congested || queueTime(w) > maxQueueTime {
-		updateCongestion(w)
-		return false
-	}
-	l.QueuedBytes += float64(bodyBytes + requestOverhead)
-	return true
-}
-
+// updateQueue lets what waits for the two directions of the link pass. Requests take their
+// part of the way in, refused ones too, and leave the rest for answers.
 func updateQueue(w *world.World) {
 	l := &w.Link
-	l.QueuedBytes = max(0, l.QueuedBytes-w.Params.Front.LinkBytesPerSecond*w.Now.Sub(l.QueuedAt).Seconds())
+	elapsed := w.Now.Sub(l.QueuedAt).Seconds()
+	l.QueuedBytes = max(0, l.QueuedBytes-w.Params.Front.LinkBytesPerSecond*elapsed)
+	l.QueuedAnswerBytes = max(0, l.QueuedAnswerBytes-answerRate(w)*elapsed)
 	l.QueuedAt = w.Now
 }
 
+// answerRate returns the rate at which answers come in, in bytes per second.
+func answerRate(w *world.World) float64 {
+	rate := w.Params.Front.LinkBytesPerSecond
+	w.Link.Received.Add(w.Now, 0, demandPeriod)
+	return max(minAnswerShare*rate, rate-w.Link.Received.PerSecond)
+}
+
+// queueTime returns how long what waits takes in the slower direction.
 func queueTime(w *world.World) time.Duration {
 	rate := w.Params.Front.LinkBytesPerSecond
 	if rate <= 0 {
 		return 0
 	}
-	return time.Duration(w.Link.QueuedBytes / rate * float64(time.Second))
+	seconds := max(w.Link.QueuedBytes/rate, w.Link.QueuedAnswerBytes/answerRate(w))
+	return time.Duration(seconds * float64(time.Second))
 }
 
 func updateCongestion(w *world.World) {
@@ -99,21 +108,3 @@
 	}
 	w.Count("link.congested")
 }
-
-// updateRotation takes the router out of the rotation, or back, with hysteresis: the
-// clients that leave would otherwise come back at once.
-func updateRotation(w *world.World) {
-	l := &w.Link
-	switch {
-	case !l.OutOfRotation && l.Congested:
-		if w.DueOrWake(l.CongestedSince.Add(leaveTime)) {
-			l.OutOfRotation = true
-			w.RecordStateChange("link", string(w.Self().Process), "ready", "congested", "connections take "+l.MeanConnectTime.Round(time.Millisecond).String())
-		}
-	case l.OutOfRotation && !l.Congested:
-		if w.DueOrWake(l.ClearSince.Add(returnTime)) {
-			l.OutOfRotation, l.CongestedSince = false, 0
-			w.RecordStateChange("link", string(w.Self().Process), "congested", "ready", "no congestion for "+returnTime.String())
-		}
-	}
-}
--- a/internal/system/link/link_test.go
+++ b/internal/system/link/link_test.go
@@ -69,7 +69,7 @@
 	admitted := 0
 	for now := table.Instant(time.Second); now < table.Instant(11*time.Second); now = now.Add(2 * time.Millisecond) {
 		w.Tick(now, []world.System{world.SystemFunc(link.Run)})
-		if link.Admit(w, 8<<10) {
+		if link.Admit(w, &table.Route{}, 8<<10) {
 			admitted++
 		}
 	}
--- a/internal/system/peers/peers.go
+++ b/internal/system/peers/peers.go
@@ -8,6 +8,7 @@
 	"laburnumroad.dev/laburnumroad/internal/command"
 	"laburnumroad.dev/laburnumroad/internal/event"
 	"laburnumroad.dev/laburnumroad/internal/system/allowance"
+	"laburnumroad.dev/laburnumroad/internal/system/link"
 	"laburnumroad.dev/laburnumroad/internal/system/notice"
 	"laburnumroad.dev/laburnumroad/internal/system/watch"
 	"laburnumroad.dev/laburnumroad/internal/table"
@@ -77,7 +78,7 @@
 	if peer.StoreDown != e.StoreDown {
 		w.FleetGeneration++
 	}
-	peer.StoreDown, peer.Available = e.StoreDown, e.Available
+	peer.StoreDown, peer.Available, peer.LinkFull = e.StoreDown, e.Available, e.LinkFull
 }
 
 // dialPeers opens sessions with the routers in the ledger. In each pair, the
@@ -133,7 +134,7 @@
 	w.WakeAt(w.Now.Add(ReportInterval(w)))
 	w.Out.RouterReports = append(w.Out.RouterReports, command.SendRouterReport{Report: event.RouterReport{
 		Available: allowance.HeldTokens(w), StoreDown: storeDown, FollowedFor: watch.FollowedFor(w), LastChanges: watch.LastChanges(w),
-		Wants: wants, Notices: notice.Report(w),
+		Wants: wants, Notices: notice.Report(w), LinkFull: link.IsFull(w),
 	}})
 }
 
--- a/internal/system/peers/peers_test.go
+++ b/internal/system/peers/peers_test.go
@@ -6,7 +6,9 @@
 
 	"github.com/stretchr/testify/require"
 
+	"laburnumroad.dev/laburnumroad/internal/event"
 	"laburnumroad.dev/laburnumroad/internal/system/peers"
+	"laburnumroad.dev/laburnumroad/internal/table"
 	"laburnumroad.dev/laburnumroad/internal/world"
 )
 
@@ -23,3 +25,24 @@
 	w.LimitLedgerView.RouterCount = 4
 	require.Equal(t, 2500*time.Millisecond, peers.IdleTimeout(w))
 }
+
+// Guards against a router that sends its clients to others although they said that their
+// links are full.
+func TestReportsTellOfAFullLink(t *testing.T) {
+	sender := world.New(world.Params{Self: table.Process{Holder: table.Holder{Process: "a", Incarnation: 7}, Domain: "d"}}, 1)
+	sender.PlatformReachable, sender.Link.OutOfRotation = true, true
+	sender.Tick(table.Instant(time.Minute), []world.System{world.SystemFunc(peers.Run)})
+	require.Len(t, sender.Out.RouterReports, 1)
+	report := sender.Out.RouterReports[0].Report
+	require.True(t, report.LinkFull)
+
+	receiver := world.New(world.Params{}, 1)
+	receiver.RouterPeers.Put("a", table.RouterPeer{Holder: sender.Self(), Domain: "d", Connected: true})
+	report.From = sender.Self()
+	report.AddTo(&receiver.In)
+	receiver.Tick(table.Instant(time.Minute), []world.System{world.SystemFunc(peers.Run)})
+	require.True(t, receiver.RouterPeers.Get("a").LinkFull)
+	event.RouterReport{From: sender.Self()}.AddTo(&receiver.In)
+	receiver.Tick(table.Instant(2*time.Minute), []world.System{world.SystemFunc(peers.Run)})
+	require.False(t, receiver.RouterPeers.Get("a").LinkFull, "a release that does not know the field has room")
+}
--- a/internal/table/exchange.go
+++ b/internal/table/exchange.go
@@ -138,8 +138,10 @@
 	// change that may affect them.
 	Delegates       Table[string, Delegates]
 	FleetGeneration uint64
-	// Link is the state of this router's own link.
-	Link Link
+	// Link is the state of this router's own link, RouteAnswerSizes what answers bring to
+	// it, by the name of the route.
+	Link             Link
+	RouteAnswerSizes Table[string, RouteAnswerSize]
 	// Watches are the kinds of objects in the store that this router follows.
 	Watches Table[WatchKind, Watch]
 	// PendingTransfers are other routers' requests that wait for a limit.
--- a/internal/table/peer.go
+++ b/internal/table/peer.go
@@ -19,6 +19,8 @@
 	Available map[CustomerID]Tokens
 	// StoreDown is true if the peer reported that its calls to the store fail.
 	StoreDown bool
+	// LinkFull is true if the peer reported that its link has no room for more requests.
+	LinkFull bool
 	// NoLimitRequestsUntil is when the peer may be asked to write the ledger
 	// again, after it failed to do so.
 	NoLimitRequestsUntil Instant
--- a/internal/traffic/front/exchange.go
+++ b/internal/traffic/front/exchange.go
@@ -223,7 +223,7 @@
 		return
 	}
 	x.buffered = &bufferedResponse{status: resp.StatusCode, header: resp.Header, body: body}
-	end.Status, end.Reason = event.DirectAnswered, "status "+strconv.Itoa(resp.StatusCode)
+	end.Status, end.Reason, end.AnswerBytes = event.DirectAnswered, "status "+strconv.Itoa(resp.StatusCode), int64(len(body))
 }
 
 // finish completes or aborts the response to the client.
--- a/internal/traffic/front/stream.go
+++ b/internal/traffic/front/stream.go
@@ -67,6 +67,7 @@
 			end.Status, end.Reason = event.DirectOutcomeUnknown, "the stream has more events than the request may have tokens"
 			return
 		}
+		end.AnswerBytes += int64(len(text))
 		now := time.Now()
 		if !lastEventTime.IsZero() {
 			end.LongestGap = max(end.LongestGap, now.Sub(lastEventTime))
