link: demand is averaged over half a second

Cause: a router of 10 Mbit/s that a large customer enters collects a queue in the second or two until the load balancer has noticed that it left, so each half second counts.

--- a/internal/system/link/rotation.go
+++ b/internal/system/link/rotation.go
@@ -15,7 +15,7 @@
 	// again within relapseTime, the clients that come back are too many: it stays away for
 	// twice as long, at most maxSpareTime.
 	leaveTime    = time.Second
-	pressureTime = 300 * time.Millisecond
+	pressureTime = 200 * time.Millisecond
 	returnTime   = 3 * time.Second
 	spareTime    = 10 * time.Second
 	relapseTime  = 10 * time.Second
@@ -23,7 +23,7 @@
 	// The link is under pressure if the demand on it, averaged over demandPeriod, exceeds
 	// maxUtilization of its rate: it may double until the load balancer has noticed.
 	maxUtilization = 0.5
-	demandPeriod   = time.Second
+	demandPeriod   = 500 * time.Millisecond
 	// Above minUtilization it is under pressure too if most connections take longer to open
 	// than the tightest latency objective divided by connectObjectiveDivisor, at least
 	// minSlowConnect: a request and its answer pass the host twice as often, so half the
