--- a/internal/event/exchange.go
+++ b/internal/event/exchange.go
@@ -117,6 +117,8 @@
 	Reason          string
 	Report          LoadReport
 	Notice          EndpointNotice
+	// AnswerBytes is the length of the part of the answer's body that arrived.
+	AnswerBytes int64
 	// LongestGap is the longest pause between two events of the attempt.
 	LongestGap time.Duration
 }
@@ -252,6 +254,9 @@
 	// the store. The revision is 0 if the sender does not say which are.
 	Evacuated          []string
 	EvacuationsCovered uint64
+	// LinkFull is true while the sender's link has no room for more requests. Releases
+	// that don't know the field never report it.
+	LinkFull bool
 	// Lost are the endpoints that the sender itself found lost lately.
 	Lost []LostEndpoint
 }
--- a/internal/system/peers/peers.go
+++ b/internal/system/peers/peers.go
@@ -9,6 +9,7 @@
 	"laburnumroad.dev/laburnumroad/internal/event"
 	"laburnumroad.dev/laburnumroad/internal/system/allowance"
 	"laburnumroad.dev/laburnumroad/internal/system/evacuation"
+	"laburnumroad.dev/laburnumroad/internal/system/link"
 	"laburnumroad.dev/laburnumroad/internal/system/notice"
 	"laburnumroad.dev/laburnumroad/internal/system/warmup"
 	"laburnumroad.dev/laburnumroad/internal/system/watch"
@@ -79,7 +80,7 @@
 	if peer.StoreDown != e.StoreDown {
 		w.FleetGeneration++
 	}
-	peer.StoreDown, peer.Available = e.StoreDown, e.Available
+	peer.StoreDown, peer.Available, peer.LinkFull = e.StoreDown, e.Available, e.LinkFull
 }
 
 // dialPeers opens sessions with the routers in the ledger. In each pair, the
@@ -136,7 +137,7 @@
 	evacuated, evacuationsCovered := evacuation.Report(w)
 	w.Out.RouterReports = append(w.Out.RouterReports, command.SendRouterReport{Report: event.RouterReport{
 		Available: allowance.HeldTokens(w), StoreDown: storeDown, FollowedFor: watch.FollowedFor(w), LastChanges: watch.LastChanges(w),
-		Wants: wants, Notices: notice.Report(w), Evacuated: evacuated, EvacuationsCovered: evacuationsCovered, Lost: warmup.Report(w),
+		Wants: wants, Notices: notice.Report(w), Evacuated: evacuated, EvacuationsCovered: evacuationsCovered, Lost: warmup.Report(w), LinkFull: link.IsFull(w),
 	}})
 }
 
--- a/internal/table/exchange.go
+++ b/internal/table/exchange.go
@@ -147,8 +147,10 @@
 	FleetGeneration uint64
 	// LedgerMembers are the routers in the limit ledger that share what cold endpoints bear.
 	LedgerMembers Members
-	// Link is the state of this router's own link.
-	Link Link
+	// Link is the state of this router's own link, RouteAnswerSizes what answers bring to
+	// it, by the name of the route.
+	Link             Link
+	RouteAnswerSizes Table[string, RouteAnswerSize]
 	// Watches are the kinds of objects in the store that this router follows.
 	Watches Table[WatchKind, Watch]
 	// PendingTransfers are other routers' requests that wait for a limit.
