placement, load: even load from old reports

Cause: a router hears of an endpoint only with its own answers, uses a report at the end of a stream as if it were new although it is as old as the answer's head, and all routers take the least cost.

Change: routers pass on load reports in their own reports, each with its age; since a report, own requests are counted and those of other routers expected; the choice among equally good endpoints follows their room; crowding bounds what a prompt's home gets; places of a prompt and load are weighted by learnt speed. docs/design/even-load.md.

--- a/internal/event/exchange.go
+++ b/internal/event/exchange.go
@@ -39,6 +39,8 @@
 	// Slowdown is the current duration of work divided by the usual one: 1 is the
 	// usual speed, 2 half of it.
 	Slowdown float64
+	// Age is how long ago the head of the answer that carries it was read.
+	Age time.Duration
 }
 
 // EndpointNotice is what a direct endpoint says of itself in an answer.
@@ -227,6 +229,23 @@
 	// Notices are what endpoints said of themselves to the sender itself, as far as it
 	// binds other routers.
 	Notices []ReportedNotice
+	// Loads are load reports that the sender received from endpoints itself.
+	Loads []ReportedLoad
+	// SendRates are the requests a second that the sender sends, by service.
+	SendRates map[table.ServiceName]float64
+}
+
+// ReportedLoad is an endpoint's load report that a router passes on.
+type ReportedLoad struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the encoding
+
+	Endpoint         table.EndpointID
+	Running, Waiting int
+	// SlowdownPercent is 100 at the usual speed of the endpoint.
+	SlowdownPercent int
+	// AgeMs is how long ago the endpoint sent the report, EventTimeUs the time between two
+	// events of its streams as the sender learnt it, or 0; in milliseconds and microseconds.
+	AgeMs, EventTimeUs int64
 }
 
 // ReportedNotice is what an endpoint said of itself to a router.
--- a/internal/system/health/health.go
+++ b/internal/system/health/health.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"laburnumroad.dev/laburnumroad/internal/event"
+	"laburnumroad.dev/laburnumroad/internal/system/load"
 	"laburnumroad.dev/laburnumroad/internal/table"
 	"laburnumroad.dev/laburnumroad/internal/world"
 )
@@ -56,7 +57,7 @@
 		return
 	}
 	recordAnswerStart(w, x, row)
-	recordLoadReport(w, row, e.Report)
+	load.Record(w, row, e.Report)
 }
 
 // recordAnswerStart records that the answer of an attempt has begun, and removes
@@ -90,19 +91,13 @@
 	}
 }
 
-func recordLoadReport(w *world.World, row *table.DirectEndpoint, report event.LoadReport) {
-	if row == nil || !report.Present {
-		return
-	}
-	row.ReportedRunning, row.ReportedWaiting, row.ReportedSlowdown, row.ReportedAt = report.Running, report.Waiting, report.Slowdown, w.Now
-}
-
 func onAttemptEnd(w *world.World, e *event.DirectAttemptEnd) {
 	x, row := currentAttempt(w, e.Exchange, e.Attempt)
 	if x == nil || row == nil {
 		return
 	}
 	row.InFlight = max(0, row.InFlight-1)
+	load.CountChange(w, row, -1)
 	if !x.AnswerStarted {
 		row.AwaitingFirstEvent = max(0, row.AwaitingFirstEvent-1)
 		row.PrefillTokens = max(0, row.PrefillTokens-x.PrefillTokens)
@@ -112,7 +107,8 @@
 		// endpoint.
 		return
 	}
-	recordLoadReport(w, row, e.Report)
+	load.Record(w, row, e.Report)
+	load.Learn(w, x, row, e)
 	recordResult(w, row, e)
 }
 
--- a/internal/system/peers/peers.go
+++ b/internal/system/peers/peers.go
@@ -8,6 +8,7 @@
 	"laburnumroad.dev/laburnumroad/internal/command"
 	"laburnumroad.dev/laburnumroad/internal/event"
 	"laburnumroad.dev/laburnumroad/internal/system/allowance"
+	"laburnumroad.dev/laburnumroad/internal/system/load"
 	"laburnumroad.dev/laburnumroad/internal/system/notice"
 	"laburnumroad.dev/laburnumroad/internal/system/watch"
 	"laburnumroad.dev/laburnumroad/internal/table"
@@ -64,7 +65,7 @@
 	if peer == nil || peer.Session != e.Session {
 		return
 	}
-	peer.Connected, peer.AbsentSince, peer.Available = false, w.Now, nil
+	peer.Connected, peer.AbsentSince, peer.Available, peer.SendRates = false, w.Now, nil, nil
 	w.FleetGeneration++
 	w.RecordStateChange("router", string(peer.Process), "connected", "", "session ended")
 }
@@ -78,6 +79,7 @@
 		w.FleetGeneration++
 	}
 	peer.StoreDown, peer.Available = e.StoreDown, e.Available
+	load.OnReport(w, peer, e)
 }
 
 // dialPeers opens sessions with the routers in the ledger. In each pair, the
@@ -134,6 +136,7 @@
 	w.Out.RouterReports = append(w.Out.RouterReports, command.SendRouterReport{Report: event.RouterReport{
 		Available: allowance.HeldTokens(w), StoreDown: storeDown, FollowedFor: watch.FollowedFor(w), LastChanges: watch.LastChanges(w),
 		Wants: wants, Notices: notice.Report(w),
+		Loads: load.Report(w, ReportInterval(w)), SendRates: load.SendRates(w),
 	}})
 }
 
--- a/internal/system/placement/cost.go
+++ b/internal/system/placement/cost.go
@@ -1,6 +1,11 @@
 package placement
 
 import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
 	"laburnumroad.dev/laburnumroad/internal/system/load"
 	"laburnumroad.dev/laburnumroad/internal/table"
 	"laburnumroad.dev/laburnumroad/internal/world"
@@ -28,70 +33,166 @@
 	// failureCost is the cost of an endpoint that fails every request, in
 	// milliseconds.
 	failureCost = 1500.0
-	// stallWeight weighs the delay that a prompt causes in each stream running at
-	// the same endpoint, in milliseconds per millisecond.
-	stallWeight = 0.05
+	// concurrentTime is the time in which routers do not learn of each other's requests.
+	concurrentTime = 100 * time.Millisecond
+	// An endpoint is crowded above crowdedShare times its share of the load and crowdedSlack
+	// requests.
+	crowdedShare = 1.2
+	crowdedSlack = 1.0
+	// costPrecision is the difference in milliseconds below which costs count as equal.
+	costPrecision = 1e-6
+	// maxCredit bounds the requests that an endpoint is owed, or got ahead.
+	maxCredit = 2.0
+	// minRoom is the least room in requests.
+	minRoom = 1e-3
 )
 
-// scoredEndpoint is a candidate endpoint with its cost in milliseconds.
+// scoredEndpoint is a candidate endpoint with its costs in milliseconds.
 type scoredEndpoint struct {
 	endpoint *table.DirectEndpoint
-	cost     float64
+	place    placeKind
+	load     load.Estimate
+	// busy is the cost of the endpoint's load, which is the same for all requests, and unit
+	// what another request adds to it.
+	busy, unit float64
+	// own is the cost of this request there.
+	own float64
 }
 
-// chooseEndpoint returns the candidate with the least cost. It starts from a
-// random candidate, which wins ties.
-func chooseEndpoint(w *world.World, x *table.Exchange, candidates []*table.DirectEndpoint) (*table.DirectEndpoint, []scoredEndpoint) {
+// chooseEndpoint chooses an endpoint by its load and by what the request costs there.
+//
+// Requests that the other routers send at the same time level the load up to some height,
+// as they choose alike. Candidates below it are equally good. Among those, the
+// choice is at random, in proportion to the room below that height.
+func chooseEndpoint(w *world.World, x *table.Exchange, candidates []*table.DirectEndpoint) (scoredEndpoint, []scoredEndpoint) {
 	scored := make([]scoredEndpoint, 0, len(candidates))
-	home := homeEndpoint(x, candidates)
-	for _, e := range candidates {
-		scored = append(scored, scoredEndpoint{e, estimateCost(w, x, e, e == home)})
+	places := placesOf(w, x, candidates)
+	for i, e := range candidates {
+		scored = append(scored, estimateCost(w, x, e, load.Of(w, e), places[i]))
+	}
+	addCrowding(scored)
+	height := levelOf(scored, load.OthersRate(w, x.Service)*concurrentTime.Seconds())
+	if load.ExpectDue(w, x.Service) {
+		load.Expect(w, x.Service, candidates, sharesOf(w, x.Service, scored, height))
 	}
-	best := w.Rand.IntN(len(scored))
+	return pick(w, scored, height), scored
+}
+
+// addCrowding adds a cost to candidates with much more than their share of the load, by
+// speed: what exceeds it counts like a queue. It bounds what a prompt's home may get.
+func addCrowding(scored []scoredEndpoint) {
+	running, speeds := 0.0, 0.0
 	for i := range scored {
-		if scored[i].cost < scored[best].cost {
+		running += scored[i].load.Running
+		speeds += scored[i].load.Speed
+	}
+	for i := range scored {
+		share := running / speeds * scored[i].load.Speed
+		scored[i].busy += waitingCost * max(0, scored[i].load.Running-crowdedShare*share-crowdedSlack)
+	}
+}
+
+// pick chooses one of the candidates with the least cost, given the height that the loads
+// level to. Each of several gets a share in proportion to its room; the one whose shares of
+// this choice and earlier ones exceed what it got the most is next, so that requests come
+// more evenly than at random. Routers differ by the random credits that they begin with.
+func pick(w *world.World, scored []scoredEndpoint, height float64) scoredEndpoint {
+	least := math.Inf(1)
+	for i := range scored {
+		least = min(least, scored[i].cost(height))
+	}
+	rooms, best := 0.0, -1
+	for i := range scored {
+		if scored[i].cost(height) < least+costPrecision {
+			rooms += room(&scored[i], height)
+		}
+	}
+	for i := range scored {
+		s, e := &scored[i], scored[i].endpoint
+		if s.cost(height) >= least+costPrecision {
+			continue
+		}
+		if e.Credit == 0 {
+			e.Credit = w.Rand.Float64()
+		}
+		e.Credit = min(e.Credit+room(s, height)/rooms, maxCredit)
+		if best < 0 || e.Credit > scored[best].endpoint.Credit {
 			best = i
 		}
 	}
-	return scored[best].endpoint, scored
+	scored[best].endpoint.Credit = max(scored[best].endpoint.Credit-1, -maxCredit)
+	return scored[best]
 }
 
-// homeEndpoint returns the endpoint that the request's shared prompt is
-// assigned to, or nil if it shares none.
-func homeEndpoint(x *table.Exchange, candidates []*table.DirectEndpoint) *table.DirectEndpoint {
-	if len(x.PromptParts) < 2 {
-		return nil
-	}
-	key := x.PromptParts[len(x.PromptParts)-2].ID
-	var home *table.DirectEndpoint
-	var maxHash uint64
-	for _, e := range candidates {
-		if hash := table.RendezvousRank(key, string(e.ID)); home == nil || hash > maxHash {
-			home, maxHash = e, hash
+// cost returns the cost of a candidate, given the height that the loads level to.
+func (s *scoredEndpoint) cost(height float64) float64 { return max(s.busy, height) + s.own }
+
+// levelOf returns the height that a number of requests raises the loads of the candidates to.
+func levelOf(scored []scoredEndpoint, requests float64) float64 {
+	byLoad := make([]*scoredEndpoint, len(scored))
+	for i := range scored {
+		byLoad[i] = &scored[i]
+	}
+	slices.SortFunc(byLoad, func(a, b *scoredEndpoint) int { return cmp.Compare(a.busy, b.busy) })
+	// A candidate takes (height-busy)/unit requests.
+	perHeight, atZero, height := 0.0, 0.0, 0.0
+	for i, s := range byLoad {
+		perHeight += 1 / s.unit
+		atZero += s.busy / s.unit
+		height = (requests + atZero) / perHeight
+		if i+1 == len(byLoad) || height <= byLoad[i+1].busy {
+			break
 		}
 	}
-	return home
+	return height
+}
+
+// room returns how many requests a candidate takes below a height.
+func room(s *scoredEndpoint, height float64) float64 {
+	return max(0, height-s.busy)/s.unit + minRoom
+}
+
+// sharesOf returns which share of the other routers' requests each candidate gets: those
+// that are bound to a place of their prompt go where requests went on average, the others fill
+// room.
+func sharesOf(w *world.World, service table.ServiceName, scored []scoredEndpoint, height float64) []float64 {
+	bound := 0.0
+	if t := w.ServiceTraffic.Get(service); t != nil {
+		bound = t.BoundShare
+	}
+	rooms, means := 0.0, 0.0
+	for i := range scored {
+		rooms += room(&scored[i], height)
+		means += scored[i].endpoint.OthersMean + minRoom
+	}
+	shares := make([]float64, len(scored))
+	for i := range scored {
+		shares[i] = bound*(scored[i].endpoint.OthersMean+minRoom)/means + (1-bound)*room(&scored[i], height)/rooms
+	}
+	return shares
 }
 
 // estimateCost returns the estimated time until the first event plus the cost
 // of the request to other requests, in milliseconds.
-func estimateCost(w *world.World, x *table.Exchange, e *table.DirectEndpoint, home bool) float64 {
-	l := load.Of(w, e)
-	total := failureCost*e.FailureRate + waitingCost*l.Waiting*l.Slowdown
+func estimateCost(w *world.World, x *table.Exchange, e *table.DirectEndpoint, l load.Estimate, p placeKind) scoredEndpoint {
+	// pace is how long work takes, in units of the usual time of the service's endpoints.
+	pace := l.Slowdown / l.Speed
+	s := scoredEndpoint{endpoint: e, place: p, load: l, unit: stepCost * pace}
+	if x.PromptTokens == 0 {
+		s.unit = callCost * pace / float64(max(1, e.Slots))
+	}
+	s.busy = failureCost*e.FailureRate + waitingCost*l.Waiting*pace + s.unit*l.Running
 	if e.Domain != w.Params.Self.Domain {
-		total += crossDomainCost
+		s.own += crossDomainCost
 	}
 	if x.PromptTokens == 0 {
-		return total + callCost*l.Running*l.Slowdown/float64(max(1, e.Slots))
+		return s
 	}
 	uncached := float64(x.PromptTokens - cachedTokens(w, x, e))
-	if !home {
-		total += sharedTokenCost * max(0, uncached-float64(x.PromptTokens-sharedTokens(x)))
-	}
-	total += (float64(e.PrefillTokens) + uncached) / prefillTokensPerMs * l.Slowdown
-	total += stepCost * l.Running * l.Slowdown
-	total += stallWeight * l.Running * uncached / prefillTokensPerMs
-	return total
+	s.own += p.rereadShare() * sharedTokenCost * max(0, uncached-float64(x.PromptTokens-sharedTokens(x)))
+	s.own += uncached / prefillTokensPerMs
+	s.busy += float64(e.PrefillTokens) / prefillTokensPerMs * pace
+	return s
 }
 
 // sharedTokens returns the prompt tokens that other requests may share.
--- a/internal/system/placement/placement.go
+++ b/internal/system/placement/placement.go
@@ -12,6 +12,7 @@
 
 	"laburnumroad.dev/laburnumroad/internal/command"
 	"laburnumroad.dev/laburnumroad/internal/system/eligibility"
+	"laburnumroad.dev/laburnumroad/internal/system/load"
 	"laburnumroad.dev/laburnumroad/internal/table"
 	"laburnumroad.dev/laburnumroad/internal/world"
 )
@@ -40,11 +41,12 @@
 		return
 	}
 	best, scored := chooseEndpoint(w, x, candidates)
-	send(w, x, best, scored)
+	send(w, x, &best, scored)
 }
 
 // send starts an attempt at an endpoint and adds it to the endpoint's load.
-func send(w *world.World, x *table.Exchange, e *table.DirectEndpoint, scored []scoredEndpoint) {
+func send(w *world.World, x *table.Exchange, chosen *scoredEndpoint, scored []scoredEndpoint) {
+	e := chosen.endpoint
 	timeLeft := min(x.RouteDeadline, x.ClientDeadline).Sub(w.Now)
 	if timeLeft < minTimeLeft {
 		// The timer of the exchange ends it.
@@ -57,20 +59,34 @@
 	x.Endpoint, x.AttemptSentAt, x.AnswerStarted = e.ID, w.Now, false
 	x.PrefillTokens = x.PromptTokens - cachedTokens(w, x, e)
 	e.InFlight++
+	load.CountSend(w, e, chosen.place == placeHome || chosen.place == placeSecond)
 	e.AwaitingFirstEvent++
 	e.PrefillTokens += x.PrefillTokens
 	w.Out.EndpointCalls = append(w.Out.EndpointCalls, command.CallEndpoint{
 		Exchange: x.ID, Attempt: x.Attempt, Endpoint: e.ID, Address: e.Address, Service: e.Service,
 		Customer: x.Customer, TimeLeft: timeLeft, Stream: x.Kind == table.RouteStream, Priority: x.Priority,
 	})
+	count(w, chosen)
+	recordPrompt(w, x)
+	explain(w, x, chosen, scored)
+}
+
+// count counts a request that is sent to an endpoint, and how old the load report is that
+// the choice used.
+func count(w *world.World, chosen *scoredEndpoint) {
 	w.Count("placement.sent")
-	explain(w, x, e, scored)
+	w.Count("placement.place." + chosen.place.String())
+	if chosen.load.Reported {
+		w.Count("placement.reports_used")
+		w.CountN("placement.report_age_ms", chosen.load.Age.Milliseconds())
+	}
 }
 
-func explain(w *world.World, x *table.Exchange, e *table.DirectEndpoint, scored []scoredEndpoint) {
+func explain(w *world.World, x *table.Exchange, chosen *scoredEndpoint, scored []scoredEndpoint) {
 	inputs := []table.Input{
-		{Name: "in_flight", Value: strconv.Itoa(e.InFlight - 1)},
-		{Name: "report_age", Value: w.Now.Sub(e.ReportedAt).Round(time.Millisecond).String()},
+		{Name: "in_flight", Value: strconv.Itoa(chosen.endpoint.InFlight - 1)},
+		{Name: "report_age", Value: chosen.load.Age.Round(time.Millisecond).String()},
+		{Name: "place", Value: chosen.place.String()},
 		{Name: "candidates", Value: strconv.Itoa(len(scored))},
 	}
 	if x.PromptTokens > 0 {
--- a/internal/table/average.go
+++ b/internal/table/average.go
@@ -35,6 +35,11 @@
 	r.UpdatedAt = now
 }
 
+// At returns the rate at a time. The caller passes the same time constant as to Add.
+func (r *DecayingRate) At(now Instant, constant time.Duration) float64 {
+	return r.PerSecond * math.Exp(-now.Sub(r.UpdatedAt).Seconds()/constant.Seconds())
+}
+
 // WindowMax is the largest of the values observed in a sliding window. It keeps one
 // maximum for each of two periods, so that the window is one to two periods long.
 type WindowMax struct {
--- a/internal/table/exchange.go
+++ b/internal/table/exchange.go
@@ -109,6 +109,10 @@
 	EndpointNotices Table[EndpointID, EndpointNotice]
 	// CachedParts maps a prompt part at an endpoint to its last use there.
 	CachedParts Table[CachedPart, Instant]
+	// PromptRates are the rates of the requests with a prompt part, by its id.
+	PromptRates Table[string, DecayingRate]
+	// ServiceTraffic is what this router sends, by service.
+	ServiceTraffic Table[ServiceName, ServiceTraffic]
 
 	// Manifest is the active configuration of the HTTP front, ManifestRevision the store's
 	// revision of its last change.
--- a/internal/table/peer.go
+++ b/internal/table/peer.go
@@ -17,6 +17,8 @@
 	// Available is what the peer last reported that it may still spend, less what
 	// was requested from it since.
 	Available map[CustomerID]Tokens
+	// SendRates are the requests a second that the peer last reported, by service.
+	SendRates map[ServiceName]float64
 	// StoreDown is true if the peer reported that its calls to the store fail.
 	StoreDown bool
 	// NoLimitRequestsUntil is when the peer may be asked to write the ledger
--- a/internal/table/route.go
+++ b/internal/table/route.go
@@ -83,6 +83,20 @@
 	RetryBucketLevel float64
 }
 
+// ServiceTraffic is what this router sends to a service.
+type ServiceTraffic struct {
+	// Sends is the rate of requests.
+	Sends DecayingRate
+	// MeanDuration is a moving average of how long a request is at an endpoint.
+	MeanDuration time.Duration
+	// MeanEventTime is the mean of the endpoints' times between two events; 0 if unknown.
+	MeanEventTime time.Duration
+	// ExpectedAt is up to when the requests of other routers are counted as expected.
+	ExpectedAt Instant
+	// BoundShare is the share of the requests that went to a place of their prompt.
+	BoundShare float64
+}
+
 // PrepaidCustomer is a customer of the HTTP front with its keys and, if
 // Limited, the total that it may spend.
 type PrepaidCustomer struct {
@@ -143,12 +157,28 @@
 	PrefillTokens      Tokens
 
 	// ReportedRunning, ReportedWaiting (both in requests) and ReportedSlowdown are
-	// the endpoint's own last load report, received at ReportedAt. A slowdown of 1
-	// is the usual speed, 2 half of it.
+	// the endpoint's latest load report that any router passed on, sent at ReportedAt. A
+	// slowdown of 1 is the usual speed, 2 half of it.
 	ReportedRunning  int
 	ReportedWaiting  int
 	ReportedSlowdown float64
 	ReportedAt       Instant
+	// ReportUnsent is true while this router has not passed on the latest report, which
+	// it received itself. ReportPassedAt is when any router last passed one on.
+	ReportUnsent   bool
+	ReportPassedAt Instant
+	// OthersInFlight is the expected number of requests of other routers as of OthersAt.
+	OthersInFlight float64
+	OthersAt       Instant
+	// OthersMean is a moving average of other routers' requests there, by the reports.
+	OthersMean float64
+	// Credit is how many requests the endpoint is owed by its shares of earlier choices.
+	Credit float64
+	// Changes are the recent changes of the requests in flight, oldest first.
+	Changes []InFlightChange
+	// EventTime is a moving average of the time between two events of a stream; 0 if
+	// unknown.
+	EventTime time.Duration
 
 	// FailureRate is a moving average of failed attempts, 0 to 1.
 	FailureRate float64
@@ -158,6 +188,15 @@
 	SuspectUntil        Instant
 }
 
+// InFlightChange is a change of the requests in flight at an endpoint.
+type InFlightChange struct {
+	At Instant
+	// Own is the change of this router's requests, Others what the other routers are
+	// expected to have sent.
+	Own    int
+	Others float64
+}
+
 // PromptPart is a part of a prompt that several requests may share.
 type PromptPart struct {
 	ID     string
--- a/internal/traffic/front/exchange.go
+++ b/internal/traffic/front/exchange.go
@@ -170,7 +170,7 @@
 	x.headReadAt = x.server.now()
 	head := x.server.Codec.ParseResponseHead(resp.StatusCode, resp.Header)
 	end = event.DirectAttemptEnd{HTTPStatus: resp.StatusCode, Misdirected: head.Misdirected, Report: head.Report, Notice: head.Notice}
-	defer func() { end.Notice.Age = x.server.now().Sub(x.headReadAt) }()
+	defer func() { x.setReportAge(&end) }()
 	switch {
 	case head.NotRun || head.Misdirected:
 		end.Status, end.Reason = event.DirectDeclined, "declined with status "+strconv.Itoa(resp.StatusCode)
@@ -191,6 +191,12 @@
 	return end
 }
 
+// setReportAge sets how old what the endpoint said in the head of its answer is.
+func (x *exchange) setReportAge(end *event.DirectAttemptEnd) {
+	age := x.server.now().Sub(x.headReadAt)
+	end.Report.Age, end.Notice.Age = age, age
+}
+
 // impliesNotRun reports whether clients conclude from a status that the request
 // did not run.
 func impliesNotRun(status int) bool {
--- a/internal/traffic/front/stream.go
+++ b/internal/traffic/front/stream.go
@@ -60,7 +60,7 @@
 		}
 		if !started {
 			started = true
-			end.Notice.Age = x.server.now().Sub(x.headReadAt)
+			x.setReportAge(end)
 			x.server.Post(event.DirectAnswerStarted{Exchange: x.id, Attempt: c.Attempt, Report: end.Report, Notice: end.Notice})
 		}
 		if limit := x.request.MaxOutput; limit > 0 && x.eventsSent >= int64(limit)+maxExtraEvents {
