--- a/internal/system/load/record.go
+++ b/internal/system/load/record.go
@@ -35,6 +35,9 @@
 	maxExpectTime  = 500 * time.Millisecond
 	// minSendRate is the least rate, in requests a second, that is kept and reported.
 	minSendRate = 0.1
+	// surprisePerSecond is how much news, in requests, an endpoint is worth for each second
+	// in which no router passed on its report.
+	surprisePerSecond = 1.0
 	// maxServices bounds the services whose rates are reported.
 	maxServices = 8
 )
@@ -66,7 +69,9 @@
 	duration := timeAt(w, e)
 	others := r.Running + r.Waiting - (e.InFlight - ownSince(e, sentAt))
 	e.OthersMean = table.UpdateMovingAverage(e.OthersMean, max(0, float64(others)))
+	expected := e.OthersInFlight * decay(w.Now.Sub(e.OthersAt), duration)
 	e.OthersInFlight = max(0, float64(others))*decay(r.Age, duration) + expectedSince(w, e, sentAt, duration)
+	e.ReportSurprise = math.Abs(e.OthersInFlight - expected)
 	e.OthersAt = w.Now
 	return true
 }
@@ -167,7 +172,10 @@
 			unsent = append(unsent, e)
 		}
 	})
-	slices.SortFunc(unsent, func(a, b *table.DirectEndpoint) int { return cmp.Compare(a.ReportPassedAt, b.ReportPassedAt) })
+	news := func(e *table.DirectEndpoint) float64 {
+		return e.ReportSurprise + surprisePerSecond*min(w.Now.Sub(e.ReportPassedAt), maxReportAge).Seconds()
+	}
+	slices.SortFunc(unsent, func(a, b *table.DirectEndpoint) int { return cmp.Compare(news(b), news(a)) })
 	unsent = unsent[:min(len(unsent), maxEntries(w.LimitLedgerView.RouterCount, interval))]
 	loads := make([]event.ReportedLoad, 0, len(unsent))
 	for _, e := range unsent {
--- a/internal/system/placement/cost.go
+++ b/internal/system/placement/cost.go
@@ -65,17 +65,23 @@
 // as they choose alike. Candidates below it are equally good. Among those, the
 // choice is at random, in proportion to the room below that height.
 func chooseEndpoint(w *world.World, x *table.Exchange, candidates []*table.DirectEndpoint) (scoredEndpoint, []scoredEndpoint) {
+	scored, height := scoreEndpoints(w, x, candidates)
+	if load.ExpectDue(w, x.Service) {
+		load.Expect(w, x.Service, candidates, sharesOf(w, x.Service, scored, height))
+	}
+	return pick(w, scored, height), scored
+}
+
+// scoreEndpoints returns the costs of the candidates, and the height that requests of the
+// other routers level their loads to. It changes nothing.
+func scoreEndpoints(w *world.World, x *table.Exchange, candidates []*table.DirectEndpoint) ([]scoredEndpoint, float64) {
 	scored := make([]scoredEndpoint, 0, len(candidates))
 	places := placesOf(w, x, candidates)
 	for i, e := range candidates {
 		scored = append(scored, estimateCost(w, x, e, load.Of(w, e), places[i]))
 	}
 	addCrowding(scored)
-	height := levelOf(scored, load.OthersRate(w, x.Service)*concurrentTime.Seconds())
-	if load.ExpectDue(w, x.Service) {
-		load.Expect(w, x.Service, candidates, sharesOf(w, x.Service, scored, height))
-	}
-	return pick(w, scored, height), scored
+	return scored, levelOf(scored, load.OthersRate(w, x.Service)*concurrentTime.Seconds())
 }
 
 // addCrowding adds a cost to candidates with much more than their share of the load, by
--- a/internal/system/placement/places.go
+++ b/internal/system/placement/places.go
@@ -20,7 +20,7 @@
 	// maxHomes bounds the homes of a prompt.
 	maxHomes = 8
 	// promptRateConstant is the time constant of the rate of a prompt.
-	promptRateConstant = 5 * time.Second
+	promptRateConstant = 10 * time.Second
 	// maxPromptRates is the number of rows above which old ones are deleted.
 	maxPromptRates = 4096
 )
--- a/internal/table/route.go
+++ b/internal/table/route.go
@@ -165,8 +165,10 @@
 	ReportedAt       Instant
 	// ReportUnsent is true while this router has not passed on the latest report, which
 	// it received itself. ReportPassedAt is when any router last passed one on.
+	// ReportSurprise is by how many requests the report differed from what was expected.
 	ReportUnsent   bool
 	ReportPassedAt Instant
+	ReportSurprise float64
 	// OthersInFlight is the expected number of requests of other routers as of OthersAt.
 	OthersInFlight float64
 	OthersAt       Instant
--- a/internal/traffic/wire/capacity_test.go
+++ b/internal/traffic/wire/capacity_test.go
@@ -173,3 +173,22 @@
 		})
 	}
 }
+
+// Guards against load reports that take more of the control traffic than their bound allows
+// for: the system that sends them counts 30 bytes for each.
+func TestLoadReportOnTheWireIsSmall(t *testing.T) {
+	report := &event.RouterReport{}
+	empty := encodedSize(t, TypeRouterReport, report)
+	const reports = 10
+	for range reports {
+		report.Loads = append(report.Loads, event.ReportedLoad{
+			Endpoint: "i-fc98050758", Running: 96, Waiting: 120, SlowdownPercent: 250, AgeMs: 1900, EventTimeUs: 65000,
+		})
+	}
+	frame, err := AppendFrame(nil, TypeRouterReport, report)
+	require.NoError(t, err)
+	require.LessOrEqual(t, len(frame)-empty, 30*reports)
+	decoded, err := Decode[event.RouterReport](Frame{Type: TypeRouterReport, Body: frame[lengthFieldSize+typeFieldSize:]})
+	require.NoError(t, err)
+	require.Equal(t, report.Loads, decoded.Loads)
+}
