--- a/internal/system/load/record.go
+++ b/internal/system/load/record.go
@@ -31,7 +31,7 @@
 	meanWeight = 0.02
 	// expectInterval is the least time between two counts of what other routers are expected
 	// to send, maxExpectTime the longest that one counts.
-	expectInterval = 10 * time.Millisecond
+	expectInterval = 25 * time.Millisecond
 	maxExpectTime  = 500 * time.Millisecond
 	// minSendRate is the least rate, in requests a second, that is kept and reported.
 	minSendRate = 0.1
