--- a/internal/system/load/record.go
+++ b/internal/system/load/record.go
@@ -27,6 +27,9 @@
 	// receives; reportBytes is about the size of one.
 	passedBytesPerSecond = 6000
 	reportBytes          = 30
+	// speedSamples is how many samples determine the learnt speed of an endpoint. With fewer,
+	// its noise would move the homes of prompts.
+	speedSamples = 20
 	// meanWeight is the weight of a sample in the means over a service.
 	meanWeight = 0.02
 	// expectInterval is the least time between two counts of what other routers are expected
@@ -153,7 +156,8 @@
 		t.MeanEventTime = sample
 	}
 	t.MeanEventTime += time.Duration(meanWeight * float64(sample-t.MeanEventTime))
-	e.EventTime = table.UpdateMovingAverage(e.EventTime, sample)
+	e.EventTimes = min(e.EventTimes+1, speedSamples)
+	e.EventTime += (sample - e.EventTime) / time.Duration(e.EventTimes)
 }
 
 func trafficOf(w *world.World, service table.ServiceName) *table.ServiceTraffic {
--- a/internal/system/placement/cost.go
+++ b/internal/system/placement/cost.go
@@ -33,6 +33,9 @@
 	// failureCost is the cost of an endpoint that fails every request, in
 	// milliseconds.
 	failureCost = 1500.0
+	// stallWeight weighs the delay that a prompt causes in each stream running at the same
+	// endpoint, in milliseconds per millisecond.
+	stallWeight = 0.05
 	// concurrentTime is the time in which routers do not learn of each other's requests.
 	concurrentTime = 100 * time.Millisecond
 	// An endpoint is crowded above crowdedShare times its share of the load and crowdedSlack
@@ -183,7 +186,7 @@
 func estimateCost(w *world.World, x *table.Exchange, e *table.DirectEndpoint, l load.Estimate, p placeKind) scoredEndpoint {
 	// pace is how long work takes, in units of the usual time of the service's endpoints.
 	pace := l.Slowdown / l.Speed
-	s := scoredEndpoint{endpoint: e, place: p, load: l, unit: stepCost * pace}
+	s := scoredEndpoint{endpoint: e, place: p, load: l, unit: (stepCost + stallWeight*float64(x.PromptTokens)/prefillTokensPerMs) * pace}
 	if x.PromptTokens == 0 {
 		s.unit = callCost * pace / float64(max(1, e.Slots))
 	}
@@ -196,8 +199,8 @@
 	}
 	uncached := float64(x.PromptTokens - cachedTokens(w, x, e))
 	s.own += p.rereadShare() * sharedTokenCost * max(0, uncached-float64(x.PromptTokens-sharedTokens(x)))
-	s.own += uncached / prefillTokensPerMs
-	s.busy += float64(e.PrefillTokens) / prefillTokensPerMs * pace
+	s.own -= (float64(x.PromptTokens) - uncached) / prefillTokensPerMs * pace
+	s.busy += float64(e.PrefillTokens+x.PromptTokens) / prefillTokensPerMs * pace
 	return s
 }
 
--- a/internal/table/route.go
+++ b/internal/table/route.go
@@ -178,9 +178,10 @@
 	Credit float64
 	// Changes are the recent changes of the requests in flight, oldest first.
 	Changes []InFlightChange
-	// EventTime is a moving average of the time between two events of a stream; 0 if
-	// unknown.
-	EventTime time.Duration
+	// EventTime is a moving average of the time between two events of a stream over
+	// EventTimes samples; 0 if unknown.
+	EventTime  time.Duration
+	EventTimes int
 
 	// FailureRate is a moving average of failed attempts, 0 to 1.
 	FailureRate float64
