placement: a choice among costs too large to differ

Cause: a request whose prompt is absurdly long made all costs so large that none was within the precision of the least one, and the control thread panicked (TestChoiceForAbsurdPrompt, which failed before). The comparisons include equality, and sums of tokens are made as floating point numbers.

--- a/internal/system/placement/cost.go
+++ b/internal/system/placement/cost.go
@@ -55,18 +55,18 @@
 	endpoint *table.DirectEndpoint
 	place    placeKind
 	load     load.Estimate
-	// busy is the cost of the endpoint's load, which is the same for all requests, and unit
-	// what another request adds to it.
+	// busy is the cost of the endpoint's load to a request of this size, and unit what
+	// another request adds to it.
 	busy, unit float64
-	// own is the cost of this request there.
+	// own is what differs for this request alone: its prompt's place and its domain.
 	own float64
 }
 
 // chooseEndpoint chooses an endpoint by its load and by what the request costs there.
 //
 // Requests that the other routers send at the same time level the load up to some height,
-// as they choose alike. Candidates below it are equally good. Among those, the
-// choice is at random, in proportion to the room below that height.
+// as they choose alike. Candidates below it are equally good, and share the requests in
+// proportion to the room below that height.
 func chooseEndpoint(w *world.World, x *table.Exchange, candidates []*table.DirectEndpoint) (scoredEndpoint, []scoredEndpoint) {
 	scored, height := scoreEndpoints(w, x, candidates)
 	if load.ExpectDue(w, x.Service) {
@@ -112,13 +112,13 @@
 	}
 	rooms, best := 0.0, -1
 	for i := range scored {
-		if scored[i].cost(height) < least+costPrecision {
+		if scored[i].cost(height) <= least+costPrecision {
 			rooms += room(&scored[i], height)
 		}
 	}
 	for i := range scored {
 		s, e := &scored[i], scored[i].endpoint
-		if s.cost(height) >= least+costPrecision {
+		if s.cost(height) > least+costPrecision {
 			continue
 		}
 		if e.Credit == 0 {
@@ -200,7 +200,7 @@
 	uncached := float64(x.PromptTokens - cachedTokens(w, x, e))
 	s.own += p.rereadShare() * sharedTokenCost * max(0, uncached-float64(x.PromptTokens-sharedTokens(x)))
 	s.own -= (float64(x.PromptTokens) - uncached) / prefillTokensPerMs * pace
-	s.busy += float64(e.PrefillTokens+x.PromptTokens) / prefillTokensPerMs * pace
+	s.busy += (float64(e.PrefillTokens) + float64(x.PromptTokens)) / prefillTokensPerMs * pace
 	return s
 }
 
--- a/internal/system/placement/even_load_test.go
+++ b/internal/system/placement/even_load_test.go
@@ -418,6 +418,18 @@
 	w.DirectEndpoints.Each(func(_ table.EndpointID, e *table.DirectEndpoint) { require.InDelta(t, 10, e.InFlight, 2) })
 }
 
+// Guards against a choice that finds no endpoint because costs are too large to differ.
+func TestChoiceForAbsurdPrompt(t *testing.T) {
+	f := newLoadFleet(loadCase{routers: 2, endpoints: 3, speeds: []float64{1}}, 1, false)
+	w := f.routers[0]
+	w.Now = f.now
+	for _, tokens := range []table.Tokens{1e9, 1e15, math.MaxInt64} {
+		x := &table.Exchange{Service: "model", PromptTokens: tokens}
+		chosen, _ := chooseEndpoint(w, x, eligibleEndpoints(w, x))
+		require.NotNil(t, chosen.endpoint)
+	}
+}
+
 // BenchmarkChoice measures the choice among the endpoints of a large fleet.
 func BenchmarkChoice(b *testing.B) {
 	for _, size := range []loadCase{{routers: 23, endpoints: 42}, {routers: 103, endpoints: 160}, {routers: 330, endpoints: 600}} {
