--- a/internal/event/exchange.go
+++ b/internal/event/exchange.go
@@ -237,7 +237,8 @@
 
 // ReportedLoad is an endpoint's load report that a router passes on.
 type ReportedLoad struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the encoding
+	//lint:ignore U1000 the encoding reads the tag
+	_msgpack struct{} `msgpack:",as_array"`
 
 	Endpoint         table.EndpointID
 	Running, Waiting int
