--- a/internal/system/load/record.go
+++ b/internal/system/load/record.go
@@ -177,7 +177,7 @@
 		}
 	})
 	news := func(e *table.DirectEndpoint) float64 {
-		return e.ReportSurprise + surprisePerSecond*min(w.Now.Sub(e.ReportPassedAt), maxReportAge).Seconds()
+		return e.ReportSurprise + surprisePerSecond*w.Now.Sub(e.ReportPassedAt).Seconds()
 	}
 	slices.SortFunc(unsent, func(a, b *table.DirectEndpoint) int { return cmp.Compare(news(b), news(a)) })
 	unsent = unsent[:min(len(unsent), maxEntries(w.LimitLedgerView.RouterCount, interval))]
