--- a/internal/event/exchange.go
+++ b/internal/event/exchange.go
@@ -39,6 +39,8 @@
 	// Slowdown is the current duration of work divided by the usual one: 1 is the
 	// usual speed, 2 half of it.
 	Slowdown float64
+	// Age is how long ago the head of the answer that carries it was read.
+	Age time.Duration
 }
 
 // EndpointNotice is what a direct endpoint says of itself in an answer.
@@ -259,6 +261,10 @@
 	LinkFull bool
 	// Lost are the endpoints that the sender itself found lost lately.
 	Lost []LostEndpoint
+	// Loads are load reports that the sender received from endpoints itself.
+	Loads []ReportedLoad
+	// SendRates are the requests a second that the sender sends, by service.
+	SendRates map[table.ServiceName]float64
 }
 
 // LostEndpoint is an endpoint that did not accept a connection or broke its answers, so
@@ -271,6 +277,20 @@
 	Age time.Duration
 }
 
+// ReportedLoad is an endpoint's load report that a router passes on.
+type ReportedLoad struct {
+	//lint:ignore U1000 the encoding reads the tag
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Endpoint         table.EndpointID
+	Running, Waiting int
+	// SlowdownPercent is 100 at the usual speed of the endpoint.
+	SlowdownPercent int
+	// AgeMs is how long ago the endpoint sent the report, EventTimeUs the time between two
+	// events of its streams as the sender learnt it, or 0; in milliseconds and microseconds.
+	AgeMs, EventTimeUs int64
+}
+
 // ReportedNotice is what an endpoint said of itself to a router.
 type ReportedNotice struct {
 	Endpoint table.EndpointID
--- a/internal/system/peers/peers.go
+++ b/internal/system/peers/peers.go
@@ -10,6 +10,7 @@
 	"laburnumroad.dev/laburnumroad/internal/system/allowance"
 	"laburnumroad.dev/laburnumroad/internal/system/evacuation"
 	"laburnumroad.dev/laburnumroad/internal/system/link"
+	"laburnumroad.dev/laburnumroad/internal/system/load"
 	"laburnumroad.dev/laburnumroad/internal/system/notice"
 	"laburnumroad.dev/laburnumroad/internal/system/warmup"
 	"laburnumroad.dev/laburnumroad/internal/system/watch"
@@ -67,7 +68,7 @@
 	if peer == nil || peer.Session != e.Session {
 		return
 	}
-	peer.Connected, peer.AbsentSince, peer.Available = false, w.Now, nil
+	peer.Connected, peer.AbsentSince, peer.Available, peer.SendRates = false, w.Now, nil, nil
 	w.FleetGeneration++
 	w.RecordStateChange("router", string(peer.Process), "connected", "", "session ended")
 }
@@ -81,6 +82,7 @@
 		w.FleetGeneration++
 	}
 	peer.StoreDown, peer.Available, peer.LinkFull = e.StoreDown, e.Available, e.LinkFull
+	load.OnReport(w, peer, e)
 }
 
 // dialPeers opens sessions with the routers in the ledger. In each pair, the
@@ -138,6 +140,7 @@
 	w.Out.RouterReports = append(w.Out.RouterReports, command.SendRouterReport{Report: event.RouterReport{
 		Available: allowance.HeldTokens(w), StoreDown: storeDown, FollowedFor: watch.FollowedFor(w), LastChanges: watch.LastChanges(w),
 		Wants: wants, Notices: notice.Report(w), Evacuated: evacuated, EvacuationsCovered: evacuationsCovered, Lost: warmup.Report(w), LinkFull: link.IsFull(w),
+		Loads: load.Report(w, ReportInterval(w)), SendRates: load.SendRates(w),
 	}})
 }
 
