front: an attempt's end says if this router withheld the request

Cause: "not sent" stood for a connection that could not be opened, and for a request that this router held back over an open one, because the endpoint was withdrawn or the time was over. Only the first says something of the endpoint. Change: DirectAttemptEnd.Withheld, from upstream.ErrWithheld. Two tests of front check it, one its absence. Not measured.

--- a/internal/event/exchange.go
+++ b/internal/event/exchange.go
@@ -106,6 +106,9 @@
 	// ConnectionLost is true if the connection ended before the answer was
 	// complete, as it does when an endpoint crashes.
 	ConnectionLost bool
+	// Withheld is true if this router did not send the request over a connection that was
+	// open: the endpoint was withdrawn or the time was over.
+	Withheld bool
 	// EndpointGone is true if the connection was lost before any event of the attempt
 	// arrived, and nothing accepted connections at the endpoint's address right after.
 	EndpointGone bool
--- a/internal/traffic/front/exchange.go
+++ b/internal/traffic/front/exchange.go
@@ -204,7 +204,7 @@
 // callFailure returns the result of an attempt that received no response.
 func callFailure(err error) event.DirectAttemptEnd {
 	if errors.Is(err, upstream.ErrNotSent) {
-		return event.DirectAttemptEnd{Status: event.DirectNotSent, Reason: err.Error()}
+		return event.DirectAttemptEnd{Status: event.DirectNotSent, Withheld: errors.Is(err, upstream.ErrWithheld), Reason: err.Error()}
 	}
 	return event.DirectAttemptEnd{Status: event.DirectOutcomeUnknown, ConnectionLost: true, Reason: err.Error()}
 }
--- a/internal/traffic/front/front_test.go
+++ b/internal/traffic/front/front_test.go
@@ -383,6 +383,7 @@
 	_, _, err := control.send(t, "r1", "", nil)
 	require.NoError(t, err)
 	require.Equal(t, event.DirectNotSent, control.attemptEnd(0).Status)
+	require.False(t, control.attemptEnd(0).Withheld)
 }
 
 // Guards against an HTTP client that resends a request on its own when a reused
--- a/internal/traffic/front/late_test.go
+++ b/internal/traffic/front/late_test.go
@@ -26,6 +26,7 @@
 	require.NoError(t, err)
 	require.Equal(t, http.StatusBadGateway, resp.StatusCode)
 	require.Equal(t, event.DirectNotSent, control.attemptEnd(0).Status)
+	require.True(t, control.attemptEnd(0).Withheld)
 	require.Empty(t, endpoint.receivedRequests())
 	control.server.SetEndpointUse(command.SetEndpointUse{Endpoint: "i-1", Allowed: true})
 	resp, _, err = control.send(t, "r2", "", nil)
@@ -83,6 +84,7 @@
 	_, _, err = control.send(t, "r2", "", nil)
 	require.NoError(t, err)
 	require.Equal(t, event.DirectNotSent, control.attemptEnd(1).Status)
+	require.True(t, control.attemptEnd(1).Withheld)
 	require.Len(t, endpoint.receivedRequests(), 1)
 }
 
--- a/internal/traffic/upstream/exchange.go
+++ b/internal/traffic/upstream/exchange.go
@@ -67,8 +67,12 @@
 	stopCancel func() bool
 }
 
-// ErrNotSent reports that no byte of the request was written.
-var ErrNotSent = errors.New("not sent")
+// ErrNotSent reports that no byte of the request was written. ErrWithheld reports that a
+// connection was open, but Prepare or the context kept the request from being sent.
+var (
+	ErrNotSent  = errors.New("not sent")
+	ErrWithheld = errors.New("withheld")
+)
 
 // Do sends a request and returns the response once its headers are read. Cancelling
 // the context ends the request at any time, also while the body is read, by closing
@@ -87,7 +91,7 @@
 			req.OnConnect(time.Since(started))
 		}
 		if err != nil {
-			return nil, notSentError{err}
+			return nil, notSentError{error: err}
 		}
 	}
 	header, err := req.Prepare()
@@ -96,7 +100,7 @@
 	}
 	if err != nil {
 		conn.Close()
-		return nil, notSentError{err}
+		return nil, notSentError{error: err, withheld: true}
 	}
 	resp := &Response{pool: p, address: req.Address, conn: conn, sendResult: make(chan error, 1)}
 	resp.stopCancel = context.AfterFunc(ctx, conn.abort)
@@ -113,9 +117,14 @@
 
 // notSentError wraps an error that occurred before the first byte of the request was
 // written.
-type notSentError struct{ error }
+type notSentError struct {
+	error
+	withheld bool
+}
 
-func (e notSentError) Is(target error) bool { return target == ErrNotSent }
+func (e notSentError) Is(target error) bool {
+	return target == ErrNotSent || target == ErrWithheld && e.withheld
+}
 
 func (e notSentError) Unwrap() error { return e.error }
 
