warmup: order of events, and what is no loss

Five faults, each with a test that failed before: - A request that this router withheld (an evacuation, its time over) marked the endpoint lost. - A router that learned the endpoints before the configuration dropped their cold times and counted cold endpoints as warm. It keeps them until the configuration is known. - A report of a loss that was repeated after the endpoint had become warm, and its row was gone, counted as a new loss. The endpoint keeps LostAt. - A broken answer of an endpoint's former process counted as the first of two of the one listed now. - After a time in which the configuration had no cold starts, that time counted as silence.

--- a/internal/system/warmup/warmup.go
+++ b/internal/system/warmup/warmup.go
@@ -46,6 +46,11 @@
 // Run applies what the store, other routers and attempts show of endpoints' starts.
 func Run(w *world.World) {
 	if !hasColdStarts(w) {
+		w.HeardAt, w.Silent = 0, false
+		if w.Manifest.Version == 0 {
+			keepEntries(w)
+			return
+		}
 		w.ColdEndpoints.DeleteIf(func(table.EndpointID, *table.ColdEndpoint) bool { return true })
 		return
 	}
@@ -112,6 +117,23 @@
 	}
 }
 
+// keepEntries keeps what entries say until the configuration tells which services have cold
+// starts: a router that starts may learn the endpoints first.
+func keepEntries(w *world.World) {
+	for i := range w.In.EndpointChanges {
+		for _, entry := range w.In.EndpointChanges[i].Present {
+			e := w.DirectEndpoints.Get(entry.ID)
+			if e == nil || e.StartedUnixMilli != entry.StartedUnixMilli || !entry.ColdKnown {
+				continue
+			}
+			if left := min(max(0, entry.ColdLeft), maxColdTime); left > 0 || w.ColdEndpoints.Get(e.ID) != nil {
+				c := rowOf(w, e)
+				c.EntryUntil, c.EntrySaidAt = w.Now.Add(left), w.Now
+			}
+		}
+	}
+}
+
 func rowOf(w *world.World, e *table.DirectEndpoint) *table.ColdEndpoint {
 	if c := w.ColdEndpoints.Get(e.ID); c != nil {
 		return c
@@ -182,25 +204,25 @@
 	if e == nil || coldService(w, e) == nil {
 		return
 	}
+	isFormer := e.ListedAt >= x.AttemptSentAt
 	isBroken := end.ConnectionLost && e.BrokenAt != 0 && w.Now.Sub(e.BrokenAt) <= brokenWindow
-	if end.ConnectionLost {
+	if end.ConnectionLost && !isFormer {
 		e.BrokenAt = w.Now
 	}
 	switch {
 	case end.Status == event.DirectAnswered || end.Status == event.DirectDeclined:
 		onAnswer(w, end.Exchange, end.Attempt)
-	case e.Leaving:
+	case e.Leaving || end.Withheld:
+	case isFormer:
+		// The attempt met the process before the one that is listed now.
 	case end.Status == event.DirectNotSent || end.EndpointGone || isBroken:
-		if e.ListedAt >= x.AttemptSentAt {
-			// The attempt met the process before the one that is listed now.
-			return
-		}
 		rowOf(w, e).FoundLostAt = w.Now
 		markLost(w, e, "attempts failed: "+end.Reason)
 	}
 }
 
 func markLost(w *world.World, e *table.DirectEndpoint, reason string) {
+	e.LostAt = w.Now
 	mark(w, e, w.Now.Add(lostTime+coldService(w, e).ColdTime), reason)
 	w.ColdEndpoints.Get(e.ID).Lost = true
 }
@@ -217,7 +239,12 @@
 		if e == nil || e.StartedUnixMilli != lost.StartedUnixMilli || coldService(w, e) == nil || lost.Age < 0 || lost.Age > reportedFor {
 			continue
 		}
-		if c := w.ColdEndpoints.Get(e.ID); c == nil || c.MarkedAt < w.Now.Add(-lost.Age) {
+		// The row of one that became warm since is gone, LostAt remains.
+		knownAt := e.LostAt
+		if c := w.ColdEndpoints.Get(e.ID); c != nil {
+			knownAt = max(knownAt, c.MarkedAt)
+		}
+		if knownAt < w.Now.Add(-lost.Age) {
 			markLost(w, e, "router "+string(r.From.Process)+" lost it")
 		}
 	}
--- a/internal/system/warmup/warmup_test.go
+++ b/internal/system/warmup/warmup_test.go
@@ -8,8 +8,10 @@
 	"pgregory.net/rapid"
 
 	"laburnumroad.dev/laburnumroad/internal/event"
+	"laburnumroad.dev/laburnumroad/internal/system/catalog"
 	"laburnumroad.dev/laburnumroad/internal/system/warmup"
 	"laburnumroad.dev/laburnumroad/internal/table"
+	"laburnumroad.dev/laburnumroad/internal/world"
 )
 
 var sizes = []int{4, 24, 103}
@@ -345,3 +347,93 @@
 		require.GreaterOrEqual(t, float64(f.sent-sent), 0.9*13*10, "%d routers", routers)
 	}
 }
+
+// Guards against a request that its router held back, as in an evacuation or with its time
+// over, that counts as a loss of the endpoint.
+func TestWithheldRequestIsNoLoss(t *testing.T) {
+	f := newFleet(15, 4, 13)
+	r := f.routers[0]
+	r.world.Exchanges.Put(1<<40, table.Exchange{Attempt: 1, Endpoint: endpointID, State: table.ExchangeRunning, AttemptSentAt: f.now})
+	r.inbox = append(r.inbox, event.DirectAttemptEnd{Exchange: 1 << 40, Attempt: 1, Status: event.DirectNotSent, Withheld: true})
+	f.run(step)
+	require.Zero(t, r.world.ColdEndpoints.Len())
+}
+
+// Guards against a router that starts, learns the endpoints before the configuration, and
+// counts cold ones as warm.
+func TestColdTimesAreKeptUntilTheConfigurationIsKnown(t *testing.T) {
+	w := world.New(world.Params{}, 1)
+	tick := func(at time.Duration, e event.Event) {
+		e.AddTo(&w.In)
+		w.Tick(table.Instant(at), []world.System{world.SystemFunc(catalog.Run), world.SystemFunc(warmup.Run)})
+	}
+	tick(time.Second, event.EndpointChanges{Full: true, Covered: 1, Present: []event.EndpointEntry{
+		{ID: "m1", Service: "model", ColdKnown: true, ColdLeft: 5 * time.Second}, {ID: "t1", Service: "tool", ColdKnown: true, ColdLeft: 5 * time.Second},
+		{ID: "m2", Service: "model", ColdKnown: true},
+	}})
+	tick(2*time.Second, event.ManifestReceived{Manifest: table.Manifest{
+		Version: 1, Services: []table.DirectService{{Name: "model", ColdTime: coldTime, ColdRate: 10}, {Name: "tool"}},
+	}})
+	require.True(t, warmup.IsCold(w, w.DirectEndpoints.Get("m1")))
+	require.False(t, warmup.IsCold(w, w.DirectEndpoints.Get("m2")))
+	require.Equal(t, 1, w.ColdEndpoints.Len(), "only services with cold starts")
+	tick(6*time.Second, event.PlatformState{Reachable: true})
+	require.False(t, warmup.IsCold(w, w.DirectEndpoints.Get("m1")))
+}
+
+// Guards against reports that repeat a loss which the receiver has dealt with: the endpoint
+// has answered, got warm and would be cold once more.
+func TestRepeatedReportOfLossIsNoNewLoss(t *testing.T) {
+	w := world.New(world.Params{}, 1)
+	w.DirectServices.Put("model", table.DirectService{Name: "model", ColdTime: time.Second, ColdRate: 10})
+	tick := func(at time.Duration, events ...event.Event) {
+		for _, e := range events {
+			e.AddTo(&w.In)
+		}
+		w.Tick(table.Instant(at), []world.System{world.SystemFunc(catalog.Run), world.SystemFunc(warmup.Run)})
+	}
+	lostAt := func(age time.Duration) event.RouterReport {
+		return event.RouterReport{StoreDown: true, Lost: []event.LostEndpoint{{Endpoint: endpointID, Age: age}}}
+	}
+	tick(time.Second, event.EndpointChanges{Full: true, Covered: 1, Present: []event.EndpointEntry{{ID: endpointID, Service: "model", ColdKnown: true}}})
+	tick(10*time.Second, lostAt(0))
+	w.Exchanges.Put(1, table.Exchange{Attempt: 1, Endpoint: endpointID, State: table.ExchangeRunning, AttemptSentAt: table.Instant(10500 * time.Millisecond)})
+	tick(11*time.Second, event.DirectAttemptEnd{Exchange: 1, Attempt: 1, Status: event.DirectAnswered})
+	tick(13*time.Second, lostAt(3*time.Second))
+	tick(14*time.Second, lostAt(4*time.Second))
+	require.False(t, warmup.IsCold(w, w.DirectEndpoints.Get(endpointID)))
+	tick(14500*time.Millisecond, lostAt(0))
+	require.True(t, warmup.IsCold(w, w.DirectEndpoints.Get(endpointID)), "a later loss")
+}
+
+// Guards against a configuration that brings cold starts back, and a router that takes the
+// time without them for silence.
+func TestTimeWithoutColdStartsIsNoSilence(t *testing.T) {
+	f := newFleet(16, 4, 13)
+	w := f.routers[0].world
+	w.DirectServices.Put("model", table.DirectService{Name: "model"})
+	f.run(silence + time.Second)
+	w.DirectServices.Put("model", table.DirectService{Name: "model", ColdTime: coldTime, ColdRate: 13})
+	f.run(step)
+	require.False(t, w.Silent)
+	require.Zero(t, w.ColdEndpoints.Len())
+}
+
+// Guards against a broken answer of an endpoint's former process that counts against the one
+// that is listed now.
+func TestBrokenAnswerOfFormerProcessDoesNotCount(t *testing.T) {
+	f := newFleet(17, 4, 13)
+	r := f.routers[0]
+	breakAt := func(id table.ExchangeID, sentAt table.Instant) {
+		r.world.Exchanges.Put(id, table.Exchange{Attempt: 1, Endpoint: endpointID, State: table.ExchangeRunning, AttemptSentAt: sentAt})
+		r.inbox = append(r.inbox, event.DirectAttemptEnd{Exchange: id, Attempt: 1, Status: event.DirectOutcomeUnknown, ConnectionLost: true})
+		f.run(step)
+	}
+	before := f.now
+	f.born++
+	f.tellAll()
+	f.run(step)
+	breakAt(1<<40, before-1)
+	breakAt(1<<40+1, f.now)
+	require.False(t, warmup.IsCold(r.world, r.world.DirectEndpoints.Get(endpointID)))
+}
--- a/internal/table/route.go
+++ b/internal/table/route.go
@@ -162,6 +162,8 @@
 	SuspectUntil        Instant
 	// BrokenAt is when an attempt last lost its connection, or 0.
 	BrokenAt Instant
+	// LostAt is when it was last found lost, here or by another router, or 0.
+	LostAt Instant
 }
 
 // PromptPart is a part of a prompt that several requests may share.
