placement: order by priority only where an endpoint limits what it gets

Cause: since cold endpoints, waiting requests were placed by priority in each tick, also where nothing is cold or limited, which changes which request gets the less busy endpoint. Change: only while an endpoint is paused, names a limit, is cold or was so a moment ago. The new test fails without the change and without the order. Not measured.

--- a/internal/gateway/cold_test.go
+++ b/internal/gateway/cold_test.go
@@ -59,3 +59,27 @@
 	}
 	require.Len(t, times, 24-(len(h.calls)-sent), "refused at once, each with a time of its own")
 }
+
+// Guards against an order by priority where no endpoint limits what it gets, and against
+// arrivals that are served in the order in which they come where one does.
+func TestRequestsAreOrderedByPriorityOnlyIfEndpointsLimitThem(t *testing.T) {
+	for _, limited := range []bool{false, true} {
+		h := newServingHarness(t)
+		m := testManifest(2)
+		m.Routes[1].Priority = 3
+		m.Customers[0].Limited = false
+		h.step(event.ManifestReceived{Manifest: m})
+		if limited {
+			h.endAttempt(h.answerOf(event.EndpointNotice{Present: true, RateLimited: true, RateLimit: 50}, event.DirectAnswered))
+		}
+		sent := len(h.calls)
+		lessUrgent, urgent := h.newArrival("/feedback/1"), h.newArrival("/review/1")
+		h.step(lessUrgent, urgent)
+		require.Len(t, h.calls, sent+2)
+		first := lessUrgent.Exchange
+		if limited {
+			first = urgent.Exchange
+		}
+		require.Equal(t, first, h.calls[sent].Exchange, "limited: %v", limited)
+	}
+}
--- a/internal/system/eligibility/eligibility.go
+++ b/internal/system/eligibility/eligibility.go
@@ -55,6 +55,10 @@
 	return Verdict{}
 }
 
+// AnyLimited reports whether an endpoint bounds what it gets, so that requests compete for
+// what it admits.
+func AnyLimited(w *world.World) bool { return notice.AnyLimited(w) || warmup.AnyLimited(w) }
+
 // Take uses what an endpoint admits for a request that is sent to it.
 func Take(w *world.World, e *table.DirectEndpoint) {
 	notice.Take(w, e.ID)
--- a/internal/system/notice/notice.go
+++ b/internal/system/notice/notice.go
@@ -228,6 +228,15 @@
 	return max(wait, permitIn), permitIn >= 0
 }
 
+// AnyLimited reports whether an endpoint is paused or names a limit.
+func AnyLimited(w *world.World) bool {
+	found := false
+	w.EndpointNotices.Each(func(_ table.EndpointID, n *table.EndpointNotice) {
+		found = found || n.RateLimited || n.PausedUntil > w.Now
+	})
+	return found
+}
+
 // updateShare computes this router's share of an endpoint's limit. All routers together
 // may send as many requests at once as Burst adds up to, beyond the limit's rate. The
 // number of routers that share a limit is bounded by that, or a large fleet would send one
--- a/internal/system/placement/placement.go
+++ b/internal/system/placement/placement.go
@@ -32,8 +32,10 @@
 			waiting = append(waiting, x)
 		}
 	}
-	// The more urgent requests get what endpoints admit.
-	slices.SortStableFunc(waiting, func(a, b *table.Exchange) int { return cmp.Compare(a.Priority, b.Priority) })
+	if len(waiting) > 1 && eligibility.AnyLimited(w) {
+		// The more urgent requests get what endpoints admit.
+		slices.SortStableFunc(waiting, func(a, b *table.Exchange) int { return cmp.Compare(a.Priority, b.Priority) })
+	}
 	for _, x := range waiting {
 		place(w, x)
 	}
--- a/internal/system/warmup/warmup.go
+++ b/internal/system/warmup/warmup.go
@@ -400,6 +400,9 @@
 	return max(0, slices.Min(c.FreeAt).Sub(w.Now)), true
 }
 
+// AnyLimited reports whether an endpoint does not get its full share of requests yet.
+func AnyLimited(w *world.World) bool { return w.ColdEndpoints.Len() > 0 }
+
 // Take uses a permit for a request that is sent to an endpoint.
 func Take(w *world.World, e *table.DirectEndpoint) {
 	c := w.ColdEndpoints.Get(e.ID)
