warmup: entries written before a loss do not end it

Cause: an entry that named a cold time and a later one that named none ended the mark of a lost endpoint if the first arrived after the loss. Both may have been written before it, by the process that ended, and come late by a relay. Change: the first must arrive a change bound after the mark. The test fails without that.

--- a/internal/system/peers/peers.go
+++ b/internal/system/peers/peers.go
@@ -120,7 +120,8 @@
 // sendReport sends the periodic report to the other routers, and one at once if the
 // store went out of reach or came back, if this router lacks changes, if an endpoint said
 // something new, or if the store told it of an evacuation: the others choose their delegates
-// by it, send what is missing, or do what the endpoint or the operator wants. The reports also keep sessions open, which end after several missing ones.
+// by it, send what is missing, or do what the endpoint or the operator wants. The reports
+// also keep sessions open, which end after several missing ones.
 func sendReport(w *world.World) {
 	storeDown := !w.PlatformReachable || w.LimitLedgerView.Backoff > 0
 	nextReport := w.ReportSentAt.Add(ReportInterval(w))
--- a/internal/system/warmup/warmup.go
+++ b/internal/system/warmup/warmup.go
@@ -7,6 +7,7 @@
 package warmup
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"slices"
@@ -37,6 +38,8 @@
 	lostTime = 10 * time.Second
 	// reportedFor is how long other routers are told that an endpoint was lost.
 	reportedFor = 5 * time.Second
+	// defaultChangeBound is how long an entry may take to arrive if the settings don't say it.
+	defaultChangeBound = 5 * time.Second
 	// After the cold time, the slots double rampSteps times, every rampInterval, before the
 	// endpoint gets as much as any other.
 	rampSteps    = 2
@@ -88,7 +91,8 @@
 }
 
 // onEntry applies what the entry of an endpoint says. An entry that no longer names a cold
-// time was written later than what it replaces.
+// time was written later than what it replaces. If that came so late after a mark that it
+// was also written after it, the process that is listed still lives, and is warm.
 func onEntry(w *world.World, entry *event.EndpointEntry) {
 	e := w.DirectEndpoints.Get(entry.ID)
 	if e == nil || coldService(w, e) == nil || e.StartedUnixMilli != entry.StartedUnixMilli {
@@ -109,7 +113,7 @@
 		logCold(w, e, c, wasCold, "its entry says so")
 	case entry.ColdKnown && c != nil:
 		c.EntryUntil = min(c.EntryUntil, w.Now)
-		if c.EntrySaidAt > c.MarkedAt {
+		if c.EntrySaidAt > c.MarkedAt.Add(cmp.Or(w.Params.Front.ChangeBound, defaultChangeBound)) {
 			c.Lost, c.MarkedUntil = false, min(c.MarkedUntil, w.Now)
 		}
 	case !entry.ColdKnown && isNew:
--- a/internal/system/warmup/warmup_test.go
+++ b/internal/system/warmup/warmup_test.go
@@ -437,3 +437,29 @@
 	breakAt(1<<40+1, f.now)
 	require.False(t, warmup.IsCold(r.world, r.world.DirectEndpoints.Get(endpointID)))
 }
+
+// Guards against entries that a process wrote before it ended and that arrive afterwards: they
+// say that it turned warm, and end what protects the next one.
+func TestEntriesWrittenBeforeALossDoNotEndIt(t *testing.T) {
+	f := newFleet(18, 4, 13)
+	r := f.routers[0]
+	list := func(left time.Duration) {
+		f.coldUntil = f.now.Add(left)
+		f.tell(r)
+		f.run(step)
+	}
+	cold := func() bool { return warmup.IsCold(r.world, r.world.DirectEndpoints.Get(endpointID)) }
+	r.world.DirectServices.Put("model", table.DirectService{Name: "model", ColdTime: time.Minute, ColdRate: 13})
+	f.down = true
+	f.run(3 * step)
+	f.down = false
+	require.True(t, cold())
+	list(50 * time.Millisecond)
+	f.run(100 * time.Millisecond)
+	list(0)
+	require.True(t, cold(), "they may be late")
+	f.run(6 * time.Second)
+	list(50 * time.Millisecond)
+	list(0)
+	require.False(t, cold(), "they are of a process that lives")
+}
