--- a/internal/system/warmup/warmup.go
+++ b/internal/system/warmup/warmup.go
@@ -7,6 +7,7 @@
 package warmup
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"slices"
@@ -37,6 +38,8 @@
 	lostTime = 10 * time.Second
 	// reportedFor is how long other routers are told that an endpoint was lost.
 	reportedFor = 5 * time.Second
+	// defaultChangeBound is how long an entry may take to arrive if the settings don't say it.
+	defaultChangeBound = 5 * time.Second
 	// After the cold time, the slots double rampSteps times, every rampInterval, before the
 	// endpoint gets as much as any other.
 	rampSteps    = 2
@@ -46,6 +49,11 @@
 // Run applies what the store, other routers and attempts show of endpoints' starts.
 func Run(w *world.World) {
 	if !hasColdStarts(w) {
+		w.HeardAt, w.Silent = 0, false
+		if w.Manifest.Version == 0 {
+			keepEntries(w)
+			return
+		}
 		w.ColdEndpoints.DeleteIf(func(table.EndpointID, *table.ColdEndpoint) bool { return true })
 		return
 	}
@@ -83,7 +91,8 @@
 }
 
 // onEntry applies what the entry of an endpoint says. An entry that no longer names a cold
-// time was written later than what it replaces.
+// time was written later than what it replaces. If that came so late after a mark that it
+// was also written after it, the process that is listed still lives, and is warm.
 func onEntry(w *world.World, entry *event.EndpointEntry) {
 	e := w.DirectEndpoints.Get(entry.ID)
 	if e == nil || coldService(w, e) == nil || e.StartedUnixMilli != entry.StartedUnixMilli {
@@ -104,7 +113,7 @@
 		logCold(w, e, c, wasCold, "its entry says so")
 	case entry.ColdKnown && c != nil:
 		c.EntryUntil = min(c.EntryUntil, w.Now)
-		if c.EntrySaidAt > c.MarkedAt {
+		if c.EntrySaidAt > c.MarkedAt.Add(cmp.Or(w.Params.Front.ChangeBound, defaultChangeBound)) {
 			c.Lost, c.MarkedUntil = false, min(c.MarkedUntil, w.Now)
 		}
 	case !entry.ColdKnown && isNew:
@@ -112,6 +121,23 @@
 	}
 }
 
+// keepEntries keeps what entries say until the configuration tells which services have cold
+// starts: a router that starts may learn the endpoints first.
+func keepEntries(w *world.World) {
+	for i := range w.In.EndpointChanges {
+		for _, entry := range w.In.EndpointChanges[i].Present {
+			e := w.DirectEndpoints.Get(entry.ID)
+			if e == nil || e.StartedUnixMilli != entry.StartedUnixMilli || !entry.ColdKnown {
+				continue
+			}
+			if left := min(max(0, entry.ColdLeft), maxColdTime); left > 0 || w.ColdEndpoints.Get(e.ID) != nil {
+				c := rowOf(w, e)
+				c.EntryUntil, c.EntrySaidAt = w.Now.Add(left), w.Now
+			}
+		}
+	}
+}
+
 func rowOf(w *world.World, e *table.DirectEndpoint) *table.ColdEndpoint {
 	if c := w.ColdEndpoints.Get(e.ID); c != nil {
 		return c
@@ -153,7 +179,7 @@
 }
 
 // onAnswer ends the uncertainty about a lost endpoint: the process that answers has started by
-// now, so it is warm after the cold time.
+// now, so it is warm after the cold time, or when the time of the loss is over.
 func onAnswer(w *world.World, exchange table.ExchangeID, attempt int) {
 	x := w.Exchanges.Get(exchange)
 	if x == nil || x.Attempt != attempt {
@@ -169,7 +195,7 @@
 	}
 	c.Lost = false
 	if c.MarkedUntil != table.Never {
-		c.MarkedUntil = w.Now.Add(service.ColdTime)
+		c.MarkedUntil = min(c.MarkedUntil, w.Now.Add(service.ColdTime))
 	}
 }
 
@@ -182,25 +208,25 @@
 	if e == nil || coldService(w, e) == nil {
 		return
 	}
+	isFormer := e.ListedAt >= x.AttemptSentAt
 	isBroken := end.ConnectionLost && e.BrokenAt != 0 && w.Now.Sub(e.BrokenAt) <= brokenWindow
-	if end.ConnectionLost {
+	if end.ConnectionLost && !isFormer {
 		e.BrokenAt = w.Now
 	}
 	switch {
 	case end.Status == event.DirectAnswered || end.Status == event.DirectDeclined:
 		onAnswer(w, end.Exchange, end.Attempt)
-	case e.Leaving:
+	case e.Leaving || end.Withheld:
+	case isFormer:
+		// The attempt met the process before the one that is listed now.
 	case end.Status == event.DirectNotSent || end.EndpointGone || isBroken:
-		if e.ListedAt >= x.AttemptSentAt {
-			// The attempt met the process before the one that is listed now.
-			return
-		}
 		rowOf(w, e).FoundLostAt = w.Now
 		markLost(w, e, "attempts failed: "+end.Reason)
 	}
 }
 
 func markLost(w *world.World, e *table.DirectEndpoint, reason string) {
+	e.LostAt = w.Now
 	mark(w, e, w.Now.Add(lostTime+coldService(w, e).ColdTime), reason)
 	w.ColdEndpoints.Get(e.ID).Lost = true
 }
@@ -217,7 +243,12 @@
 		if e == nil || e.StartedUnixMilli != lost.StartedUnixMilli || coldService(w, e) == nil || lost.Age < 0 || lost.Age > reportedFor {
 			continue
 		}
-		if c := w.ColdEndpoints.Get(e.ID); c == nil || c.MarkedAt < w.Now.Add(-lost.Age) {
+		// The row of one that became warm since is gone, LostAt remains.
+		knownAt := e.LostAt
+		if c := w.ColdEndpoints.Get(e.ID); c != nil {
+			knownAt = max(knownAt, c.MarkedAt)
+		}
+		if knownAt < w.Now.Add(-lost.Age) {
 			markLost(w, e, "router "+string(r.From.Process)+" lost it")
 		}
 	}
@@ -373,6 +404,9 @@
 	return max(0, slices.Min(c.FreeAt).Sub(w.Now)), true
 }
 
+// AnyLimited reports whether an endpoint does not get its full share of requests yet.
+func AnyLimited(w *world.World) bool { return w.ColdEndpoints.Len() > 0 }
+
 // Take uses a permit for a request that is sent to an endpoint.
 func Take(w *world.World, e *table.DirectEndpoint) {
 	c := w.ColdEndpoints.Get(e.ID)
--- a/internal/table/route.go
+++ b/internal/table/route.go
@@ -195,6 +195,8 @@
 	SuspectUntil        Instant
 	// BrokenAt is when an attempt last lost its connection, or 0.
 	BrokenAt Instant
+	// LostAt is when it was last found lost, here or by another router, or 0.
+	LostAt Instant
 }
 
 // InFlightChange is a change of the requests in flight at an endpoint.
