front: a client that does not read is no failure of the endpoint

A stream ends when its client has not taken an event for 5 s, and the connection to the endpoint is closed. The attempt counted as a failure of the endpoint, though: if its end arrived in the tick of the client's disconnect or before, the endpoint became suspect, and the stream went on to a place at another endpoint whose answer nobody reads. Slow clients could so make sound endpoints costly for everybody.

The end of an attempt now says that the client was lost. It finishes the exchange and leaves the endpoint's failure rate alone; the counter is attempt.client_lost.

TestClientThatDoesNotReadIsNoFailureOfEndpoint fails without the change of attempt (two calls) and without that of health (SuspectUntil is set).

--- a/internal/event/exchange.go
+++ b/internal/event/exchange.go
@@ -109,6 +109,9 @@
 	// EndpointGone is true if the connection was lost before any event of the attempt
 	// arrived, and nothing accepted connections at the endpoint's address right after.
 	EndpointGone bool
+	// ClientLost is true if the answer could not be written to the client, which left or
+	// did not read. It says nothing about the endpoint.
+	ClientLost bool
 	// DeliveredEvents counts the events passed to the client, over all attempts.
 	DeliveredEvents int64
 	// HeaderDelivered is true if the header of an answer was sent to the client, by
--- a/internal/gateway/systems_test.go
+++ b/internal/gateway/systems_test.go
@@ -407,6 +407,23 @@
 	require.Zero(t, h.world.DirectEndpoints.Get(c.Endpoint).InFlight)
 }
 
+// Guards against a client that does not read its stream and makes the endpoint count as
+// failed, or takes a place at another one.
+func TestClientThatDoesNotReadIsNoFailureOfEndpoint(t *testing.T) {
+	h := newServingHarness(t)
+	c := h.sendRequest("/review/1")
+	h.endAttempt(c, event.DirectAttemptEnd{
+		Status: event.DirectOutcomeUnknown, ClientLost: true, HTTPStatus: 200, HeaderDelivered: true, DeliveredEvents: 3, Reason: "write to the client",
+	})
+	require.Len(t, h.callsFor(c.Exchange), 1)
+	require.Equal(t, table.CodeCancelled, h.finishOf(c.Exchange).Outcome.Code)
+	require.Zero(t, h.world.Exchanges.Len())
+	e := h.world.DirectEndpoints.Get(c.Endpoint)
+	require.Zero(t, e.InFlight)
+	require.Zero(t, e.SuspectUntil)
+	require.Zero(t, e.FailureRate)
+}
+
 // Guards against requests that stay open beyond the timeout of their route.
 func TestRouteTimeoutIsEnforced(t *testing.T) {
 	h := newServingHarness(t)
--- a/internal/system/attempt/attempt.go
+++ b/internal/system/attempt/attempt.go
@@ -70,6 +70,10 @@
 		w.ExchangesEnded.Add(x.ID)
 	case table.ExchangeRunning:
 		x.State = table.ExchangePlacing
+		if e.ClientLost {
+			onClientLost(w, x, e)
+			return
+		}
 		retryOrFinish(w, x, e)
 	}
 }
@@ -155,6 +159,14 @@
 	w.FinishExchange(x, false, table.Outcome{Code: table.CodeCancelled, Reason: "the client left", Ran: table.RanUnknown})
 }
 
+// onClientLost ends an exchange whose client did not take its answer. Another endpoint
+// would answer nobody.
+func onClientLost(w *world.World, x *table.Exchange, e *event.DirectAttemptEnd) {
+	w.Count("attempt.client_lost")
+	explain(w, x, "the client did not take the answer", e)
+	w.FinishExchange(x, false, table.Outcome{Code: table.CodeCancelled, Reason: e.Reason, Ran: table.RanUnknown})
+}
+
 // onTimer ends an exchange whose ClientDeadline or RouteDeadline has passed.
 func onTimer(w *world.World, x *table.Exchange) {
 	if x.State == table.ExchangeStopping || x.State == table.ExchangeEnded {
--- a/internal/system/health/health.go
+++ b/internal/system/health/health.go
@@ -108,7 +108,7 @@
 		row.AwaitingFirstEvent = max(0, row.AwaitingFirstEvent-1)
 		row.PrefillTokens = max(0, row.PrefillTokens-x.PrefillTokens)
 	}
-	if x.State == table.ExchangeStopping {
+	if x.State == table.ExchangeStopping || e.ClientLost {
 		// The router or the client ended the attempt, which says nothing about the
 		// endpoint.
 		return
--- a/internal/traffic/front/stream.go
+++ b/internal/traffic/front/stream.go
@@ -73,8 +73,14 @@
 			end.LongestGap = max(end.LongestGap, now.Sub(lastEventTime))
 		}
 		lastEventTime = now
-		if err := x.writeEvent(resp, text); err != nil {
-			end.Status, end.Reason = event.DirectOutcomeUnknown, err.Error()
+		id := parseEventID(text)
+		if id != "" && !isNextEventID(id, x.lastEventID) {
+			end.Status, end.Reason = event.DirectOutcomeUnknown, "event "+id+" does not follow event "+x.lastEventID
+			return
+		}
+		x.sendHeader(resp)
+		if err := x.writeEvent(id, text); err != nil {
+			end.Status, end.ClientLost, end.Reason = event.DirectOutcomeUnknown, true, err.Error()
 			return
 		}
 	}
@@ -119,14 +125,9 @@
 	return text, errors.New("an event is too long")
 }
 
-// writeEvent sends one event to the client. The ids of a stream increase by one, so
-// an event with any other id is out of order and is rejected.
-func (x *exchange) writeEvent(resp *upstream.Response, text []byte) error {
-	id := parseEventID(text)
-	if id != "" && !isNextEventID(id, x.lastEventID) {
-		return errors.Errorf("event %s does not follow event %s", id, x.lastEventID)
-	}
-	x.sendHeader(resp)
+// writeEvent sends one event, with its id if it has one, to the client. A client that
+// does not read it within clientWriteTimeout is given up.
+func (x *exchange) writeEvent(id string, text []byte) error {
 	rc := http.NewResponseController(x.w)
 	if err := rc.SetWriteDeadline(time.Now().Add(clientWriteTimeout)); err != nil {
 		return errors.Wrap(err, "set the write deadline")
