intake, quarantine, placement, allowance: what decides, apart from what it changes

Cause: an answer to where a request would go needs the decisions without their effects. RefusePart only checks, BeginTrials registers the trial; nextInTurn chooses, pick records the credits; the ends of waits, the shares of services and of endpoints are functions of their own. No change of behaviour intended; the tests of these packages and of the gateway pass unchanged.

--- a/internal/system/allowance/allowance.go
+++ b/internal/system/allowance/allowance.go
@@ -167,7 +167,7 @@
 		}, remaining)
 		return true
 	}
-	waitEnd := x.ArrivedAt.Add(max(minBudgetWait, x.LatencyObjective/waitObjectiveDivisor))
+	waitEnd := waitEndOf(x)
 	if w.Now < waitEnd {
 		w.WakeAt(waitEnd)
 		return false
@@ -179,6 +179,11 @@
 	return true
 }
 
+// waitEndOf returns until when a request waits for budget.
+func waitEndOf(x *table.Exchange) table.Instant {
+	return x.ArrivedAt.Add(max(minBudgetWait, x.LatencyObjective/waitObjectiveDivisor))
+}
+
 // allReserved reports whether each holder has said that it has too little for a waiting
 // request, and the ledger has nothing left: requests in progress have reserved the
 // rest, so that waiting is in vain.
--- a/internal/system/intake/intake.go
+++ b/internal/system/intake/intake.go
@@ -53,6 +53,10 @@
 	part string
 }
 
+func (r *refusal) outcome() table.Outcome {
+	return table.Outcome{Code: r.code, Reason: r.reason, Ran: table.NotRun, RetryAfter: r.retryAfter}
+}
+
 func onArrival(w *world.World, a *event.HTTPArrival) {
 	id := table.RequestID(a.Request)
 	if slices.ContainsFunc(w.In.ClientDisconnects, func(e event.ClientDisconnect) bool { return e.Exchange == a.Exchange }) {
@@ -73,13 +77,11 @@
 		}
 		w.RecordDecision(id, System, "refused: "+refused.reason, inputs...)
 		w.Out.FinishExchanges = append(w.Out.FinishExchanges, command.FinishExchange{
-			Exchange: a.Exchange,
-			Outcome: table.Outcome{
-				Code: refused.code, Reason: refused.reason, Ran: table.NotRun, RetryAfter: refused.retryAfter,
-			},
+			Exchange: a.Exchange, Outcome: refused.outcome(),
 		})
 		return
 	}
+	quarantine.BeginTrials(w, x.PromptParts, x.ID)
 	w.Count("intake.admitted")
 	w.RecordDecision(id, System, "admitted", versionInput(w), table.Input{Name: "route", Value: x.Route},
 		table.Input{Name: "service", Value: string(x.Service)}, table.Input{Name: "customer", Value: string(x.Customer)})
@@ -126,7 +128,7 @@
 	if !acceptsWhileDraining(w, x) {
 		return nil, &refusal{code: table.CodeDraining, reason: "the router shuts down before the request can end", retryAfter: drainingRetryAfter}
 	}
-	if retryAfter, part, refused := quarantine.RefusePart(w, a.PromptParts, a.Exchange); refused {
+	if retryAfter, part, refused := quarantine.RefusePart(w, a.PromptParts); refused {
 		return nil, &refusal{code: table.CodeQuarantined, reason: quarantine.PartReason, retryAfter: retryAfter, part: part}
 	}
 	return x, nil
@@ -208,12 +210,8 @@
 	if len(route.Targets) == 0 {
 		return ""
 	}
-	totalWeight := 0
-	for _, t := range route.Targets {
-		totalWeight += max(0, t.Weight)
-	}
-	if totalWeight > 0 {
-		position := w.Rand.IntN(totalWeight)
+	if weight := totalWeight(route); weight > 0 {
+		position := w.Rand.IntN(weight)
 		for _, t := range route.Targets {
 			if position -= max(0, t.Weight); position < 0 {
 				return t.Service
@@ -222,3 +220,11 @@
 	}
 	return route.Targets[0].Service
 }
+
+func totalWeight(route *table.Route) int {
+	sum := 0
+	for _, t := range route.Targets {
+		sum += max(0, t.Weight)
+	}
+	return sum
+}
--- a/internal/system/placement/cost.go
+++ b/internal/system/placement/cost.go
@@ -102,35 +102,59 @@
 }
 
 // pick chooses one of the candidates with the least cost, given the height that the loads
-// level to. Each of several gets a share in proportion to its room; the one whose shares of
-// this choice and earlier ones exceed what it got the most is next, so that requests come
-// more evenly than at random. Routers differ by the random credits that they begin with.
+// level to, and records the credits that the choice leaves.
 func pick(w *world.World, scored []scoredEndpoint, height float64) scoredEndpoint {
-	least := math.Inf(1)
-	for i := range scored {
-		least = min(least, scored[i].cost(height))
-	}
-	rooms, best := 0.0, -1
+	shares := pickShares(scored, height)
+	best, credits := nextInTurn(w, scored, shares)
 	for i := range scored {
-		if scored[i].cost(height) <= least+costPrecision {
-			rooms += room(&scored[i], height)
+		if shares[i] != 0 {
+			scored[i].endpoint.Credit = credits[i]
 		}
 	}
-	for i := range scored {
-		s, e := &scored[i], scored[i].endpoint
-		if s.cost(height) > least+costPrecision {
+	return scored[best]
+}
+
+// nextInTurn returns which of the candidates gets the request, and the credits that this
+// leaves. Each gets its share; the one whose shares of this choice and earlier ones exceed
+// what it got the most is next, so that requests come more evenly than at random. Routers
+// differ by the random credits that they begin with.
+func nextInTurn(w *world.World, scored []scoredEndpoint, shares []float64) (best int, credits []float64) {
+	best, credits = -1, make([]float64, len(scored))
+	for i, share := range shares {
+		if share == 0 {
 			continue
 		}
-		if e.Credit == 0 {
-			e.Credit = w.Rand.Float64()
+		credits[i] = scored[i].endpoint.Credit
+		if credits[i] == 0 {
+			credits[i] = w.Rand.Float64()
 		}
-		e.Credit = min(e.Credit+room(s, height)/rooms, maxCredit)
-		if best < 0 || e.Credit > scored[best].endpoint.Credit {
+		credits[i] = min(credits[i]+share, maxCredit)
+		if best < 0 || credits[i] > credits[best] {
 			best = i
 		}
 	}
-	scored[best].endpoint.Credit = max(scored[best].endpoint.Credit-1, -maxCredit)
-	return scored[best]
+	credits[best] = max(credits[best]-1, -maxCredit)
+	return best, credits
+}
+
+// pickShares returns which share of the requests each candidate gets: those with the least
+// cost get one in proportion to their room, the others 0.
+func pickShares(scored []scoredEndpoint, height float64) []float64 {
+	least := math.Inf(1)
+	for i := range scored {
+		least = min(least, scored[i].cost(height))
+	}
+	shares, rooms := make([]float64, len(scored)), 0.0
+	for i := range scored {
+		if scored[i].cost(height) <= least+costPrecision {
+			shares[i] = room(&scored[i], height)
+			rooms += shares[i]
+		}
+	}
+	for i := range shares {
+		shares[i] /= rooms
+	}
+	return shares
 }
 
 // cost returns the cost of a candidate, given the height that the loads level to.
--- a/internal/system/placement/placement.go
+++ b/internal/system/placement/placement.go
@@ -56,8 +56,8 @@
 // send starts an attempt at an endpoint and adds it to the endpoint's load.
 func send(w *world.World, x *table.Exchange, chosen *scoredEndpoint, scored []scoredEndpoint) {
 	e := chosen.endpoint
-	timeLeft := min(x.RouteDeadline, x.ClientDeadline).Sub(w.Now)
-	if timeLeft < minTimeLeft {
+	left := timeLeft(w, x)
+	if left < minTimeLeft {
 		// The timer of the exchange ends it.
 		return
 	}
@@ -73,13 +73,18 @@
 	e.PrefillTokens += x.PrefillTokens
 	w.Out.EndpointCalls = append(w.Out.EndpointCalls, command.CallEndpoint{
 		Exchange: x.ID, Attempt: x.Attempt, Endpoint: e.ID, Address: e.Address, Service: e.Service,
-		Customer: x.Customer, TimeLeft: timeLeft, Stream: x.Kind == table.RouteStream, Priority: x.Priority,
+		Customer: x.Customer, TimeLeft: left, Stream: x.Kind == table.RouteStream, Priority: x.Priority,
 	})
 	count(w, chosen)
 	recordPrompt(w, x)
 	explain(w, x, chosen, scored)
 }
 
+// timeLeft returns the time until the timeout of a request.
+func timeLeft(w *world.World, x *table.Exchange) time.Duration {
+	return min(x.RouteDeadline, x.ClientDeadline).Sub(w.Now)
+}
+
 // count counts a request that is sent to an endpoint, and how old the load report is that
 // the choice used.
 func count(w *world.World, chosen *scoredEndpoint) {
--- a/internal/system/placement/wait.go
+++ b/internal/system/placement/wait.go
@@ -31,10 +31,7 @@
 // waitOrRefuse keeps a request waiting for an endpoint, or refuses it early
 // enough for the client to retry.
 func waitOrRefuse(w *world.World, x *table.Exchange) {
-	waitEnd := x.ArrivedAt.Add(max(minEndpointWait, x.LatencyObjective/waitObjectiveDivisor))
-	if x.SentAttempts > 0 {
-		waitEnd = x.AttemptSentAt.Add(max(minEndpointWait, x.LatencyObjective))
-	}
+	waitEnd := waitEndOf(x)
 	limited, cold, wait := limitsEndIn(w, x)
 	evacuated := !limited && evacuatedEndpointsLeft(w, x)
 	if w.Now < waitEnd && !evacuated && !(limited && w.Now.Add(wait) > waitEnd) {
@@ -66,6 +63,14 @@
 	w.FinishExchange(x, false, outcome)
 }
 
+// waitEndOf returns until when a request waits for an endpoint.
+func waitEndOf(x *table.Exchange) table.Instant {
+	if x.SentAttempts > 0 {
+		return x.AttemptSentAt.Add(max(minEndpointWait, x.LatencyObjective))
+	}
+	return x.ArrivedAt.Add(max(minEndpointWait, x.LatencyObjective/waitObjectiveDivisor))
+}
+
 // limitsEndIn reports whether only the limits that endpoints of the service named, or the
 // rates that cold ones bear, keep this router from sending to them, whether some are cold,
 // and how long it takes until one takes a request. If none does as long as its limit
--- a/internal/system/quarantine/partadmit.go
+++ b/internal/system/quarantine/partadmit.go
@@ -13,31 +13,37 @@
 
 // RefusePart reports whether a new request is refused because of a part of its prompt,
 // and for how long. A part that was quarantined before is admitted for one request at a
-// time; the exchange then becomes its trial.
-func RefusePart(w *world.World, parts []table.PromptPart, exchange table.ExchangeID) (retryAfter time.Duration, part string, refused bool) {
+// time. It changes nothing.
+func RefusePart(w *world.World, parts []table.PromptPart) (retryAfter time.Duration, part string, refused bool) {
 	if w.PartSuspects.Len() == 0 {
 		return 0, "", false
 	}
-	var trials []*table.PartSuspect
 	for i, f := range sharedParts(parts) {
 		s := w.PartSuspects.Get(f)
 		switch {
 		case s == nil:
 		case s.QuarantinedUntil != 0:
 			return s.ReleaseAt.Sub(w.Now), parts[i].ID, true
-		case s.Quarantines > 0:
-			if w.Exchanges.Get(s.Trial) != nil {
-				return trialRetryAfter, parts[i].ID, true
-			}
-			trials = append(trials, s)
+		case s.Quarantines > 0 && w.Exchanges.Get(s.Trial) != nil:
+			return trialRetryAfter, parts[i].ID, true
 		}
 	}
-	for _, s := range trials {
-		s.Trial = exchange
-	}
 	return 0, "", false
 }
 
+// BeginTrials makes an admitted request the trial of the parts of its prompt that were
+// quarantined before.
+func BeginTrials(w *world.World, parts []table.PromptPart, exchange table.ExchangeID) {
+	if w.PartSuspects.Len() == 0 {
+		return
+	}
+	for _, f := range sharedParts(parts) {
+		if s := w.PartSuspects.Get(f); s != nil && s.QuarantinedUntil == 0 && s.Quarantines > 0 {
+			s.Trial = exchange
+		}
+	}
+}
+
 // HasQuarantinedPart reports whether a part of a prompt is in quarantine.
 func HasQuarantinedPart(w *world.World, parts []table.PromptPart) bool {
 	if w.PartSuspects.Len() == 0 {
