where: what would happen to a request, without sending it

Cause: operators could ask about requests that were sent only. The system answers event.WhereQuery with the functions that decide on requests, on a preview: a copy of the World value with rows of its own where decisions change any.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -61,6 +61,7 @@
 	BudgetReplies  []BudgetReply
 	StatusReplies  []StatusReply
 	ExplainReplies []ExplainReply
+	WhereReplies   []WhereReply
 	DrainReplies   []DrainReply
 	DrainOrders    []SendDrainOrder
 
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -72,6 +72,7 @@
 	BudgetQueries  []BudgetQuery
 	StatusQueries  []StatusQuery
 	ExplainQueries []ExplainQuery
+	WhereQueries   []WhereQuery
 	DrainOrders    []DrainOrder
 	Shutdowns      []Shutdown
 
@@ -701,6 +702,22 @@
 	Request string
 }
 
+// WhereQuery asks what would happen to a request that is not sent.
+type WhereQuery struct {
+	ReplyID uint64
+	Host    string
+	Path    string
+	// Customer names the customer. If it is empty, HasKey and KeyHash do, as in an
+	// arrival.
+	Customer     table.CustomerID
+	HasKey       bool
+	KeyHash      table.KeyHash
+	BodyBytes    int
+	PromptTokens table.Tokens
+	MaxOutput    table.Tokens
+	PromptParts  []table.PromptPart
+}
+
 // DrainOrder marks an endpoint or process as leaving, or with Undo takes that
 // back.
 type DrainOrder struct {
--- a/internal/event/inbox.go
+++ b/internal/event/inbox.go
@@ -122,6 +122,9 @@
 // AddTo implements Event.
 func (e StatusQuery) AddTo(in *Inbox) { in.StatusQueries = append(in.StatusQueries, e) }
 
+// AddTo implements Event.
+func (e WhereQuery) AddTo(in *Inbox) { in.WhereQueries = append(in.WhereQueries, e) }
+
 // AddTo implements Event.
 func (e ExplainQuery) AddTo(in *Inbox) { in.ExplainQueries = append(in.ExplainQueries, e) }
 
--- a/internal/gateway/systems.go
+++ b/internal/gateway/systems.go
@@ -17,6 +17,7 @@
 	"laburnumroad.dev/laburnumroad/internal/system/quarantine"
 	"laburnumroad.dev/laburnumroad/internal/system/warmup"
 	"laburnumroad.dev/laburnumroad/internal/system/watch"
+	"laburnumroad.dev/laburnumroad/internal/system/where"
 	"laburnumroad.dev/laburnumroad/internal/world"
 )
 
@@ -40,5 +41,6 @@
 		drain.New(),
 		world.SystemFunc(allowance.Settle),
 		world.SystemFunc(explain.Run),
+		world.SystemFunc(where.Run),
 	}
 }
