gateway, ctl: laburnumctl where asks a gateway where a request would go

POST /where on the metrics server; a bounded body, 16 queries at a time, 2 s for an answer. The key stays on the operator's host: its hash is sent.

TestWhereAgreesWithRequestAndChangesNothing plays worlds with leaving, paused, limited, cold, evacuated, suspect and full endpoints, short budgets, a full link, an outage and a drain. It fails in an early case if the preview shares the customer's rows or the limits of endpoints.

--- a/internal/ctl/commands.go
+++ b/internal/ctl/commands.go
@@ -19,6 +19,7 @@
 	retry              bool
 	position           int64
 	receivedFile       string
+	where              whereFlags
 }
 
 // command defines a subcommand.
@@ -51,6 +52,8 @@
 	{groupFleet, "status", "", "show processes and endpoints", 0, 0, nil, runStatus},
 	{groupFleet, "drain", "TARGET [-undo] -reason TEXT", "mark an endpoint or host as leaving, or remove the mark", 1, 1, registerDrainFlags, runDrain},
 	{groupFleet, "explain", "REQUEST-ID", "show the decisions about a request", 1, 1, nil, runExplain},
+	{groupFleet, "where", "-gateway HOST:PORT -host H -path P [-key-file F | -customer C] -prompt-tokens N -max-output N [-part ID:TOKENS ...] [-json]",
+		"explain where a gateway would send a request now, without sending it", 0, 0, registerWhereFlags, runWhere},
 	{groupFleet, "log", "REQUEST-ID FILE...", "trace a request through the log files of several processes", 2, maxLogFiles, nil, runLog},
 	{groupCaller, "generate", "SERVICE PROMPT [-max N] [-budget B] [-key K] [-retry] [-position N [-received FILE]]",
 		"stream the answer of a model and verify that it is complete", 2, 2, registerGenerateFlags, runGenerate},
--- a/internal/gateway/flush.go
+++ b/internal/gateway/flush.go
@@ -50,6 +50,9 @@
 	for _, c := range out.WriteQuarantineLists {
 		go g.writeQuarantinedParts(c)
 	}
+	for i := range out.WhereReplies {
+		g.where.Replies.Deliver(out.WhereReplies[i].ReplyID, out.WhereReplies[i])
+	}
 	g.flushPeerMessages(out)
 	for _, c := range out.StateChanges {
 		g.log.Info().Str("subject", c.Subject).Str("id", c.ID).Str("from", c.From).Str("to", c.To).
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -26,6 +26,7 @@
 	"laburnumroad.dev/laburnumroad/internal/traffic/tcp"
 	"laburnumroad.dev/laburnumroad/internal/traffic/tracing"
 	"laburnumroad.dev/laburnumroad/internal/traffic/upstream"
+	"laburnumroad.dev/laburnumroad/internal/traffic/whereapi"
 	"laburnumroad.dev/laburnumroad/internal/traffic/wire"
 	"laburnumroad.dev/laburnumroad/internal/world"
 	"laburnumroad.dev/laburnumroad/platform"
@@ -99,6 +100,7 @@
 	watches map[table.WatchKind]context.CancelFunc
 
 	metrics *metrics
+	where   *whereapi.Server
 	// shutdownTracing flushes and closes the span exporter.
 	shutdownTracing func(context.Context)
 	servers         []*http.Server
@@ -139,6 +141,7 @@
 	w.Config.Defaults.CrashLimit = crashLimit
 	g.loop = control.NewLoop(w, Systems(), g, g.clock)
 	g.loop.Publish = g.publish
+	g.where = whereapi.New(g.loop.Post)
 	g.servePeers(peerListener)
 	g.front = &front.Server{Post: g.loop.Post, Codec: platform.Headers{}, Pool: g.pool, Log: log,
 		Memory: front.NewMemory(int64(float64(s.MemoryLimitBytes) * bodyMemoryShare)),
@@ -154,6 +157,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("GET "+MetricsPath, g.metrics)
+	mux.Handle("POST "+whereapi.Path, g.where)
 	if err := g.serveHTTP(net.JoinHostPort(s.IP, strconv.Itoa(MetricsPort)), mux); err != nil {
 		// A router without metrics still serves.
 		log.Warn().Err(err).Msg("failed to listen for metrics; continuing without them")
