placement, notice: what keeps a request from all endpoints is found in one pass

Cause: a request that waits asked each endpoint of its service twice at every check, for limits and for evacuations; notice.Admits had no caller left but tests.

No change of behaviour.

--- a/internal/system/notice/fleet_test.go
+++ b/internal/system/notice/fleet_test.go
@@ -183,7 +183,7 @@
 	r.inbox = nil
 	send := world.SystemFunc(func(w *world.World) {
 		for range wanted {
-			if notice.Admits(w, endpointID) {
+			if admits(w, endpointID) {
 				notice.Take(w, endpointID)
 				f.send(r)
 			}
@@ -299,7 +299,7 @@
 		f.name(-1)
 		f.run(10 * time.Second)
 		for _, r := range f.routers {
-			require.True(t, notice.Admits(r.world, endpointID), "%d routers, %s", routers, r.process.Process)
+			require.True(t, admits(r.world, endpointID), "%d routers, %s", routers, r.process.Process)
 		}
 	}
 }
@@ -359,5 +359,11 @@
 	say(1.2, 0, 1)
 	r.world.DirectEndpoints.Get(endpointID).StartedUnixMilli = 2
 	f.run(time.Second)
-	require.True(t, notice.Admits(r.world, endpointID), "a new process has not named a limit")
+	require.True(t, admits(r.world, endpointID), "a new process has not named a limit")
+}
+
+// admits reports whether an endpoint takes a request of a router now.
+func admits(w *world.World, id table.EndpointID) bool {
+	in, hasShare := notice.AdmitsIn(w, id)
+	return hasShare && in <= 0
 }
--- a/internal/system/notice/notice.go
+++ b/internal/system/notice/notice.go
@@ -200,12 +200,6 @@
 	return n
 }
 
-// Admits reports whether an endpoint takes a request of this router now.
-func Admits(w *world.World, id table.EndpointID) bool {
-	in, hasShare := AdmitsIn(w, id)
-	return hasShare && in <= 0
-}
-
 // Take uses a permit for a request that is sent to an endpoint.
 func Take(w *world.World, id table.EndpointID) {
 	if n := rateLimitOf(w, id); n != nil {
--- a/internal/system/placement/wait.go
+++ b/internal/system/placement/wait.go
@@ -32,24 +32,23 @@
 // enough for the client to retry.
 func waitOrRefuse(w *world.World, x *table.Exchange) {
 	waitEnd := waitEndOf(x)
-	limited, cold, wait := limitsEndIn(w, x)
-	evacuated := !limited && evacuatedEndpointsLeft(w, x)
-	if w.Now < waitEnd && !evacuated && !(limited && w.Now.Add(wait) > waitEnd) {
+	o := obstacleFor(w, x)
+	if w.Now < waitEnd && !o.evacuated && !(o.limited && w.Now.Add(o.wait) > waitEnd) {
 		w.WakeAt(min(waitEnd, w.Now.Add(recheckInterval)))
 		return
 	}
 	outcome := table.Outcome{Code: table.CodeNoEndpoint, Reason: "no endpoint of the service can take work", Ran: table.NotRun, RetryAfter: noEndpointRetryAfter}
-	if limited {
+	if o.limited {
 		w.Count("placement.limited")
 		outcome.Reason = "the limits that the endpoints named are used up"
-		if cold {
+		if o.cold {
 			w.Count("placement.refused_cold")
 			outcome.Reason = "the rates that the cold endpoints bear are used up"
 		}
 		// Clients that are refused at the same time come back one after the other.
-		outcome.RetryAfter = wait + time.Duration(w.Rand.Int64N(int64(noEndpointRetryAfter)))
+		outcome.RetryAfter = o.wait + time.Duration(w.Rand.Int64N(int64(noEndpointRetryAfter)))
 	}
-	if evacuated {
+	if o.evacuated {
 		w.Count("placement.evacuated")
 		outcome.Reason = "the endpoints of the service are in evacuated failure domains"
 		outcome.RetryAfter = evacuatedRetryAfter + time.Duration(w.Rand.Int64N(int64(evacuatedRetryAfter)))
@@ -59,7 +58,7 @@
 	}
 	w.Count("placement.refused")
 	w.RecordDecision(x.Request, System, "refused: "+outcome.Reason, table.Input{Name: "age", Value: w.Now.Sub(x.ArrivedAt).String()},
-		table.Input{Name: "endpoints", Value: obstacles(w, x)})
+		table.Input{Name: "endpoints", Value: reasonCounts(w, x)})
 	w.FinishExchange(x, false, outcome)
 }
 
@@ -71,43 +70,47 @@
 	return x.ArrivedAt.Add(max(minEndpointWait, x.LatencyObjective/waitObjectiveDivisor))
 }
 
-// limitsEndIn reports whether only the limits that endpoints of the service named, or the
-// rates that cold ones bear, keep this router from sending to them, whether some are cold,
-// and how long it takes until one takes a request. If none does as long as its limit
-// stands, that is the time after which a client may try again, at another router.
-func limitsEndIn(w *world.World, x *table.Exchange) (limited, cold bool, wait time.Duration) {
-	anyShare := false
-	wait = noEndpointRetryAfter
+// obstacle is what keeps this router from sending a request to any endpoint of its service.
+type obstacle struct {
+	// limited is true if only the limits that endpoints named, or the rates that cold ones
+	// bear, do, and cold if some are cold.
+	limited, cold bool
+	// evacuated is true if only evacuations do.
+	evacuated bool
+	// wait is how long it takes until an endpoint takes a request. If none does as long as
+	// its limit stands, it is the time after which a client may try again, at another router.
+	wait time.Duration
+}
+
+// obstacleFor returns what keeps a request from the endpoints of its service.
+func obstacleFor(w *world.World, x *table.Exchange) obstacle {
+	o := obstacle{wait: noEndpointRetryAfter}
+	anyShare, anyEvacuated := false, false
 	w.DirectEndpoints.Each(func(_ table.EndpointID, e *table.DirectEndpoint) {
 		if e.Service != x.Service {
 			return
 		}
 		verdict := eligibility.Check(w, x, e)
-		if verdict.Reason == eligibility.Leaving || verdict.Reason == eligibility.Evacuated {
+		switch verdict.Reason {
+		case eligibility.Leaving:
+			return
+		case eligibility.Evacuated:
+			anyEvacuated = true
 			return
 		}
-		limited = true
-		cold = cold || verdict.Reason == eligibility.Cold
-		if verdict.HasEnd && (!anyShare || verdict.RetryIn < wait) {
-			anyShare, wait = true, verdict.RetryIn
+		o.limited = true
+		o.cold = o.cold || verdict.Reason == eligibility.Cold
+		if verdict.HasEnd && (!anyShare || verdict.RetryIn < o.wait) {
+			anyShare, o.wait = true, verdict.RetryIn
 		}
 	})
-	return limited, cold, wait
-}
-
-// evacuatedEndpointsLeft reports whether the service has endpoints that only an evacuation
-// keeps out of use.
-func evacuatedEndpointsLeft(w *world.World, x *table.Exchange) bool {
-	found := false
-	w.DirectEndpoints.Each(func(_ table.EndpointID, e *table.DirectEndpoint) {
-		found = found || e.Service == x.Service && eligibility.Check(w, x, e).Reason == eligibility.Evacuated
-	})
-	return found
+	o.evacuated = anyEvacuated && !o.limited
+	return o
 }
 
-// obstacles returns, for the record of a refusal, how many endpoints of the service each
+// reasonCounts returns, for the record of a refusal, how many endpoints of the service each
 // reason keeps from the request.
-func obstacles(w *world.World, x *table.Exchange) string {
+func reasonCounts(w *world.World, x *table.Exchange) string {
 	counts := make(map[eligibility.Reason]int)
 	w.DirectEndpoints.Each(func(_ table.EndpointID, e *table.DirectEndpoint) {
 		if e.Service == x.Service {
