--- a/review/driver2/main.go
+++ b/review/driver2/main.go
@@ -28,7 +28,8 @@
 
 // cases maps the name of a case to its function, which returns whether the rule was broken.
 var cases = map[string]func(*scene) (bool, error){
-	"late-write": lateWrite,
+	"first-event": firstEvent,
+	"late-write":  lateWrite,
 }
 
 func main() {
