--- a/review/driver2/main.go
+++ b/review/driver2/main.go
@@ -30,6 +30,7 @@
 var cases = map[string]func(*scene) (bool, error){
 	"first-event": firstEvent,
 	"late-write":  lateWrite,
+	"sound-part":  soundPart,
 }
 
 func main() {
