--- a/review/driver2/main.go
+++ b/review/driver2/main.go
@@ -28,10 +28,11 @@
 
 // cases maps the name of a case to its function, which returns whether the rule was broken.
 var cases = map[string]func(*scene) (bool, error){
-	"first-event": firstEvent,
-	"hot-lookup":  hotLookup,
-	"late-write":  lateWrite,
-	"sound-part":  soundPart,
+	"first-event":   firstEvent,
+	"foreign-entry": foreignEntry,
+	"hot-lookup":    hotLookup,
+	"late-write":    lateWrite,
+	"sound-part":    soundPart,
 }
 
 func main() {
