crowd: tests of all roles against clients that keep no limits

What callers saw on other systems: clients ended a process by what they made it hold. The tests start the real programs on loopback, with a host of 144 MB and 600 descriptors (200 of them for files), and send 500 clients at once: each kind alone and two kinds together, at each listener of gateway, router and agent. They check that an ordinary request is served while the crowd is there and after it, that the process lives, its peak resident memory, and its open descriptors.

The code that starts processes moves from the soak to internal/testproc, which both use. `make crowds` runs the tests alone; the other packages' tests run without them.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,6 @@
 # Main targets:
 #   test        all checks, as in CI
+#   crowds      run processes against crowds of clients that keep no limits
 #   quickstart  run a small fleet on loopback
 #   bench       run the capacity benchmarks and fit lines to the results
 #   generate    generate code from the proto files
@@ -10,14 +11,14 @@
 # Seed for rapid, so that each run generates the same cases.
 RAPID_SEED := 20261204
 
-.PHONY: all test fmt vet lint unit build quickstart bench generate property regressions soak
+.PHONY: all test fmt vet lint unit crowds build quickstart bench generate property regressions soak
 
 all: build
 
 build:
 	go build -o bin/ ./cmd/...
 
-test: fmt vet lint unit regressions
+test: fmt vet lint unit regressions crowds
 
 fmt:
 	@files="$$(gofmt -l cmd internal 2>/dev/null)"; \
@@ -52,8 +53,14 @@
 # Tests and subtests that are known to fail: the names with which lines of KNOWN-RED.txt
 # begin, as patterns of their own.
 KNOWN_RED := $(shell sed -n 's/^\(Test[A-Za-z0-9_/]*\).*/\1/p' KNOWN-RED.txt 2>/dev/null | sed 's,/,$$/^,g; s/.*/^&$$/' | paste -sd'|')
+SKIP_KNOWN_RED = $(if $(KNOWN_RED),-skip '$(KNOWN_RED)')
+# The tests with crowds run alone: they measure the memory of processes.
+CROWDS := ./internal/crowd
 unit:
-	RAPID_SEED=$(RAPID_SEED) go test -race -count=1 $(if $(KNOWN_RED),-skip '$(KNOWN_RED)') $(PACKAGES)
+	RAPID_SEED=$(RAPID_SEED) go test -race -count=1 $(SKIP_KNOWN_RED) $$(go list $(PACKAGES) | grep -v '/internal/crowd$$')
+
+crowds:
+	go test -count=1 -timeout 40m $(SKIP_KNOWN_RED) $(CROWDS)
 
 # Runs the fault-injection property tests with CASES cases generated from SEED.
 CASES := 100000
--- a/internal/soak/endless_test.go
+++ b/internal/soak/endless_test.go
@@ -9,6 +9,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"laburnumroad.dev/laburnumroad/internal/testproc"
 )
 
 // endlessAnswers are the parts of an answer that an endpoint may send without end: what
@@ -26,7 +28,7 @@
 // clients, because endpoints send bytes without end to many requests at once.
 func TestEndlessAnswersDoNotEndProcess(t *testing.T) {
 	const requestsPerKind = 16
-	p, store := newSingleProcess(t, buildGateway(t), 24)
+	p, store := newSingleProcess(t, testproc.BuildDaemon(t), 24)
 	kinds := make(chan int, requestsPerKind*len(endlessAnswers))
 	for range requestsPerKind {
 		for kind := range endlessAnswers {
@@ -78,7 +80,7 @@
 		status, body := p.sendBookingAs(t, fmt.Sprintf("sound-%d", sound))()
 		return status == http.StatusOK && body == "booked"
 	}, waitTimeout, tickInterval)
-	require.False(t, p.hasExited())
-	require.Less(t, p.peakMemory(t), memoryLimit)
-	t.Logf("peak memory: %d MB", p.peakMemory(t)>>20)
+	require.False(t, p.HasExited())
+	require.Less(t, p.PeakMemory(t), memoryLimit)
+	t.Logf("peak memory: %d MB", p.PeakMemory(t)>>20)
 }
--- a/internal/soak/signal_test.go
+++ b/internal/soak/signal_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"laburnumroad.dev/laburnumroad/internal/fake"
+	"laburnumroad.dev/laburnumroad/internal/testproc"
 	"laburnumroad.dev/laburnumroad/platform"
 )
 
@@ -80,9 +81,9 @@
 
 // requireCleanExit waits until the process ends and checks that no signal ended it.
 func (p *process) requireCleanExit(t *testing.T) {
-	<-p.exited
+	<-p.Exited()
 	p.state = processDown
-	require.True(t, p.cmd.ProcessState.Success(), p.cmd.ProcessState.String())
+	require.True(t, p.State().Success(), p.State().String())
 }
 
 // startAndSignal starts the process and sends it a signal while it reads its settings.
@@ -154,8 +155,8 @@
 	p, store := newSingleProcess(t, binary, 21)
 	addDesk(t, store, func(http.ResponseWriter, *http.Request) {})
 	p.startAndSignal(t, syscall.SIGHUP)
-	require.Eventually(t, func() bool { return p.isReady() || p.hasExited() }, waitTimeout, tickInterval)
-	require.False(t, p.hasExited(), "the signal ended the process")
+	require.Eventually(t, func() bool { return p.isReady() || p.HasExited() }, waitTimeout, tickInterval)
+	require.False(t, p.HasExited(), "the signal ended the process")
 	p.signal(syscall.SIGTERM, processTerminating)
 	p.requireCleanExit(t)
 }
@@ -192,7 +193,7 @@
 }
 
 func TestSignals(t *testing.T) {
-	binary := buildGateway(t)
+	binary := testproc.BuildDaemon(t)
 	for name, test := range map[string]func(*testing.T, string){
 		"signals during the drain":               testSignalsDuringDrainCutNoWork,
 		"unsafe request at the end of the drain": testUnsafeRequestAtEndOfDrainIsAnswered,
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -17,6 +17,7 @@
 	"github.com/stretchr/testify/require"
 
 	"laburnumroad.dev/laburnumroad/internal/fake"
+	"laburnumroad.dev/laburnumroad/internal/testproc"
 	"laburnumroad.dev/laburnumroad/platform"
 )
 
@@ -97,7 +98,7 @@
 		}
 	}
 	s.createObject("config", "main", s.nextConfig())
-	binary := buildGateway(t)
+	binary := testproc.BuildDaemon(t)
 	for n := range processCount {
 		p := newProcess(t, binary, strings.TrimPrefix(server.URL, "http://"), n, 2)
 		s.processes = append(s.processes, p)
@@ -173,10 +174,10 @@
 func (s *soak) restartProcesses() {
 	for _, p := range s.processes {
 		switch {
-		case p.state == processRunning && p.hasExited():
+		case p.state == processRunning && p.HasExited():
 			s.history.addViolation("%s exited unexpectedly in tick %d", p.name, s.tick)
 			p.state = processDown
-		case p.state == processTerminating && p.hasExited():
+		case p.state == processTerminating && p.HasExited():
 			p.state = processDown
 		}
 		if p.state == processDown && s.rng.IntN(10) == 0 {
@@ -301,7 +302,7 @@
 	for _, p := range s.processes {
 		// The output is needed to find the cause of a violation.
 		if dir := os.Getenv("SOAK_LOGS"); dir != "" {
-			require.NoError(s.t, os.WriteFile(dir+"/"+p.name+".log", p.output.text(), 0o600))
+			require.NoError(s.t, os.WriteFile(dir+"/"+p.name+".log", p.Output.Text(), 0o600))
 		}
 	}
 	s.history.mu.Lock()
