records: texts of clients that outlive their request are bounded

Cause: decisions, log lines and tables keep texts that a client chose, as long as the client made them. A request id of 60 KB was kept 512 times on a gateway, and 4,096 times in the log's buffer; the id of a prompt part kept the whole header in memory, as a substring; rows of cached parts and prompt rates were deleted only when they expired, so that their number was the clients' choice within a minute. Callers saw nothing of it so far.

Change: decisions, their inputs and log lines hold at most 512 bytes of a text; explain shortens its query alike. New rows of cached parts end at 100,000, of prompt rates at 32,768; known ones are renewed.

--- a/internal/system/explain/explain.go
+++ b/internal/system/explain/explain.go
@@ -26,6 +26,7 @@
 // full request id or its key part. If several customers used the key, it selects the
 // request with the latest decision.
 func findDecisions(w *world.World, query string) (table.RequestID, []table.Decision) {
+	query = table.Shorten(query)
 	var id table.RequestID
 	w.DecisionHistory.Each(func(d *table.Decision) {
 		exact := string(d.Request) == query
--- a/internal/system/health/health.go
+++ b/internal/system/health/health.go
@@ -28,8 +28,10 @@
 	// cachedPartLifetime is how long a prompt part is assumed to be cached after
 	// its last use. Engines evict the least recently used parts first.
 	cachedPartLifetime = 60 * time.Second
-	// maxCachedParts is the number of rows above which expired ones are deleted.
-	maxCachedParts = 20000
+	// maxCachedParts is the number of rows above which expired ones are deleted, and
+	// mostCachedParts the number above which there are no new ones: clients choose the ids.
+	maxCachedParts  = 20_000
+	mostCachedParts = 5 * maxCachedParts
 )
 
 // Run applies the answers that started and the attempts that ended in this tick.
@@ -88,7 +90,10 @@
 		})
 	}
 	for _, p := range x.PromptParts {
-		w.CachedParts.Put(table.CachedPart{Endpoint: id, Part: p.ID}, w.Now)
+		key := table.CachedPart{Endpoint: id, Part: p.ID}
+		if w.CachedParts.Len() < mostCachedParts || w.CachedParts.Get(key) != nil {
+			w.CachedParts.Put(key, w.Now)
+		}
 	}
 }
 
--- a/internal/system/placement/places.go
+++ b/internal/system/placement/places.go
@@ -21,8 +21,10 @@
 	maxHomes = 8
 	// promptRateConstant is the time constant of the rate of a prompt.
 	promptRateConstant = 10 * time.Second
-	// maxPromptRates is the number of rows above which old ones are deleted.
-	maxPromptRates = 4096
+	// maxPromptRates is the number of rows above which old ones are deleted, and
+	// mostPromptRates the number above which there are no new ones: clients choose the ids.
+	maxPromptRates  = 4096
+	mostPromptRates = 8 * maxPromptRates
 )
 
 // placeKind is what an endpoint is to the shared prompt of a request.
@@ -121,6 +123,9 @@
 	}
 	rate := w.PromptRates.Get(key)
 	if rate == nil {
+		if w.PromptRates.Len() >= mostPromptRates {
+			return
+		}
 		rate = w.PromptRates.Put(key, table.DecayingRate{})
 	}
 	rate.Add(w.Now, 1, promptRateConstant)
--- a/internal/traffic/front/exchange.go
+++ b/internal/traffic/front/exchange.go
@@ -291,7 +291,7 @@
 		err = clearErr
 	}
 	if err != nil {
-		x.server.Log.Info().Str("request", x.request.ID).Err(err).Msg("failed to write the response to the client")
+		x.server.Log.Info().Str("request", table.Shorten(x.request.ID)).Err(err).Msg("failed to write the response to the client")
 	}
 }
 
--- a/internal/traffic/front/server.go
+++ b/internal/traffic/front/server.go
@@ -137,7 +137,7 @@
 		}
 		return body, memory, 0
 	}
-	s.Log.Info().Str("request", s.Codec.ParseRequest(r.Header).ID).Err(err).Msg("failed to read a request body")
+	s.Log.Info().Str("request", table.Shorten(s.Codec.ParseRequest(r.Header).ID)).Err(err).Msg("failed to read a request body")
 	switch {
 	case errors.Is(err, errBodyTooLarge):
 		return nil, memory, http.StatusRequestEntityTooLarge
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -290,10 +290,13 @@
 	w.Counters.Put(name, n)
 }
 
-// RecordDecision records a decision about a request.
+// RecordDecision records a decision about a request. Long texts are shortened.
 func (w *World) RecordDecision(id table.RequestID, system, decision string, inputs ...table.Input) {
+	for i := range inputs {
+		inputs[i].Value = table.Shorten(inputs[i].Value)
+	}
 	w.Decisions = append(w.Decisions, table.Decision{
-		At: w.Now, Request: id, System: system, Decision: decision, Inputs: inputs,
+		At: w.Now, Request: table.RequestID(table.Shorten(string(id))), System: system, Decision: table.Shorten(decision), Inputs: inputs,
 	})
 }
 
