guard: connections, heads, bodies and answers of a gateway share one budget

What callers saw (tests with crowds): on a host of 144 MB heads of many short fields take 318 to 604 MB at any HTTP address of a gateway, so the host ends it; crowds hold up to 1,016 descriptors of 400; while bodies of legal size stall, ordinary requests get 502 or 503 for 15 s.

Cause: limits held for one head and for all bodies, not for what all clients hold. Heap profiles: 341 of 349 MB in textproto.readMIMEHeader (path without a route), 244 of 249 MB there (readiness), 36 of 41 MB in buffers of stalled bodies, which is the whole budget. max_fds of the settings was not read.

Change: internal/traffic/guard charges connections, heads while they arrive, bodies and answers to 35% of the host's memory, over all HTTP listeners, and counts connections by class against the host's sockets. Who ends when something is short is decided by internal/system/shed, pure functions over rows of table.Holding: clients that are behind a modest pace, the largest first for memory, those without a request first for a connection, never a request that is being worked on. Bodies are kept in blocks, so growing does not take a body twice.

Why this works: what a head will take is charged by its fields and bytes before the parser allocates it, and stalled holdings give way to those that make progress.

Tests: front.Memory is gone; its test moves to the guard, and the tests of front use the guard's budget with the same sizes and checks.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,10 +20,11 @@
 	"laburnumroad.dev/laburnumroad/internal/event"
 	"laburnumroad.dev/laburnumroad/internal/system/evacuation"
 	"laburnumroad.dev/laburnumroad/internal/system/peers"
+	"laburnumroad.dev/laburnumroad/internal/system/shed"
 	"laburnumroad.dev/laburnumroad/internal/table"
 	"laburnumroad.dev/laburnumroad/internal/traffic/front"
+	"laburnumroad.dev/laburnumroad/internal/traffic/guard"
 	"laburnumroad.dev/laburnumroad/internal/traffic/peering"
-	"laburnumroad.dev/laburnumroad/internal/traffic/tcp"
 	"laburnumroad.dev/laburnumroad/internal/traffic/tracing"
 	"laburnumroad.dev/laburnumroad/internal/traffic/upstream"
 	"laburnumroad.dev/laburnumroad/internal/traffic/whereapi"
@@ -63,14 +64,8 @@
 	retryBudgetShare = 0.8
 	// crashLimit is the number of endpoint crashes after which all routers refuse a
 	// request. A request that merely ran during a crash is cleared when it succeeds.
-	crashLimit = 3
-	// memoryLimitShare is the soft memory limit of the Go runtime as a share of the
-	// memory limit in the settings.
-	memoryLimitShare = 0.7
-	// bodyMemoryShare is the part of the memory limit that bodies of requests and
-	// responses may take.
-	bodyMemoryShare = 0.25
-	maxDecisions    = 512
+	crashLimit   = 3
+	maxDecisions = 512
 	// storeTimeout bounds a call to the store. A slow store takes a few hundred
 	// milliseconds.
 	storeTimeout = 1500 * time.Millisecond
@@ -88,9 +83,11 @@
 	loop     *control.Loop
 	store    *platform.Client
 	front    *front.Server
-	pool     *upstream.Pool
-	peers    *peering.Peers
-	node     *wire.Node
+	// guard bounds what clients make the process hold.
+	guard *guard.Guard
+	pool  *upstream.Pool
+	peers *peering.Peers
+	node  *wire.Node
 	// peerIdleTimeout is how long a session is kept on which nothing arrives, in
 	// nanoseconds. The control thread sets it.
 	peerIdleTimeout atomic.Int64
@@ -104,7 +101,7 @@
 	// shutdownTracing flushes and closes the span exporter.
 	shutdownTracing func(context.Context)
 	servers         []*http.Server
-	listeners       []*tcp.Listener
+	listeners       []*guard.Listener
 	// unused are the connections that servers need not wait for when they close.
 	unused front.UnusedConns
 	ready  atomic.Bool
@@ -122,8 +119,12 @@
 	g := &Gateway{
 		settings: s, log: log, clock: control.MonotonicClock(), pool: upstream.NewPool(),
 		store: platform.New("http://"+s.StoreAddress, platform.Options{Timeout: storeTimeout}), exitRequested: make(chan time.Duration, 1),
-		metrics: newMetrics(), watches: make(map[table.WatchKind]context.CancelFunc),
+		watches: make(map[table.WatchKind]context.CancelFunc),
+		guard: guard.New(guard.Host{MemoryBytes: s.MemoryLimitBytes, Sockets: s.Sockets}.Limits(), guard.Policy{
+			ForMemory: shed.ForMemory, ForConnection: shed.ForConnection, Overdue: shed.Overdue,
+		}),
 	}
+	g.metrics = newMetrics(g.guard)
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	incarnation, err := wire.NewIncarnation()
 	if err != nil {
@@ -133,7 +134,7 @@
 		Holder: table.Holder{Process: table.ProcessID(s.Name), Incarnation: incarnation},
 		Role:   table.RoleRouter, Region: s.Region, Domain: s.Domain, Cores: s.Cores, State: table.ProcessLive,
 	}
-	peerListener, err := listenPeers(s)
+	peerListener, err := g.listenPeers()
 	if err != nil {
 		return nil, err
 	}
@@ -143,27 +144,27 @@
 	g.loop.Publish = g.publish
 	g.where = whereapi.New(g.loop.Post)
 	g.servePeers(peerListener)
-	g.front = &front.Server{Post: g.loop.Post, Codec: platform.Headers{}, Pool: g.pool, Log: log,
-		Memory: front.NewMemory(int64(float64(s.MemoryLimitBytes) * bodyMemoryShare)),
-	}
+	g.front = &front.Server{Post: g.loop.Post, Codec: platform.Headers{}, Pool: g.pool, Log: log, Guard: g.guard}
 	if g.front.Tracer, g.shutdownTracing, err = tracing.New(g.ctx, traceOutput, "gateway", s.Name); err != nil {
 		return nil, err
 	}
-	if err := g.serveHTTP(s.ClientAddress, g.front); err != nil {
+	if err := g.serveHTTP(s.ClientAddress, table.ClientListener, g.front); err != nil {
 		return nil, errors.Wrap(err, "listen for clients")
 	}
-	if err := g.serveHTTP(s.ReadinessAddress, http.HandlerFunc(g.serveReadiness)); err != nil {
+	readiness := g.guard.Handler(http.HandlerFunc(g.serveReadiness), guard.HandlerOptions{})
+	if err := g.serveHTTP(s.ReadinessAddress, table.PrivateListener, readiness); err != nil {
 		return nil, errors.Wrap(err, "listen for the load balancer")
 	}
 	mux := http.NewServeMux()
 	mux.Handle("GET "+MetricsPath, g.metrics)
 	mux.Handle("POST "+whereapi.Path, g.where)
-	if err := g.serveHTTP(net.JoinHostPort(s.IP, strconv.Itoa(MetricsPort)), mux); err != nil {
+	if err := g.serveHTTP(net.JoinHostPort(s.IP, strconv.Itoa(MetricsPort)), table.PrivateListener, g.guard.Handler(mux, guard.HandlerOptions{})); err != nil {
 		// A router without metrics still serves.
 		log.Warn().Err(err).Msg("failed to listen for metrics; continuing without them")
 	}
+	g.startWorker(func(ctx context.Context) { g.guard.Run(ctx.Done(), log) })
 	if s.MemoryLimitBytes > 0 {
-		debug.SetMemoryLimit(int64(float64(s.MemoryLimitBytes) * memoryLimitShare))
+		debug.SetMemoryLimit(int64(float64(s.MemoryLimitBytes) * guard.RuntimeMemoryShare))
 	}
 	return g, nil
 }
@@ -183,11 +184,11 @@
 
 // listenPeers listens on the first free port of the range for connections between
 // routers.
-func listenPeers(s *platform.Settings) (net.Listener, error) {
+func (g *Gateway) listenPeers() (net.Listener, error) {
 	var l net.Listener
 	var err error
-	for port := s.FirstPeerPort; port <= s.LastPeerPort; port++ {
-		if l, err = net.Listen("tcp", net.JoinHostPort(s.IP, strconv.Itoa(port))); err == nil {
+	for port := g.settings.FirstPeerPort; port <= g.settings.LastPeerPort; port++ {
+		if l, err = net.Listen("tcp", net.JoinHostPort(g.settings.IP, strconv.Itoa(port))); err == nil {
 			return l, nil
 		}
 	}
@@ -221,8 +222,8 @@
 }
 
 // serveHTTP serves an HTTP handler on an address until the gateway closes.
-func (g *Gateway) serveHTTP(address string, h http.Handler) error {
-	l, err := tcp.Listen(address)
+func (g *Gateway) serveHTTP(address string, class table.ListenerClass, h http.Handler) error {
+	l, err := g.guard.ListenHTTP(address, class)
 	if err != nil {
 		return err
 	}
@@ -231,6 +232,7 @@
 		Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: newHTTPErrorLog(g.log), ConnState: g.unused.Track,
 	}
+	g.guard.Attach(srv)
 	g.servers = append(g.servers, srv)
 	go func() {
 		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -15,6 +15,7 @@
 	"laburnumroad.dev/laburnumroad/internal/control"
 	"laburnumroad.dev/laburnumroad/internal/system/link"
 	"laburnumroad.dev/laburnumroad/internal/table"
+	"laburnumroad.dev/laburnumroad/internal/traffic/guard"
 	"laburnumroad.dev/laburnumroad/internal/world"
 )
 
@@ -43,12 +44,15 @@
 	// latencies holds the histograms, in microseconds, by name.
 	latencies map[string]*hdrhistogram.Histogram
 
+	// guard counts what clients make the process hold.
+	guard *guard.Guard
+
 	// lastPublished is used by the control thread only and not guarded by mu.
 	lastPublished table.Instant
 }
 
-func newMetrics() *metrics {
-	return &metrics{counters: make(map[string]int64), latencies: make(map[string]*hdrhistogram.Histogram)}
+func newMetrics(g *guard.Guard) *metrics {
+	return &metrics{counters: make(map[string]int64), latencies: make(map[string]*hdrhistogram.Histogram), guard: g}
 }
 
 // publish copies the counters, at most once per publishInterval. It runs on the
@@ -61,6 +65,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	w.Counters.Each(func(name string, n *int64) { m.counters[name] = *n })
+	m.guard.Stats().Each(func(name string, n int64) { m.counters[name] = n })
 	m.counters["control.ticks"] = int64(usage.Ticks)
 	m.counters["control.busy_us"] = usage.Busy.Microseconds()
 	m.counters["control.longest_tick_us"] = usage.Longest.Microseconds()
--- a/internal/traffic/front/endless_test.go
+++ b/internal/traffic/front/endless_test.go
@@ -15,7 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"laburnumroad.dev/laburnumroad/internal/event"
-	"laburnumroad.dev/laburnumroad/internal/traffic/front"
+	"laburnumroad.dev/laburnumroad/internal/traffic/guard"
 )
 
 const responseHead = "HTTP/1.1 200 OK\r\nAttempt-Id: r1\r\nServer-Seal: s\r\n"
@@ -108,7 +108,7 @@
 		return true
 	})
 	control := startServer(t, false, endpoint)
-	control.server.Memory = front.NewMemory(size + size/2)
+	control.server.Guard = guard.New(guard.Limits{MemoryBytes: size + size/2}, guard.Policy{})
 	// The server reads the next request of a connection after the handler of the one
 	// before has returned, and with it the memory.
 	transport := &http.Transport{MaxConnsPerHost: 1}
@@ -130,7 +130,7 @@
 	go func() { done <- length("waiting") }()
 	// What the endpoint has written may still be on the way. Until the server has the
 	// memory for all of it, it may be the first response that does not fit.
-	require.Eventually(t, func() bool { return control.server.Memory.Used() == size }, time.Minute, time.Millisecond)
+	require.Eventually(t, func() bool { return control.server.Guard.Used() == size }, time.Minute, time.Millisecond)
 	// A response that fits alone does not fit beside the first one.
 	resp, _, err := control.send(t, "beside", "", nil)
 	require.NoError(t, err)
@@ -154,7 +154,7 @@
 func TestRequestWithoutMemoryIsRefused(t *testing.T) {
 	endpoint := startEndpoint(t, echo)
 	control := startServer(t, false, endpoint)
-	control.server.Memory = front.NewMemory(1 << 10)
+	control.server.Guard = guard.New(guard.Limits{MemoryBytes: 1 << 10}, guard.Policy{})
 	resp, _, err := control.send(t, "r1", strings.Repeat("x", 2<<10), nil)
 	require.NoError(t, err)
 	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
--- a/internal/traffic/front/exchange.go
+++ b/internal/traffic/front/exchange.go
@@ -14,6 +14,7 @@
 	"laburnumroad.dev/laburnumroad/internal/command"
 	"laburnumroad.dev/laburnumroad/internal/event"
 	"laburnumroad.dev/laburnumroad/internal/table"
+	"laburnumroad.dev/laburnumroad/internal/traffic/guard"
 	"laburnumroad.dev/laburnumroad/internal/traffic/tcp"
 	"laburnumroad.dev/laburnumroad/internal/traffic/upstream"
 )
@@ -36,10 +37,12 @@
 	w       http.ResponseWriter
 	r       *http.Request
 	request Request
-	body    []byte
-	// memory is what the exchange has taken from the server's budget for responses.
-	memory   int64
-	commands chan exchangeCommand
+	body    [][]byte
+	// holding is what the exchange has charged to its client, and responseBytes the part of
+	// it for the last response.
+	holding       *guard.Request
+	responseBytes int64
+	commands      chan exchangeCommand
 	// traceCtx carries the request's span. It is not cancelled when the client
 	// disconnects.
 	traceCtx context.Context
@@ -71,13 +74,13 @@
 type bufferedResponse struct {
 	status int
 	header http.Header
-	body   []byte
+	body   [][]byte
 }
 
 func (x *exchange) arrivalEvent() event.HTTPArrival {
 	return event.HTTPArrival{
 		Exchange: x.id, Request: x.request.ID, Host: requestHost(x.r), Path: requestPath(x.r),
-		HasKey: x.request.HasKey, KeyHash: x.request.KeyHash, ClientTimeout: x.request.Timeout, BodyBytes: len(x.body),
+		HasKey: x.request.HasKey, KeyHash: x.request.KeyHash, ClientTimeout: x.request.Timeout, BodyBytes: guard.Len(x.body),
 		PromptTokens: x.request.PromptTokens, MaxOutput: x.request.MaxOutput, PromptParts: x.request.PromptParts,
 		Fingerprint: fingerprint(x.r, x.request.KeyHash, x.body),
 	}
@@ -220,11 +223,17 @@
 
 // bufferResponse reads a complete response.
 func (x *exchange) bufferResponse(end *event.DirectAttemptEnd, resp *upstream.Response) {
-	x.server.Memory.release(x.memory)
-	body, memory, err := x.server.Memory.readAll(resp.Body, maxResponseBytes)
-	x.memory = memory
+	x.holding.Shrink(x.responseBytes)
+	x.responseBytes, x.buffered = 0, nil
+	before := x.holding.Taken()
+	err := x.holding.Grow(guard.HeadBytes(resp.Header))
+	var body [][]byte
+	if err == nil {
+		body, err = x.holding.ReadAll(resp.Body, maxResponseBytes)
+	}
+	x.responseBytes = x.holding.Taken() - before
 	switch {
-	case errors.Is(err, errBodyTooLarge), errors.Is(err, errNoMemory):
+	case errors.Is(err, guard.ErrTooLarge), errors.Is(err, guard.ErrNoMemory):
 		end.Status, end.Reason = event.DirectOutcomeUnknown, errors.Wrap(err, "read answer").Error()
 		return
 	case err != nil:
@@ -233,7 +242,7 @@
 	}
 	x.buffered = &bufferedResponse{status: resp.StatusCode, header: resp.Header, body: body}
 	end.Undelimited = resp.CloseDelimited()
-	end.Status, end.Reason, end.AnswerBytes = event.DirectAnswered, "status "+strconv.Itoa(resp.StatusCode), int64(len(body))
+	end.Status, end.Reason, end.AnswerBytes = event.DirectAnswered, "status "+strconv.Itoa(resp.StatusCode), int64(guard.Len(body))
 }
 
 // finish completes or aborts the response to the client.
@@ -267,21 +276,26 @@
 	x.copyHeader(x.buffered.header)
 	h := x.w.Header()
 	if x.r.Method != http.MethodHead && x.buffered.status != http.StatusNoContent && x.buffered.status != http.StatusNotModified {
-		h.Set("Content-Length", strconv.Itoa(len(x.buffered.body)))
+		h.Set("Content-Length", strconv.Itoa(guard.Len(x.buffered.body)))
 	}
 	x.w.WriteHeader(x.buffered.status)
-	x.writeBody(x.buffered.body)
+	x.writeBody(x.buffered.body...)
 }
 
 // writeBody sends a complete body to the client, in at most clientWriteTimeout and the
 // time that the body takes at minClientPace: a client that reads a byte now and then
 // would keep the memory of the body.
-func (x *exchange) writeBody(body []byte) {
+func (x *exchange) writeBody(body ...[]byte) {
 	rc := http.NewResponseController(x.w)
-	limit := clientWriteTimeout + time.Duration(len(body))*time.Second/minClientPace
+	limit := clientWriteTimeout + time.Duration(guard.Len(body))*time.Second/minClientPace
 	err := rc.SetWriteDeadline(time.Now().Add(limit))
-	if err == nil && x.r.Method != http.MethodHead {
-		_, err = x.w.Write(body)
+	if x.r.Method == http.MethodHead {
+		body = nil
+	}
+	for _, block := range body {
+		if err == nil {
+			_, err = x.w.Write(block)
+		}
 	}
 	if err == nil {
 		err = rc.Flush()
--- a/internal/traffic/front/front_test.go
+++ b/internal/traffic/front/front_test.go
@@ -21,6 +21,7 @@
 	"laburnumroad.dev/laburnumroad/internal/event"
 	"laburnumroad.dev/laburnumroad/internal/table"
 	"laburnumroad.dev/laburnumroad/internal/traffic/front"
+	"laburnumroad.dev/laburnumroad/internal/traffic/guard"
 	"laburnumroad.dev/laburnumroad/internal/traffic/tracing"
 	"laburnumroad.dev/laburnumroad/internal/traffic/upstream"
 	"laburnumroad.dev/laburnumroad/platform"
@@ -121,7 +122,7 @@
 
 func startServer(t *testing.T, streaming bool, endpoints ...*testEndpoint) *fakeControl {
 	c := &fakeControl{endpoints: endpoints, streaming: streaming, disconnected: make(chan table.ExchangeID, 16)}
-	c.server = &front.Server{Tracer: tracing.Noop(), Codec: platform.Headers{}, Pool: upstream.NewPool(), Log: zerolog.Nop(), Memory: front.NewMemory(0), Post: c.post}
+	c.server = &front.Server{Tracer: tracing.Noop(), Codec: platform.Headers{}, Pool: upstream.NewPool(), Log: zerolog.Nop(), Guard: guard.New(guard.Limits{}, guard.Policy{}), Post: c.post}
 	httpServer := httptest.NewServer(c.server)
 	t.Cleanup(httpServer.Close)
 	c.url = httpServer.URL
--- a/internal/traffic/front/server.go
+++ b/internal/traffic/front/server.go
@@ -23,6 +23,7 @@
 	"laburnumroad.dev/laburnumroad/internal/command"
 	"laburnumroad.dev/laburnumroad/internal/event"
 	"laburnumroad.dev/laburnumroad/internal/table"
+	"laburnumroad.dev/laburnumroad/internal/traffic/guard"
 	"laburnumroad.dev/laburnumroad/internal/traffic/upstream"
 )
 
@@ -34,10 +35,6 @@
 	// bodyReadTimeout limits how long a slow client can occupy a connection while it
 	// sends a body. Clients wait a few seconds for the complete response.
 	bodyReadTimeout = 15 * time.Second
-	// bodyRetryAfter is the retry delay sent to clients whose request did not fit into
-	// the memory or was not complete when the process closed: most requests end within
-	// it, and a restart takes about as long.
-	bodyRetryAfter = time.Second
 	// defaultBodyLimit applies until the first configuration is loaded.
 	defaultBodyLimit = 4 << 20
 )
@@ -52,8 +49,8 @@
 	Log   zerolog.Logger
 	// Now returns the time; nil means time.Now.
 	Now func() time.Time
-	// Memory bounds the bodies that are buffered.
-	Memory *Memory
+	// Guard bounds what clients make the process hold.
+	Guard *guard.Guard
 	// Tracer creates a span for each request and each attempt.
 	Tracer trace.Tracer
 
@@ -83,23 +80,27 @@
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	holding, err := s.Guard.Begin(r)
+	defer holding.End()
 	request := s.Codec.ParseRequest(r.Header)
 	if request.ID == "" {
 		http.Error(w, "the request has no id", http.StatusBadRequest)
 		return
 	}
-	body, memory, status := s.readBody(w, r)
-	defer s.Memory.release(memory)
+	if err == nil {
+		// Each attempt has a copy of the head.
+		err = holding.Grow(guard.HeadBytes(r.Header))
+	}
+	if err != nil {
+		s.refuse(w, request.ID, http.StatusServiceUnavailable)
+		return
+	}
+	body, status := s.readBody(w, r, holding)
 	if status != 0 {
-		if status == http.StatusServiceUnavailable {
-			s.Codec.SetRefusalHeader(w.Header(), request.ID, bodyRetryAfter)
-		}
-		w.Header().Set("Connection", "close")
-		w.WriteHeader(status)
+		s.refuse(w, request.ID, status)
 		return
 	}
-	x := s.addExchange(w, r, request, body)
-	defer func() { s.Memory.release(x.memory) }()
+	x := s.addExchange(w, r, request, body, holding)
 	defer s.removeExchange(x)
 	var span trace.Span
 	// The context outlives the client's connection: attempts end only when the
@@ -112,22 +113,33 @@
 	x.serve()
 }
 
-// readBody returns the complete request body and the memory that it takes, or the
-// HTTP status to refuse the request with.
-func (s *Server) readBody(w http.ResponseWriter, r *http.Request) (body []byte, memory int64, status int) {
+// refuse answers a request of which not all was read, and closes its connection.
+func (s *Server) refuse(w http.ResponseWriter, requestID string, status int) {
+	if status == http.StatusServiceUnavailable {
+		s.Codec.SetRefusalHeader(w.Header(), requestID, guard.RetryAfter)
+	}
+	w.Header().Set("Connection", "close")
+	w.WriteHeader(status)
+}
+
+// readBody returns the complete request body, or the HTTP status to refuse the request
+// with.
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request, holding *guard.Request) (body [][]byte, status int) {
 	limit := s.BodyLimit.Load()
 	if limit <= 0 {
 		limit = defaultBodyLimit
 	}
 	if r.ContentLength > limit {
-		return nil, 0, http.StatusRequestEntityTooLarge
+		return nil, http.StatusRequestEntityTooLarge
 	}
 	if r.Body == nil || r.ContentLength == 0 {
-		return nil, 0, 0
+		return nil, 0
 	}
 	rc := http.NewResponseController(w)
 	s.startBodyRead(rc)
-	body, memory, err := s.Memory.readAll(r.Body, limit)
+	received := holding.Receive()
+	body, err := holding.ReadAll(r.Body, limit)
+	received()
 	limited := s.endBodyRead(rc)
 	if err == nil {
 		// The deadline covers the body only: the HTTP server keeps reading the
@@ -135,16 +147,16 @@
 		if err := rc.SetReadDeadline(time.Time{}); err != nil {
 			s.Log.Warn().Err(err).Msg("clearing the read deadline of a connection failed")
 		}
-		return body, memory, 0
+		return body, 0
 	}
 	s.Log.Info().Str("request", table.Shorten(s.Codec.ParseRequest(r.Header).ID)).Err(err).Msg("failed to read a request body")
 	switch {
-	case errors.Is(err, errBodyTooLarge):
-		return nil, memory, http.StatusRequestEntityTooLarge
-	case errors.Is(err, errNoMemory), limited && errors.Is(err, os.ErrDeadlineExceeded):
-		return nil, memory, http.StatusServiceUnavailable
+	case errors.Is(err, guard.ErrTooLarge):
+		return nil, http.StatusRequestEntityTooLarge
+	case errors.Is(err, guard.ErrNoMemory), errors.Is(err, guard.ErrEnded), limited && errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, http.StatusServiceUnavailable
 	}
-	return nil, memory, http.StatusBadRequest
+	return nil, http.StatusBadRequest
 }
 
 func (s *Server) startBodyRead(rc *http.ResponseController) {
@@ -185,12 +197,12 @@
 	}
 }
 
-func (s *Server) addExchange(w http.ResponseWriter, r *http.Request, request Request, body []byte) *exchange {
+func (s *Server) addExchange(w http.ResponseWriter, r *http.Request, request Request, body [][]byte, holding *guard.Request) *exchange {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lastExchangeID++
 	x := &exchange{
-		server: s, id: s.lastExchangeID, w: w, r: r, request: request, body: body, lastEventID: request.LastEventID,
+		server: s, id: s.lastExchangeID, w: w, r: r, request: request, body: body, holding: holding, lastEventID: request.LastEventID,
 		commands: make(chan exchangeCommand, commandBuffer),
 	}
 	if s.exchanges == nil {
@@ -265,12 +277,14 @@
 
 // fingerprint hashes the customer's key and the request's method, host, target and
 // body. Requests with equal fingerprints ask for the same work.
-func fingerprint(r *http.Request, key table.KeyHash, body []byte) table.Fingerprint {
+func fingerprint(r *http.Request, key table.KeyHash, body [][]byte) table.Fingerprint {
 	digest := xxhash.New()
 	// Writing to a digest does not fail.
 	_, _ = digest.Write(key[:])
 	_, _ = digest.WriteString(r.Method + " " + r.Host + r.RequestURI + "\n")
-	_, _ = digest.Write(body)
+	for _, block := range body {
+		_, _ = digest.Write(block)
+	}
 	return table.Fingerprint(digest.Sum64())
 }
 
--- a/internal/traffic/front/stalled_test.go
+++ b/internal/traffic/front/stalled_test.go
@@ -76,7 +76,7 @@
 	<-client.stalled
 	require.False(t, client.deadline.Before(earliest))
 	require.False(t, client.deadline.After(client.latest))
-	require.Zero(t, control.server.Memory.Used())
+	require.Zero(t, control.server.Guard.Used())
 	resp, _, err := control.send(t, "r1", "", nil)
 	require.NoError(t, err)
 	require.Equal(t, http.StatusOK, resp.StatusCode)
--- a/internal/traffic/front/stream.go
+++ b/internal/traffic/front/stream.go
@@ -34,7 +34,7 @@
 // after the last one.
 func (x *exchange) relayStream(end *event.DirectAttemptEnd, c *command.CallEndpoint, resp *upstream.Response) {
 	r := bufio.NewReaderSize(resp.Body, streamBufferBytes)
-	started, hasData, continued := false, false, x.headerSent
+	started, hasData, continued, large := false, false, x.headerSent, false
 	lastEventTime := time.Time{}
 	if continued && contentType(resp.Header) != x.contentType {
 		end.Status, end.Reason = event.DirectOutcomeUnknown, "the endpoint did not continue the stream: its answer has another content type"
@@ -46,6 +46,14 @@
 			x.classifyStreamEnd(end, resp, hasData, text, err)
 			return
 		}
+		if !large && len(text) > streamBufferBytes {
+			if err := x.holding.Grow(maxEventBytes); err != nil {
+				end.Status, end.Reason = event.DirectOutcomeUnknown, errors.Wrap(err, "read an event").Error()
+				return
+			}
+			large = true
+			defer x.holding.Shrink(maxEventBytes)
+		}
 		if resp.CloseDelimited() || continued {
 			fields := parseFields(text)
 			if !fields.valid {
--- /dev/null
+++ b/internal/traffic/guard/request.go
@@ -0,0 +1,276 @@
+package guard
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"laburnumroad.dev/laburnumroad/internal/table"
+)
+
+const (
+	// streamBytes is what a request takes that is a stream of a connection.
+	streamBytes = 16 << 10
+	// firstBlockBytes and maxBlockBytes are the sizes of the first and the largest block of
+	// a body. Blocks double up to the largest, and no block is copied when the body grows.
+	firstBlockBytes = 4 << 10
+	maxBlockBytes   = 64 << 10
+)
+
+// ErrTooLarge reports a body that is longer than allowed.
+var ErrTooLarge = errorTooLarge{}
+
+type errorTooLarge struct{}
+
+func (errorTooLarge) Error() string { return "the body is too large" }
+
+type connKey struct{}
+
+type requestKey struct{}
+
+// Request is a request with what it holds.
+type Request struct {
+	holding *Holding
+	conn    *Conn
+	// taken is what the request has charged to the holding.
+	taken atomic.Int64
+
+	mu sync.Mutex
+	// stop makes reads of the body fail, for a request that is a stream of its connection.
+	stop func()
+}
+
+// onEnd sets what makes reads of the body fail.
+func (r *Request) onEnd(stop func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stop = stop
+}
+
+// endStream ends a request that is a stream of its connection.
+func (r *Request) endStream() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.stop != nil {
+		r.stop()
+	}
+}
+
+// HeadBytes returns what the head of a request or a response takes beyond what each
+// connection has room for.
+func HeadBytes(h http.Header) int64 {
+	bytes := int64(0)
+	for name, values := range h {
+		for _, value := range values {
+			bytes += fieldBytes + 2*int64(len(name)+len(value))
+		}
+	}
+	return max(0, bytes-freeHeadBytes)
+}
+
+// Begin charges a request whose head was read. end must be called when it is answered. An
+// error means that there is no room; the request must be refused, and ended too.
+func (g *Guard) Begin(r *http.Request) (request *Request, err error) {
+	c, _ := r.Context().Value(connKey{}).(*Conn)
+	request = &Request{conn: c}
+	if c == nil || c.streams {
+		request.holding = &Holding{end: request.endStream}
+		if c != nil {
+			request.holding.class = c.holding.class
+		}
+		g.open(request.holding)
+	} else {
+		request.holding = c.holding
+	}
+	request.holding.setPhase(table.HoldingWorking)
+	if c == nil {
+		return request, request.Grow(HeadBytes(r.Header))
+	}
+	if c.requests.Add(1) == 1 && c.streams {
+		c.holding.setPhase(table.HoldingWorking)
+	}
+	if c.streams {
+		return request, request.Grow(streamBytes + HeadBytes(r.Header))
+	}
+	// What was charged while the head arrived becomes the request's.
+	head, charged := HeadBytes(r.Header), c.takeHead()
+	if charged > head {
+		c.holding.shrink(charged - head)
+		charged = head
+	}
+	request.taken.Add(charged)
+	return request, request.Grow(head - charged)
+}
+
+// End gives back what the request holds.
+func (r *Request) End() {
+	c := r.conn
+	r.onEnd(nil)
+	if r.holding.connection {
+		r.holding.shrink(r.taken.Swap(0))
+		r.holding.served.Store(true)
+		// The server reads the rest of the body, and writes what is left of the answer.
+		r.holding.setPhase(table.HoldingReceiving)
+		c.requests.Add(-1)
+		return
+	}
+	r.holding.guard.close(r.holding)
+	if c != nil && c.requests.Add(-1) == 0 {
+		c.holding.served.Store(true)
+		c.holding.setPhase(table.HoldingIdle)
+	}
+}
+
+// Grow charges bytes to the request.
+func (r *Request) Grow(n int64) error {
+	if n <= 0 {
+		return nil
+	}
+	if err := r.holding.grow(n); err != nil {
+		return err
+	}
+	r.taken.Add(n)
+	return nil
+}
+
+// Taken returns what the request has charged.
+func (r *Request) Taken() int64 { return r.taken.Load() }
+
+// Shrink gives bytes back.
+func (r *Request) Shrink(n int64) {
+	r.holding.shrink(n)
+	r.taken.Add(-n)
+}
+
+// Receive marks that the request waits for its client until the returned function is called.
+func (r *Request) Receive() (done func()) {
+	r.holding.setPhase(table.HoldingReceiving)
+	return func() { r.holding.setPhase(table.HoldingWorking) }
+}
+
+// Moved counts bytes that the client has sent.
+func (r *Request) moved(n int) { r.holding.moved.Add(int64(n)) }
+
+// ReadAll reads up to maxBytes until the end of a body that the client sends, or of an answer
+// to the request, into blocks that are charged to it.
+func (r *Request) ReadAll(body io.Reader, maxBytes int64) (blocks [][]byte, err error) {
+	size, total := int64(firstBlockBytes), int64(0)
+	for {
+		// One byte more than allowed shows that a body is too long.
+		block := min(size, maxBytes+1-total)
+		if err := r.Grow(block); err != nil {
+			return nil, err
+		}
+		buffer := make([]byte, 0, block)
+		for len(buffer) < cap(buffer) {
+			n, err := body.Read(buffer[len(buffer):cap(buffer)])
+			buffer = buffer[:len(buffer)+n]
+			r.moved(n)
+			total += int64(n)
+			switch {
+			case total > maxBytes:
+				return nil, ErrTooLarge
+			case err == io.EOF:
+				return append(blocks, buffer), nil
+			case err != nil:
+				return nil, err
+			}
+		}
+		blocks = append(blocks, buffer)
+		if len(blocks) > 1 {
+			size = min(2*size, maxBlockBytes)
+		}
+	}
+}
+
+// Len returns the number of bytes in blocks.
+func Len(blocks [][]byte) int {
+	n := 0
+	for _, block := range blocks {
+		n += len(block)
+	}
+	return n
+}
+
+// RequestOf returns the request of a context that Handler has made, or nil.
+func RequestOf(ctx context.Context) *Request {
+	r, _ := ctx.Value(requestKey{}).(*Request)
+	return r
+}
+
+// HandlerOptions say how a handler is charged.
+type HandlerOptions struct {
+	// BodyFactor is how many bytes the handler takes for each byte of a body that it reads;
+	// 0 means 1.
+	BodyFactor int64
+	// Refuse answers requests for which there is no room; nil means a plain refusal.
+	Refuse http.Handler
+	// BodyError returns the error of reading a body for which there is no room; nil means
+	// the error as it is.
+	BodyError func(error) error
+}
+
+// Handler charges requests and what a handler reads of their bodies.
+func (g *Guard) Handler(h http.Handler, o HandlerOptions) http.Handler {
+	if o.Refuse == nil {
+		o.Refuse = http.HandlerFunc(refusePlainly)
+	}
+	if o.BodyError == nil {
+		o.BodyError = func(err error) error { return err }
+	}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		request, err := g.Begin(r)
+		defer request.End()
+		if err != nil {
+			w.Header().Set("Connection", "close")
+			o.Refuse.ServeHTTP(w, r)
+			return
+		}
+		rc := http.NewResponseController(w)
+		// A request that is a stream of its connection ends by itself.
+		request.onEnd(func() { _ = rc.SetReadDeadline(time.Unix(1, 0)) })
+		r = r.WithContext(context.WithValue(r.Context(), requestKey{}, request))
+		if r.Body != nil && r.ContentLength != 0 {
+			r.Body = &chargedBody{ReadCloser: r.Body, request: request, options: &o}
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
+func refusePlainly(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Retry-After", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// chargedBody charges what is read of a body.
+type chargedBody struct {
+	io.ReadCloser
+	request *Request
+	options *HandlerOptions
+	reading bool
+}
+
+// Read implements io.Reader.
+func (b *chargedBody) Read(p []byte) (int, error) {
+	if !b.reading {
+		b.reading = true
+		b.request.holding.setPhase(table.HoldingReceiving)
+	}
+	n, err := b.ReadCloser.Read(p)
+	if n > 0 {
+		b.request.moved(n)
+		if growErr := b.request.Grow(int64(n) * max(1, b.options.BodyFactor)); growErr != nil {
+			return 0, b.options.BodyError(growErr)
+		}
+	}
+	if err != nil {
+		b.request.holding.setPhase(table.HoldingWorking)
+		if err != io.EOF && b.request.holding.ended.Load() {
+			err = b.options.BodyError(ErrEnded)
+		}
+	}
+	return n, err
+}
--- a/internal/traffic/tcp/dialer.go
+++ b/internal/traffic/tcp/dialer.go
@@ -47,6 +47,10 @@
 // Reset closes a connection with a reset, which drops what it has not sent yet. The
 // peer does not take it for the end of what was sent.
 func Reset(c net.Conn) {
+	if accepted, ok := c.(interface{ Abort() }); ok {
+		accepted.Abort()
+		return
+	}
 	if l, ok := c.(interface{ SetLinger(sec int) error }); ok {
 		// Without the option, the bytes are sent after the close, and an orderly end.
 		_ = l.SetLinger(0)
--- a/internal/traffic/tcp/listener.go
+++ b/internal/traffic/tcp/listener.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -41,7 +40,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &acceptedConn{TCPConn: c, listener: l}, nil
+	return &Conn{TCPConn: c, listener: l}, nil
 }
 
 // Wait waits until the sent data of all closed connections has arrived, or until ctx ends.
@@ -58,26 +57,34 @@
 	}
 }
 
-type acceptedConn struct {
+// Conn is a connection that a Listener has accepted.
+type Conn struct {
 	*net.TCPConn
 	listener *Listener
-	once     sync.Once
-	// reset is true if Close resets the connection.
-	reset atomic.Bool
+	// closeOnce guards the decision how to close, closeNowOnce the close itself.
+	closeOnce, closeNowOnce sync.Once
+	// onClose is called once the system has closed the connection.
+	onClose func()
 }
 
-// SetLinger sets what happens to unsent data on Close; 0 resets the connection.
-func (c *acceptedConn) SetLinger(seconds int) error {
-	c.reset.Store(seconds == 0)
-	return c.TCPConn.SetLinger(seconds)
+// OnClose sets a function that is called once the system has closed the connection, which
+// may be later than Close returns. It must be called before the connection is used.
+func (c *Conn) OnClose(f func()) { c.onClose = f }
+
+// Abort resets the connection at once, also one that Close keeps open for data that its peer
+// has not acknowledged.
+func (c *Conn) Abort() {
+	c.closeOnce.Do(func() {})
+	_ = c.SetLinger(0)
+	_ = c.closeNow()
 }
 
 // Close implements net.Conn. It does not block.
-func (c *acceptedConn) Close() error {
+func (c *Conn) Close() error {
 	err := net.ErrClosed
-	c.once.Do(func() {
-		if c.reset.Load() || c.unacknowledged() == 0 {
-			err = c.TCPConn.Close()
+	c.closeOnce.Do(func() {
+		if c.unacknowledged() == 0 {
+			err = c.closeNow()
 			return
 		}
 		// Ends reads and writes in progress.
@@ -88,15 +95,26 @@
 	return err
 }
 
-func (c *acceptedConn) closeWhenAcknowledged() {
+func (c *Conn) closeWhenAcknowledged() {
 	for end := time.Now().Add(closeTimeout); c.unacknowledged() > 0 && time.Now().Before(end); {
 		time.Sleep(closeCheckInterval)
 	}
-	_ = c.TCPConn.Close()
+	_ = c.closeNow()
+}
+
+func (c *Conn) closeNow() error {
+	err := net.ErrClosed
+	c.closeNowOnce.Do(func() {
+		err = c.TCPConn.Close()
+		if c.onClose != nil {
+			c.onClose()
+		}
+	})
+	return err
 }
 
 // unacknowledged returns the number of sent bytes that the peer has not acknowledged.
-func (c *acceptedConn) unacknowledged() (n int) {
+func (c *Conn) unacknowledged() (n int) {
 	raw, err := c.SyscallConn()
 	if err != nil {
 		return 0
--- a/internal/traffic/upstream/exchange.go
+++ b/internal/traffic/upstream/exchange.go
@@ -43,7 +43,8 @@
 	// Prepare returns the headers once the connection is open, just before the first
 	// byte is written. An error ends the request; nothing is written then.
 	Prepare func() (http.Header, error)
-	Body    []byte
+	// Body is the body in one or several parts.
+	Body [][]byte
 	// OnConnect, if set, is called with the time that a new connection took, or that
 	// passed until it failed.
 	OnConnect func(time.Duration)
@@ -51,6 +52,14 @@
 	Matches func(http.Header) bool
 }
 
+func (r *Request) bodyLength() int {
+	n := 0
+	for _, part := range r.Body {
+		n += len(part)
+	}
+	return n
+}
+
 // Response is the status and headers of an endpoint's response, and its body to be
 // read. The caller must call Close when it has read the body or doesn't need it.
 type Response struct {
@@ -130,7 +139,7 @@
 
 // roundTrip writes the request and reads responses until one belongs to it.
 func (r *Response) roundTrip(req *Request, header http.Header) error {
-	if len(req.Body) <= maxInlineBody {
+	if req.bodyLength() <= maxInlineBody {
 		if err := r.writeRequest(req, header); err != nil {
 			return errors.Wrap(err, "send")
 		}
@@ -176,14 +185,16 @@
 	w := bufio.NewWriterSize(r.conn, 2<<10)
 	// bufio.Writer keeps its first error, and Flush returns it.
 	_, _ = w.WriteString(req.Method + " " + req.Target + " HTTP/1.1\r\nHost: " + req.Host + "\r\n")
-	if len(req.Body) > 0 || req.Method != http.MethodGet && req.Method != http.MethodHead {
-		_, _ = w.WriteString("Content-Length: " + strconv.Itoa(len(req.Body)) + "\r\n")
+	if n := req.bodyLength(); n > 0 || req.Method != http.MethodGet && req.Method != http.MethodHead {
+		_, _ = w.WriteString("Content-Length: " + strconv.Itoa(n) + "\r\n")
 	}
 	if err := header.Write(w); err != nil {
 		return err
 	}
 	_, _ = w.WriteString("\r\n")
-	_, _ = w.Write(req.Body)
+	for _, part := range req.Body {
+		_, _ = w.Write(part)
+	}
 	return w.Flush()
 }
 
