daemon: connections and heads of routers and agents share the guard's budget

What callers saw (tests with crowds): 500 connections beside 400 sockets at each HTTP address of a router or an agent; heads of short fields take 147 to 394 MB of 144; bodies at the callers' API 461 to 1,366 MB. The host ends the process.

Routers and agents did not know the memory and the descriptors of their host.

Change: new settings memory_mb and max_descriptors, by default what the operating system says. The listeners for callers, operators and metrics accept through the guard, requests and the bodies that handlers read are charged to it, and a request without room gets UNAVAILABLE, code BUSY, not run, with a time to come back.

Compressed bodies (520 and 331 MB) and HTTP/2 streams (176 MB) still fail: what they take does not show in the bytes that arrive.

--- a/cmd/laburnumroadd/options.go
+++ b/cmd/laburnumroadd/options.go
@@ -6,12 +6,17 @@
 	"laburnumroad.dev/laburnumroad/internal/daemon"
 	"laburnumroad.dev/laburnumroad/internal/settings"
 	"laburnumroad.dev/laburnumroad/internal/table"
+	"laburnumroad.dev/laburnumroad/internal/traffic/guard"
 )
 
 // settleInterval is the maximum time that the spending of an idle budget stays
 // unsettled. It limits the rate of platform writes at the planned fleet size.
 const settleInterval = 120 * time.Second
 
+// reservedDescriptors are the descriptors of a daemon that are not for connections: output,
+// files, listeners and polling.
+const reservedDescriptors = 32
+
 func daemonOptions(s *settings.Settings) daemon.Options {
 	opts := daemon.Options{
 		Role: table.RoleRouter, ID: table.ProcessID(s.ID), Region: s.Region, Domain: s.Domain,
@@ -20,7 +25,7 @@
 		PlatformURL: s.PlatformURL, Seeds: s.Seeds, Trace: traceOutput(s.Trace),
 		DrainTimeout: s.DrainTimeout, AnswerRetention: s.AnswerRetention, DetachGrace: s.DetachGrace,
 		GrantLifetime: s.GrantLifetime, SettleInterval: settleInterval, LedgerShards: uint32(s.LedgerShards),
-		MaxPromptBytes: int(s.MaxPromptBytes), MaxBodyBytes: int(s.MaxBodyBytes),
+		MaxPromptBytes: int(s.MaxPromptBytes), MaxBodyBytes: int(s.MaxBodyBytes), Host: host(s),
 	}
 	if s.Role == settings.RoleAgent {
 		opts.Role = table.RoleAgent
@@ -40,6 +45,20 @@
 	return opts
 }
 
+// host returns what the daemon may use of its host: what the settings say, else what the
+// operating system says.
+func host(s *settings.Settings) guard.Host {
+	h := guard.SystemHost()
+	if s.MemoryBytes > 0 {
+		h.MemoryBytes = s.MemoryBytes
+	}
+	if s.MaxDescriptors > 0 {
+		h.Sockets = min(h.Sockets, s.MaxDescriptors)
+	}
+	h.Sockets -= reservedDescriptors
+	return h
+}
+
 func traceOutput(t settings.Trace) string {
 	if t.Target != "" {
 		return t.Target
--- a/cmd/laburnumroadd/run.go
+++ b/cmd/laburnumroadd/run.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/google/subcommands"
@@ -14,6 +15,7 @@
 
 	"laburnumroad.dev/laburnumroad/internal/daemon"
 	"laburnumroad.dev/laburnumroad/internal/settings"
+	"laburnumroad.dev/laburnumroad/internal/traffic/guard"
 	"laburnumroad.dev/laburnumroad/platform"
 )
 
@@ -47,6 +49,9 @@
 // runDaemon runs the daemon until SIGTERM or SIGINT starts a graceful shutdown. A
 // second signal stops the daemon immediately.
 func runDaemon(s *settings.Settings, log zerolog.Logger) error {
+	if s.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * guard.RuntimeMemoryShare))
+	}
 	d, err := daemon.New(daemonOptions(s), log)
 	if err != nil {
 		return err
--- a/internal/crowd/target_test.go
+++ b/internal/crowd/target_test.go
@@ -336,7 +336,7 @@
 }
 
 // hostSettings are the settings of routers and agents about their host.
-const hostSettings = ""
+var hostSettings = fmt.Sprintf("memory_mb: %d\nmax_descriptors: %d\n", memoryMB, maxDescriptors-fileDescriptors)
 
 func newTarget(t *testing.T, binary, role, doorName string) *target {
 	f := newFixture(t, binary)
--- a/internal/daemon/capacity_test.go
+++ b/internal/daemon/capacity_test.go
@@ -12,6 +12,7 @@
 	"laburnumroad.dev/laburnumroad/internal/control"
 	"laburnumroad.dev/laburnumroad/internal/event"
 	"laburnumroad.dev/laburnumroad/internal/table"
+	"laburnumroad.dev/laburnumroad/internal/traffic/guard"
 )
 
 var (
@@ -230,7 +231,7 @@
 	benchmarkSizes(b, "processes", processCounts, func(b *testing.B, n int) {
 		router := newRouterFixture(b, fleetSize{plannedCustomers, 1_000, 2 * n, n})
 		router.runRequest(0)
-		m := newMetrics(&Options{ID: "self"})
+		m := newMetrics(&Options{ID: "self"}, guard.New(guard.Limits{}, guard.Policy{}))
 		b.ReportAllocs()
 		for b.Loop() {
 			router.w.Now = router.w.Now.Add(publishInterval)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -15,9 +15,11 @@
 	"laburnumroad.dev/laburnumroad/internal/control"
 	"laburnumroad.dev/laburnumroad/internal/event"
 	"laburnumroad.dev/laburnumroad/internal/fleetconfig"
+	"laburnumroad.dev/laburnumroad/internal/system/shed"
 	"laburnumroad.dev/laburnumroad/internal/table"
 	"laburnumroad.dev/laburnumroad/internal/traffic/callerapi"
 	"laburnumroad.dev/laburnumroad/internal/traffic/engine"
+	"laburnumroad.dev/laburnumroad/internal/traffic/guard"
 	"laburnumroad.dev/laburnumroad/internal/traffic/operatorapi"
 	"laburnumroad.dev/laburnumroad/internal/traffic/pause"
 	"laburnumroad.dev/laburnumroad/internal/traffic/peering"
@@ -36,12 +38,14 @@
 
 // Daemon is a router or agent process of the fleet.
 type Daemon struct {
-	opts   Options
-	log    zerolog.Logger
-	self   table.Process
-	clock  control.Clock
-	loop   *control.Loop
-	store  *store.Store
+	opts  Options
+	log   zerolog.Logger
+	self  table.Process
+	clock control.Clock
+	loop  *control.Loop
+	store *store.Store
+	// guard bounds what clients make the process hold.
+	guard  *guard.Guard
 	peers  *peering.Peers
 	node   *wire.Node
 	tracer trace.Tracer
@@ -78,8 +82,10 @@
 func New(opts Options, log zerolog.Logger) (*Daemon, error) {
 	d := &Daemon{
 		opts: opts, log: log.With().Str("process", string(opts.ID)).Logger(), clock: control.MonotonicClock(),
-		metrics: newMetrics(&opts), exitRequested: make(chan struct{}), stopLoop: make(chan struct{}),
+		exitRequested: make(chan struct{}), stopLoop: make(chan struct{}),
+		guard: guard.New(opts.Host.Limits(), guard.Policy{ForMemory: shed.ForMemory, ForConnection: shed.ForConnection, Overdue: shed.Overdue}),
 	}
+	d.metrics = newMetrics(&opts, d.guard)
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	var err error
 	if d.tracer, d.shutdownTracing, err = tracing.New(d.ctx, opts.Trace, opts.Role.String(), string(opts.ID)); err != nil {
@@ -191,15 +197,15 @@
 		},
 	}
 	d.callerAPI = &callerapi.Server{
-		Relay: d.requestRelay, Post: d.post, Tracer: d.tracer,
+		Relay: d.requestRelay, Post: d.post, Tracer: d.tracer, Guard: d.guard,
 		MaxPromptBytes: d.opts.MaxPromptBytes, MaxBodyBytes: d.opts.MaxBodyBytes,
 	}
 	d.operatorAPI = &operatorapi.Server{Post: d.post, KeyHashes: d.opts.OperatorKeys, Config: d.store}
 	var err error
-	if d.CallerAddress, err = d.serveHTTP(d.opts.CallerListen, d.callerAPI.Handler()); err != nil {
+	if d.CallerAddress, err = d.serveHTTP(d.opts.CallerListen, table.ClientListener, d.callerAPI.Handler()); err != nil {
 		return errors.Wrap(err, "listen for callers")
 	}
-	d.OperatorAddress, err = d.serveHTTP(d.opts.OperatorListen, d.operatorAPI.Handler())
+	d.OperatorAddress, err = d.serveHTTP(d.opts.OperatorListen, table.PrivateListener, d.guard.Handler(d.operatorAPI.Handler(), guard.HandlerOptions{}))
 	return errors.Wrap(err, "listen for operators")
 }
 
@@ -208,17 +214,18 @@
 		return nil
 	}
 	var err error
-	d.DebugAddress, err = d.serveHTTP(d.opts.DebugListen, d.metrics.handler(d.ready))
+	d.DebugAddress, err = d.serveHTTP(d.opts.DebugListen, table.PrivateListener, d.guard.Handler(d.metrics.handler(d.ready), guard.HandlerOptions{}))
 	return errors.Wrap(err, "listen for metrics")
 }
 
 // serveHTTP serves an HTTP handler until the daemon stops. It returns the bound address.
-func (d *Daemon) serveHTTP(address string, h http.Handler) (string, error) {
-	listener, err := net.Listen("tcp", address)
+func (d *Daemon) serveHTTP(address string, class table.ListenerClass, h http.Handler) (string, error) {
+	listener, err := d.guard.ListenHTTP(address, class)
 	if err != nil {
 		return "", err
 	}
 	server := callerapi.NewHTTPServer(h)
+	d.guard.Attach(server)
 	d.servers = append(d.servers, server)
 	go func() {
 		// Serve always returns an error, also after a shutdown.
@@ -253,6 +260,7 @@
 // Run runs the control loop and the background goroutines until Shutdown has
 // drained the process or Kill is called.
 func (d *Daemon) Run() error {
+	d.startWorker(func(ctx context.Context) { d.guard.Run(ctx.Done(), d.log) })
 	d.startWorker(d.store.Run)
 	d.startWorker(d.registerAndWatchFences)
 	d.startWorker(func(ctx context.Context) { d.store.WatchConfig(ctx, d.postStoredConfig) })
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -8,6 +8,7 @@
 
 	"laburnumroad.dev/laburnumroad/internal/control"
 	"laburnumroad.dev/laburnumroad/internal/table"
+	"laburnumroad.dev/laburnumroad/internal/traffic/guard"
 	"laburnumroad.dev/laburnumroad/internal/world"
 )
 
@@ -42,7 +43,7 @@
 	publishedGeneration table.Generation
 }
 
-func newMetrics(opts *Options) *metrics {
+func newMetrics(opts *Options, g *guard.Guard) *metrics {
 	m := &metrics{vars: new(expvar.Map).Init(), counters: new(expvar.Map).Init()}
 	id := new(expvar.String)
 	id.Set(string(opts.ID))
@@ -54,6 +55,11 @@
 	m.vars.Set("peer_bytes_in", &m.bytesIn)
 	m.vars.Set("peer_bytes_out", &m.bytesOut)
 	m.vars.Set("memstats", expvar.Get("memstats"))
+	m.vars.Set("clients", expvar.Func(func() any {
+		values := map[string]int64{}
+		g.Stats().Each(func(name string, n int64) { values[name] = n })
+		return values
+	}))
 	m.snapshot.Store(&snapshot{})
 	return m
 }
--- a/internal/daemon/options.go
+++ b/internal/daemon/options.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"laburnumroad.dev/laburnumroad/internal/table"
+	"laburnumroad.dev/laburnumroad/internal/traffic/guard"
 )
 
 // Options configures a Daemon. The values are expected to be validated.
@@ -41,6 +42,8 @@
 	LedgerShards    uint32
 	MaxPromptBytes  int
 	MaxBodyBytes    int
+	// Host is what the process may use of its host.
+	Host guard.Host
 
 	// Endpoints are the endpoints that an agent serves; empty for a router.
 	Endpoints []EndpointOptions
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -28,6 +28,12 @@
 	// A prompt or body is sent between processes in one frame, which has room for
 	// 1 MiB of it beside the other fields of the message (wire.MaxFrame).
 	maxPayloadLimit = 1_000_000 // bytes
+	// Two calls of the largest size fit into the share of the smallest memory that callers
+	// may take.
+	minMemoryMB    = 64
+	maxMemoryMB    = 1 << 20
+	minDescriptors = 256
+	maxDescriptors = 1 << 20
 )
 
 // Load parses and validates the settings of one daemon. It reports all findings
@@ -132,6 +138,8 @@
 	s.LedgerShards = int(o.Optional("ledger_shards").Int(1, maxLedgerShards, DefaultLedgerShards))
 	s.MaxPromptBytes = o.Optional("max_prompt_bytes").Int(minPayloadLimit, maxPayloadLimit, DefaultMaxPromptBytes)
 	s.MaxBodyBytes = o.Optional("max_body_bytes").Int(minPayloadLimit, maxPayloadLimit, DefaultMaxBodyBytes)
+	s.MemoryBytes = o.Optional("memory_mb").Int(minMemoryMB, maxMemoryMB, 0) << 20
+	s.MaxDescriptors = int(o.Optional("max_descriptors").Int(minDescriptors, maxDescriptors, 0))
 }
 
 // loadRoleFields reads the fields of the daemon's role and rejects those of the other
--- a/internal/settings/load_test.go
+++ b/internal/settings/load_test.go
@@ -78,6 +78,8 @@
 		{routerSettings + "drain_timeout: 60\n", "drain_timeout: must be a duration"},
 		{routerSettings + "ledger_shards: 0\n", "ledger_shards: must be from 1 to 65536"},
 		{routerSettings + "max_body_bytes: 1048576\n", "max_body_bytes: must be from 1024 to 1000000"},
+		{routerSettings + "memory_mb: 16\n", "memory_mb: must be from 64 to 1048576"},
+		{routerSettings + "max_descriptors: 0\n", "max_descriptors: must be from 256 to 1048576"},
 		{routerSettings + "max_prompt_bytes: 1000000000\n", "max_prompt_bytes: must be from"},
 		{routerSettings + "endpoints: []\n", "endpoints: a router has no endpoints"},
 		{routerSettings + "drain: 1s\n", "drain: is not a known field"},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -67,6 +67,11 @@
 	// MaxBodyBytes is the maximum size of the body of a plain service call.
 	MaxBodyBytes int64
 
+	// MemoryBytes is the memory that the daemon may use, and MaxDescriptors the number of
+	// descriptors that it may have open; 0 means what the operating system says.
+	MemoryBytes    int64
+	MaxDescriptors int
+
 	// Endpoints are the endpoints that the agent serves; agents only.
 	Endpoints []Endpoint
 }
--- a/internal/traffic/callerapi/http.go
+++ b/internal/traffic/callerapi/http.go
@@ -8,6 +8,8 @@
 	"connectrpc.com/connect"
 
 	"laburnumroad.dev/laburnumroad/gen/laburnumroad/v1/laburnumroadv1connect"
+	"laburnumroad.dev/laburnumroad/internal/table"
+	"laburnumroad.dev/laburnumroad/internal/traffic/guard"
 )
 
 // Limits for slow callers and large requests.
@@ -36,13 +38,28 @@
 	maxRequestBytes := 2*max(s.MaxPromptBytes, s.MaxBodyBytes) + messageOverhead
 	mux := http.NewServeMux()
 	mux.Handle(laburnumroadv1connect.NewCallerServiceHandler(s, connect.WithReadMaxBytes(maxRequestBytes)))
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		ctl := http.NewResponseController(w)
 		// The deadline covers the body only; responses may take much longer.
 		_ = ctl.SetReadDeadline(time.Now().Add(readBodyTimeout))
 		conn := connControl{ctl: ctl}
 		mux.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), connControlKey{}, conn)))
 	})
+	return s.Guard.Handler(handler, guard.HandlerOptions{Refuse: noRoomHandler(), BodyError: noRoomError})
+}
+
+// noRoomError is what a caller gets whose request found no room.
+func noRoomError(err error) error {
+	return refusalError("", table.Outcome{Code: table.CodeBusy, Reason: err.Error(), Ran: table.NotRun, RetryAfter: guard.RetryAfter})
+}
+
+// noRoomHandler refuses requests for which there is no room, in the protocol of the caller.
+func noRoomHandler() http.Handler {
+	writer := connect.NewErrorWriter()
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		// A write fails only if the caller disconnected.
+		_ = writer.Write(w, r, noRoomError(guard.ErrNoMemory))
+	})
 }
 
 // clearReadDeadline removes the deadline for the request body. Handlers call it once
--- a/internal/traffic/callerapi/server.go
+++ b/internal/traffic/callerapi/server.go
@@ -19,6 +19,7 @@
 	"laburnumroad.dev/laburnumroad/internal/command"
 	"laburnumroad.dev/laburnumroad/internal/event"
 	"laburnumroad.dev/laburnumroad/internal/table"
+	"laburnumroad.dev/laburnumroad/internal/traffic/guard"
 	"laburnumroad.dev/laburnumroad/internal/traffic/pending"
 	"laburnumroad.dev/laburnumroad/internal/traffic/relay"
 )
@@ -36,6 +37,8 @@
 	// Post sends an event to the control thread.
 	Post   func(event.Event)
 	Tracer trace.Tracer
+	// Guard bounds what callers make the process hold.
+	Guard *guard.Guard
 	// MaxPromptBytes and MaxBodyBytes limit the size of prompts and call bodies.
 	MaxPromptBytes int
 	MaxBodyBytes   int
