callerapi: messages are charged with what they take, also compressed ones and streams

What callers saw (tests with crowds): calls whose bodies are compressed, some kilobytes each, take 1,961 MB of 144 at a router, and requests as streams of HTTP/2 connections 6 to 8 GB.

Cause: a message takes more than its bytes: the buffer that doubles, the decoded message, the order to an agent. A compressed one shows nothing of its size, and an HTTP/2 connection may bring 250 at a time. Heap profile of the streams: 8,009 of 8,390 MB in the buffers of messages.

Change: a body of the callers' and operators' APIs is charged four bytes for each, a compressed one as much as the largest message, before it is read.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -205,7 +205,7 @@
 	if d.CallerAddress, err = d.serveHTTP(d.opts.CallerListen, table.ClientListener, d.callerAPI.Handler()); err != nil {
 		return errors.Wrap(err, "listen for callers")
 	}
-	d.OperatorAddress, err = d.serveHTTP(d.opts.OperatorListen, table.PrivateListener, d.guard.Handler(d.operatorAPI.Handler(), guard.HandlerOptions{}))
+	d.OperatorAddress, err = d.serveHTTP(d.opts.OperatorListen, table.PrivateListener, d.guard.Handler(d.operatorAPI.Handler(), guard.HandlerOptions{BodyFactor: callerapi.BodyFactor}))
 	return errors.Wrap(err, "listen for operators")
 }
 
--- a/internal/traffic/callerapi/http.go
+++ b/internal/traffic/callerapi/http.go
@@ -25,8 +25,16 @@
 	// messageOverhead is the size of a request message beyond its prompt or body. The
 	// content itself can double in size as JSON or base64.
 	messageOverhead = 64 << 10
+	// receiveBufferBytes is what callers may send ahead on an HTTP/2 connection.
+	receiveBufferBytes = 128 << 10
+	// BodyFactor is how many bytes a message takes for each byte of it that arrives: the
+	// buffer and the one that it grew from, the decoded message, and the order to an agent.
+	BodyFactor = 4
 )
 
+// encodingHeaders name the encoding of a message in the protocols that the API speaks.
+var encodingHeaders = []string{"Content-Encoding", "Connect-Content-Encoding", "Grpc-Encoding"}
+
 // connControl lets handlers set the deadlines of their connection.
 type connControl struct{ ctl *http.ResponseController }
 
@@ -38,14 +46,29 @@
 	maxRequestBytes := 2*max(s.MaxPromptBytes, s.MaxBodyBytes) + messageOverhead
 	mux := http.NewServeMux()
 	mux.Handle(laburnumroadv1connect.NewCallerServiceHandler(s, connect.WithReadMaxBytes(maxRequestBytes)))
+	refuse := noRoomHandler()
 	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if isCompressed(r) && guard.RequestOf(r.Context()).Grow(int64(BodyFactor*maxRequestBytes)) != nil {
+			// Its length does not show what it takes.
+			refuse.ServeHTTP(w, r)
+			return
+		}
 		ctl := http.NewResponseController(w)
 		// The deadline covers the body only; responses may take much longer.
 		_ = ctl.SetReadDeadline(time.Now().Add(readBodyTimeout))
 		conn := connControl{ctl: ctl}
 		mux.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), connControlKey{}, conn)))
 	})
-	return s.Guard.Handler(handler, guard.HandlerOptions{Refuse: noRoomHandler(), BodyError: noRoomError})
+	return s.Guard.Handler(handler, guard.HandlerOptions{BodyFactor: BodyFactor, Refuse: refuse, BodyError: noRoomError})
+}
+
+func isCompressed(r *http.Request) bool {
+	for _, name := range encodingHeaders {
+		if encoding := r.Header.Get(name); encoding != "" && encoding != "identity" {
+			return true
+		}
+	}
+	return false
 }
 
 // noRoomError is what a caller gets whose request found no room.
@@ -90,5 +113,6 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		Protocols:         protocols,
+		HTTP2:             &http.HTTP2Config{MaxReceiveBufferPerConnection: receiveBufferBytes, MaxReceiveBufferPerStream: receiveBufferBytes},
 	}
 }
