wire, guard: unknown peers are bounded, and their listener outlasts a crowd

What callers saw (tests with crowds): 500 connections to the port between processes that announce a first message of 4 MB and send all but a byte take 2.1 to 5.3 GB of 144 MB at a gateway, a router or an agent. 500 silent ones where the system has few descriptors close that port for good: the process has no new session until it is started again.

Cause: the limit of a frame held for the first message as well (heap profile: 4,000 of 4,003 MB in wire.ReadFrame), nothing bounded the connections, and the loop that accepts them ended at the first error, also at one that passes.

Change: the port's listener is the guard's. A first message has at most 256 KB and is charged as announced before it is read; a connection whose peer is known does not end for others. A lack of descriptors ends a connection that waits for its client, and accepting goes on.

--- a/internal/crowd/crowd_test.go
+++ b/internal/crowd/crowd_test.go
@@ -4,6 +4,8 @@
 	"bufio"
 	"fmt"
 	"net/http"
+	"os"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -23,6 +25,17 @@
 	maxSamples     = 100
 )
 
+// rounds returns how many crowds come one after the other: CROWD_ROUNDS, or one.
+func rounds(t *testing.T) int {
+	text := os.Getenv("CROWD_ROUNDS")
+	if text == "" {
+		return 1
+	}
+	n, err := strconv.Atoi(text)
+	require.NoError(t, err, "CROWD_ROUNDS")
+	return n
+}
+
 // visitor is a kind of clients at a door.
 type visitor struct {
 	door door
@@ -98,9 +111,11 @@
 // withstands checks the target against one crowd.
 func (tg *target) withstands(t *testing.T, crowd []visitor) {
 	stop := watchDescriptors(tg.Process)
-	disperse := gather(tg.Process, crowd...)
-	require.Eventually(t, tg.serve, waitTimeout, pollInterval, "no ordinary request is served while the crowd is there")
-	disperse()
+	for range rounds(t) {
+		disperse := gather(tg.Process, crowd...)
+		require.Eventually(t, tg.serve, waitTimeout, pollInterval, "no ordinary request is served while the crowd is there")
+		disperse()
+	}
 	require.Eventually(t, tg.serve, waitTimeout, pollInterval, "no ordinary request is served after the crowd")
 	require.Eventually(t, tg.ask, waitTimeout, pollInterval, "the door does not answer after the crowd")
 	descriptors := stop()
@@ -165,6 +180,21 @@
 	}
 }
 
+// Guards against a listener that gives up, or a process that serves nobody, when the system
+// has fewer descriptors than the settings say.
+func TestSilentCrowdWithoutDescriptors(t *testing.T) {
+	binary := testproc.BuildDaemon(t)
+	for _, role := range roles {
+		for _, name := range []string{role.doors[0], "peers"} {
+			t.Run(role.name+"/"+name, func(t *testing.T) {
+				tg := newTarget(t, binary, role.name, name)
+				tg.LimitDescriptors(t, tg.Descriptors()+crowdSize/10)
+				tg.withstands(t, []visitor{{tg.door, kinds[0]}})
+			})
+		}
+	}
+}
+
 // Guards against limits that refuse a request because of the number of its fields.
 func TestRequestOfShortFieldsIsServedInCalm(t *testing.T) {
 	binary := testproc.BuildDaemon(t)
--- a/internal/crowd/target_test.go
+++ b/internal/crowd/target_test.go
@@ -183,16 +183,30 @@
 	}
 	d, lookup := doors[doorName], doors["routed"]
 	tg := &target{Process: p, door: d, doors: doors, serve: func() bool { return sendPlain(lookup) == http.StatusOK }}
-	tg.ask = tg.serve
-	if !d.peers {
-		// Paths without a route and queries without content are answered with a refusal.
-		tg.ask = func() bool { return sendPlain(d) > 0 }
-	}
+	tg.ask = d.answers
 	ready := doors["ready"]
 	require.Eventually(f.t, func() bool { return sendPlain(ready) == http.StatusOK && tg.serve() }, waitTimeout, pollInterval)
 	return tg
 }
 
+// answers reports whether the process answers at the door: an HTTP request, which may be
+// refused, or a new connection of another process with its first message.
+func (d door) answers() bool {
+	if !d.peers {
+		return sendPlain(d) > 0
+	}
+	conn, err := net.DialTimeout("tcp", d.address, time.Second)
+	if err != nil {
+		return false
+	}
+	defer conn.Close()
+	if conn.SetDeadline(time.Now().Add(time.Second)) != nil {
+		return false
+	}
+	_, err = conn.Read(make([]byte, 1))
+	return err == nil
+}
+
 // sendPlain sends one short request on a new connection and returns the status of the
 // answer, or 0 if there is none within a second.
 func sendPlain(d door) int {
@@ -321,10 +335,7 @@
 		_, err := caller.Call(ctx, request)
 		return err == nil
 	}
-	tg.ask = tg.serve
-	if !d.peers {
-		tg.ask = func() bool { return sendPlain(d) > 0 }
-	}
+	tg.ask = d.answers
 	apply := connect.NewRequest(&pb.ApplyConfigRequest{Yaml: fmt.Sprintf(fleetYAML, hashKey(callerKey)), File: "fleet.yaml"})
 	topUp := connect.NewRequest(&pb.TopUpRequest{Customer: "college", Amount: 1_000_000, Id: "first"})
 	apply.Header().Set("Authorization", "Bearer "+operatorKey)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -91,7 +91,7 @@
 	if d.tracer, d.shutdownTracing, err = tracing.New(d.ctx, opts.Trace, opts.Role.String(), string(opts.ID)); err != nil {
 		return nil, err
 	}
-	listener, err := net.Listen("tcp", opts.PeerListen)
+	listener, err := d.guard.Listen(opts.PeerListen, table.PrivateListener)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for peers")
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -188,7 +188,7 @@
 	var l net.Listener
 	var err error
 	for port := g.settings.FirstPeerPort; port <= g.settings.LastPeerPort; port++ {
-		if l, err = net.Listen("tcp", net.JoinHostPort(g.settings.IP, strconv.Itoa(port))); err == nil {
+		if l, err = g.guard.Listen(net.JoinHostPort(g.settings.IP, strconv.Itoa(port)), table.PrivateListener); err == nil {
 			return l, nil
 		}
 	}
--- a/internal/testproc/testproc.go
+++ b/internal/testproc/testproc.go
@@ -15,6 +15,7 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 )
 
 // maxOutputBytes bounds the output of a process that is kept: beyond it, the buffer is
@@ -138,3 +139,9 @@
 	}
 	return len(entries)
 }
+
+// LimitDescriptors sets how many descriptors the process may have open.
+func (p *Process) LimitDescriptors(t *testing.T, n int) {
+	limit := unix.Rlimit{Cur: uint64(n), Max: uint64(n)}
+	require.NoError(t, unix.Prlimit(p.cmd.Process.Pid, unix.RLIMIT_NOFILE, &limit, nil))
+}
--- a/internal/traffic/wire/frame.go
+++ b/internal/traffic/wire/frame.go
@@ -16,13 +16,18 @@
 // answer text so far that is sent with a continued attempt.
 const MaxFrame = 4 << 20
 
+// maxHelloFrame is the largest frame that a peer may send before it is known. A Hello lists at most
+// the endpoints of one agent.
+const maxHelloFrame = 256 << 10
+
 const (
 	lengthFieldSize = 4
 	typeFieldSize   = 1
 )
 
-// ErrFrameTooLong is returned for frames larger than MaxFrame.
-var ErrFrameTooLong = errors.New("frame exceeds 4 MiB")
+// ErrFrameTooLong is returned for frames larger than MaxFrame, or than maxHelloFrame before the
+// peer is known.
+var ErrFrameTooLong = errors.New("frame is too long")
 
 // Frame is one message: a type and its encoded body.
 type Frame struct {
@@ -47,17 +52,26 @@
 
 // ReadFrame reads one frame.
 func ReadFrame(r io.Reader) (Frame, error) {
+	return readFrame(r, MaxFrame, func(int64) error { return nil })
+}
+
+// readFrame reads one frame of at most maxBytes. It calls admit with its size before it reads
+// the body.
+func readFrame(r io.Reader, maxBytes uint32, admit func(n int64) error) (Frame, error) {
 	var header [lengthFieldSize]byte
 	if _, err := io.ReadFull(r, header[:]); err != nil {
 		return Frame{}, err
 	}
 	size := binary.BigEndian.Uint32(header[:])
-	if size > MaxFrame {
+	if size > maxBytes {
 		return Frame{}, ErrFrameTooLong
 	}
 	if size < typeFieldSize {
 		return Frame{}, errors.New("frame has no type")
 	}
+	if err := admit(int64(size)); err != nil {
+		return Frame{}, err
+	}
 	var body bytes.Buffer
 	// The buffer grows with the data received, so a peer that only announces a large frame
 	// can't make this process allocate memory for it.
--- a/internal/traffic/wire/session.go
+++ b/internal/traffic/wire/session.go
@@ -197,11 +197,12 @@
 			return err
 		}
 		go func() {
+			admission, _ := conn.(Admission)
 			if n.ServerTLS != nil {
 				conn = tls.Server(conn, n.ServerTLS())
 			}
 			// The dialing side reports a failed handshake, so the error is ignored here.
-			_ = n.runSession(conn)
+			_ = n.runSession(conn, admission)
 		}()
 	}
 }
@@ -217,7 +218,7 @@
 	if n.ClientTLS != nil {
 		conn = tls.Client(conn, n.ClientTLS())
 	}
-	return n.runSession(conn)
+	return n.runSession(conn, nil)
 }
 
 // Close rejects new sessions and shuts down the open ones: each is closed after its queued
@@ -242,14 +243,33 @@
 	}
 }
 
+// Admission bounds what unknown peers make the process hold. Accepted connections may implement
+// it.
+type Admission interface {
+	// Receive admits n bytes of a message. The returned function gives them back.
+	Receive(n int64) (release func(), err error)
+	// Trust ends the admission, because the peer is known.
+	Trust()
+}
+
+// noAdmission admits everything: this process has dialed the peer.
+type noAdmission struct{}
+
+func (noAdmission) Receive(int64) (func(), error) { return func() {}, nil }
+func (noAdmission) Trust()                        {}
+
 // runSession performs the handshake and reads messages until the session is closed.
-func (n *Node) runSession(conn net.Conn) error {
+func (n *Node) runSession(conn net.Conn, admission Admission) error {
+	if admission == nil {
+		admission = noAdmission{}
+	}
 	reader := bufio.NewReader(&countingReader{conn: conn, countRead: n.countRead})
-	peer, err := n.handshake(conn, reader)
+	peer, err := n.handshake(conn, reader, admission)
 	if err != nil {
 		conn.Close()
 		return err
 	}
+	admission.Trust()
 	s := &Session{Peer: peer, conn: conn, queueReady: make(chan struct{}, 1), done: make(chan struct{})}
 	if !n.register(s) {
 		conn.Close()
@@ -266,7 +286,7 @@
 }
 
 // handshake sends this process's Hello and returns the peer's.
-func (n *Node) handshake(conn net.Conn, r *bufio.Reader) (Hello, error) {
+func (n *Node) handshake(conn net.Conn, r *bufio.Reader, admission Admission) (Hello, error) {
 	conn.SetDeadline(time.Now().Add(n.handshakeTimeout()))
 	frame, err := AppendFrame(nil, TypeHello, n.Hello())
 	if err != nil {
@@ -275,7 +295,12 @@
 	if _, err := conn.Write(frame); err != nil {
 		return Hello{}, errors.Wrap(err, "send Hello")
 	}
-	f, err := ReadFrame(r)
+	release := func() {}
+	defer func() { release() }()
+	f, err := readFrame(r, maxHelloFrame, func(size int64) (err error) {
+		release, err = admission.Receive(size)
+		return err
+	})
 	if err != nil {
 		return Hello{}, errors.Wrap(err, "read Hello")
 	}
