engine: a reset connection does not end an answer without a length

What callers saw (users' report from another system): a service answers an upload at once with a 200 without a length, sends a part of the body and resets the connection while the upload is being written; the caller gets the part as the complete answer. On the way of the callers' API it happens here: in each of three runs of 1,000 such calls to the agent's client.

Cause: the system reports a reset once. If the goroutine that writes the request receives it, the one that reads sees an orderly end, which ends such an answer.

Change: the client's connections return the end of what they read only if no write has failed; a write that still waits is ended first, as the gateway's client does.

TestResetAnswerWithoutLengthIsNotComplete failed before, three of three runs, and passes 3,000 calls; an answer without a length that is closed in order is complete as before.

--- a/internal/traffic/engine/engine.go
+++ b/internal/traffic/engine/engine.go
@@ -23,6 +23,7 @@
 	"github.com/pkg/errors"
 
 	"laburnumroad.dev/laburnumroad/internal/traffic/sendtrack"
+	"laburnumroad.dev/laburnumroad/internal/traffic/tcp"
 )
 
 const (
@@ -46,6 +47,14 @@
 	HTTPClient *http.Client
 }
 
+// transport detects connections that are reset while a request is written: without it, a part
+// of an answer that has no length could look complete.
+var transport = func() http.RoundTripper {
+	t := http.DefaultTransport.(*http.Transport).Clone()
+	t.DialContext = tcp.DialDetectingResets
+	return t
+}()
+
 // Client calls one engine or service. It is safe for concurrent use and never repeats a request
 // that may run work. A call has no time limit other than its context's.
 type Client struct {
@@ -55,7 +64,7 @@
 
 // New returns a client for the engine or service at baseURL.
 func New(baseURL string, opts Options) *Client {
-	c := &Client{baseURL: strings.TrimSuffix(baseURL, "/")}
+	c := &Client{baseURL: strings.TrimSuffix(baseURL, "/"), http: http.Client{Transport: transport}}
 	if opts.HTTPClient != nil {
 		c.http = *opts.HTTPClient
 	}
@@ -112,8 +121,9 @@
 // CallResponse is the complete response of a service.
 type CallResponse struct {
 	Body []byte
-	// Status is the HTTP status code. Error statuses other than 502, 503 and 504 are returned
-	// here and not as an error: they are the service's response, and the call may have run.
+	// Status is the HTTP status code, from 200 on. Error statuses other than 502, 503 and 504
+	// are returned here and not as an error: they are the service's response, and the call may
+	// have run.
 	Status int
 }
 
--- a/internal/traffic/engine/engine_test.go
+++ b/internal/traffic/engine/engine_test.go
@@ -1,15 +1,19 @@
 package engine_test
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -334,3 +338,72 @@
 		require.ErrorIs(t, err, engine.ErrUnavailable)
 	}
 }
+
+// startRawService returns a client of a service that answers each request on a new
+// connection with h, which need not read it. What the client sends does not fit into the
+// service's buffer.
+func startRawService(t *testing.T, h func(c *net.TCPConn)) *engine.Client {
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4<<10) })
+	}}
+	listener, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go h(c.(*net.TCPConn))
+		}
+	}()
+	return engine.New("http://"+listener.Addr().String(), engine.Options{})
+}
+
+// Guards against a part of an answer that is returned as the whole: the service answers
+// without a length while the call is still being sent, and then resets the connection. The
+// reset may be reported to the goroutine that sends, and the answer seems to end in order.
+func TestResetAnswerWithoutLengthIsNotComplete(t *testing.T) {
+	for name, c := range map[string]struct {
+		delay time.Duration
+		calls int
+	}{"at once": {0, 1000}, "after the part was read": {20 * time.Millisecond, 20}} {
+		t.Run(name, func(t *testing.T) {
+			delay, calls := c.delay, c.calls
+			c := startRawService(t, func(conn *net.TCPConn) {
+				// The call has begun to be sent.
+				_, _ = conn.Read(make([]byte, 1))
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\npart of the answer")
+				time.Sleep(delay)
+				_ = conn.SetLinger(0)
+				conn.Close()
+			})
+			for range calls {
+				resp, err := c.Call(t.Context(), engine.CallRequest{Operation: "upload", Body: make([]byte, engine.MaxRequestBytes)})
+				require.Error(t, err, "%q was returned as the answer", resp.Body)
+				require.NotErrorIs(t, err, engine.ErrNotRun)
+			}
+		})
+	}
+}
+
+// Guards against an answer without a length that is refused although its connection was
+// closed in order after the whole request was sent.
+func TestAnswerWithoutLengthIsComplete(t *testing.T) {
+	c := startRawService(t, func(conn *net.TCPConn) {
+		request, err := http.ReadRequest(bufio.NewReader(conn))
+		if err == nil {
+			_, err = io.Copy(io.Discard, request.Body)
+		}
+		if err == nil {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\nthe answer")
+		}
+		conn.Close()
+	})
+	for range 20 {
+		resp, err := c.Call(t.Context(), engine.CallRequest{Operation: "upload", Body: make([]byte, engine.MaxRequestBytes)})
+		require.NoError(t, err)
+		require.Equal(t, "the answer", string(resp.Body))
+	}
+}
