engine, upstream: an answer has a status from 200 on

What callers saw (users' report from another system): an answer with the status 000 reaches the client as an answer. On the callers' API it happens here, for 000, 001, 099 and 101. A gateway never passed such an answer on, but skipped it like an interim one: an answer that the endpoint in trouble sent behind it reached the client.

Cause: the standard client parses any three digits. The agent's client took all statuses but three for answers, the gateway's all under 200 for interim ones.

Change: interim answers are 100 and 102 to 199; other statuses under 200 end the attempt, and the outcome is unknown.

--- a/internal/e2e/trouble_test.go
+++ b/internal/e2e/trouble_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -81,3 +82,15 @@
 	})
 	f.requireNoAnswer(arrived)
 }
+
+// Guards against an answer whose status is none that a caller gets as the result of a call.
+func TestAnswerOfServiceWithoutStatusIsNoAnswer(t *testing.T) {
+	f, arrived := newFleetWithRawService(t, func(c *net.TCPConn, r *bufio.Reader) {
+		request, err := http.ReadRequest(r)
+		if err == nil {
+			_, _ = io.Copy(io.Discard, request.Body)
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 000 Trouble\r\nContent-Length: 7\r\n\r\ntrouble")
+	})
+	f.requireNoAnswer(arrived)
+}
--- a/internal/traffic/engine/engine_test.go
+++ b/internal/traffic/engine/engine_test.go
@@ -407,3 +407,23 @@
 		require.Equal(t, "the answer", string(resp.Body))
 	}
 }
+
+// Guards against an answer of a service in trouble that reaches the caller although its
+// status is none.
+func TestAnswerWithInvalidStatusIsNoAnswer(t *testing.T) {
+	for _, status := range []string{"000", "001", "099", "101"} {
+		t.Run(status, func(t *testing.T) {
+			c := startRawService(t, func(conn *net.TCPConn) {
+				request, err := http.ReadRequest(bufio.NewReader(conn))
+				if err == nil {
+					_, _ = io.Copy(io.Discard, request.Body)
+				}
+				_, _ = io.WriteString(conn, "HTTP/1.1 "+status+" Unknown\r\nContent-Length: 7\r\n\r\ntrouble")
+				conn.Close()
+			})
+			resp, err := c.Call(t.Context(), engine.CallRequest{Operation: "bookings", Body: []byte("{}")})
+			require.Error(t, err, "%q was returned as the answer", resp.Body)
+			require.NotErrorIs(t, err, engine.ErrNotRun)
+		})
+	}
+}
--- a/internal/traffic/engine/errors.go
+++ b/internal/traffic/engine/errors.go
@@ -48,8 +48,11 @@
 
 // checkCallResponse returns an error if the service rejected the call or didn't answer it. Statuses
 // 502, 503 and 504 may come from a proxy that can't reach the service, so they don't say whether
-// the call ran.
+// the call ran. A final answer has no status under 200.
 func checkCallResponse(resp *http.Response) error {
+	if resp.StatusCode < http.StatusOK {
+		return wrapError(ErrUnavailable, errors.Errorf("invalid status %q", resp.Status))
+	}
 	if err := parseRefusal(resp); err != nil {
 		return err
 	}
--- a/internal/traffic/upstream/exchange.go
+++ b/internal/traffic/upstream/exchange.go
@@ -152,10 +152,12 @@
 		if err != nil {
 			return errors.Wrap(err, "read answer")
 		}
-		if httpResp.StatusCode < http.StatusOK {
-			// Interim (1xx) responses precede the final one.
+		if isInterim(httpResp.StatusCode) {
 			continue
 		}
+		if httpResp.StatusCode < http.StatusOK {
+			return errors.Errorf("the status %q is none of an answer", httpResp.Status)
+		}
 		if req.Matches(httpResp.Header) {
 			r.Response = httpResp
 			r.Body = &trackedBody{response: r, ReadCloser: httpResp.Body}
@@ -168,6 +170,12 @@
 	return errors.New("the answers belong to other requests")
 }
 
+// isInterim reports whether a response precedes the final one. Requests ask for no other
+// protocol, so none switches to one.
+func isInterim(status int) bool {
+	return status >= http.StatusContinue && status < http.StatusOK && status != http.StatusSwitchingProtocols
+}
+
 // discardBody skips the body of a response to another request. Without a length or
 // chunked framing it can't be separated from the next response.
 func discardBody(resp *http.Response) error {
