guard, shed: a request that begins to be worked on does not end, nor is it called not run

Two ways in which a client could get a wrong word: the decision that a stalled request ends falls while its last bytes arrive, and the client is told that it did not run although it does; or the connection of a sound stream ends for a new one, because an event was being written at that moment. After an answer, while the server writes what is left of it, a refusal could follow as well.

Change: a request that begins to be worked on and the mark that it ends are ordered: one of them sees the other, and the request is refused or goes on. A connection ends for another one only if its client is a second behind or it has no request. After an answer the holding is sending, and nothing more is written when it ends.

TestRequestThatArrivesAsItEndsIsNotWorkedOn, and the property of shed now asks for clients that keep the pace.

--- a/internal/system/shed/shed.go
+++ b/internal/system/shed/shed.go
@@ -19,7 +19,7 @@
 	// minPace is the pace, in bytes a second, that a client must keep while it sends a
 	// request or reads an answer.
 	minPace = 64 << 10
-	// stalledLag is the lag from which a request ends if others lack memory.
+	// stalledLag is the lag from which a request ends if others lack memory or a connection.
 	stalledLag = time.Second
 	// maxLag is the lag at which a request ends in any case.
 	maxLag = 30 * time.Second
@@ -30,8 +30,10 @@
 	return h.PhaseAge - time.Duration(h.Moved)*time.Second/minPace
 }
 
-// canEnd reports whether a holding may end early: it waits for its client.
-func canEnd(h *table.Holding) bool { return h.Phase != table.HoldingWorking }
+// isStalled reports whether a holding waits for a client that is behind.
+func isStalled(h *table.Holding) bool {
+	return h.Phase != table.HoldingWorking && lag(h) >= stalledLag
+}
 
 // ForMemory returns the holdings to end so that at least need bytes become free: those whose
 // clients are stalled, the largest first. It returns none if that is not enough. Clients that
@@ -40,7 +42,7 @@
 	var stalled []table.Holding
 	for i := range rows {
 		h := &rows[i]
-		if keptOpen := h.Phase == table.HoldingIdle && h.Served; canEnd(h) && !keptOpen && lag(h) >= stalledLag {
+		if keptOpen := h.Phase == table.HoldingIdle && h.Served; isStalled(h) && !keptOpen {
 			stalled = append(stalled, *h)
 		}
 	}
@@ -62,13 +64,14 @@
 }
 
 // ForConnection returns the connection to end so that a new one of the class can open, or
-// false if there is none. Connections that never brought a request end first, and of several
-// the one that is furthest behind.
+// false if there is none: one without a request, or one whose client is stalled. Connections
+// that never brought a request end first, and of several the one that is furthest behind.
 func ForConnection(rows []table.Holding, class table.ListenerClass) (table.HoldingID, bool) {
 	var worst *table.Holding
 	for i := range rows {
 		h := &rows[i]
-		if h.Class == class && h.Connection && canEnd(h) && (worst == nil || endsBefore(h, worst)) {
+		canEnd := h.Phase == table.HoldingIdle || isStalled(h)
+		if h.Class == class && h.Connection && canEnd && (worst == nil || endsBefore(h, worst)) {
 			worst = h
 		}
 	}
@@ -91,7 +94,7 @@
 	var overdue []table.HoldingID
 	for i := range rows {
 		h := &rows[i]
-		if h.Phase != table.HoldingIdle && canEnd(h) && lag(h) >= maxLag {
+		if h.Phase != table.HoldingIdle && isStalled(h) && lag(h) >= maxLag {
 			overdue = append(overdue, h.ID)
 		}
 	}
--- a/internal/system/shed/shed_test.go
+++ b/internal/system/shed/shed_test.go
@@ -65,14 +65,16 @@
 }
 
 // Guards against a new connection that is refused while stalled ones stay, that ends one of
-// another class, or one whose request is being worked on.
+// another class, one whose request is being worked on, or one whose client keeps the pace: a
+// stream is cut off if its connection ends while an event is written.
 func TestConnectionComesFromWorstOfItsClass(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		rows := holdings.Draw(t, "rows")
 		id, found := ForConnection(rows, table.ClientListener)
 		for i := range rows {
 			h := &rows[i]
-			if h.Class != table.ClientListener || !h.Connection || h.Phase == table.HoldingWorking {
+			sound := h.Phase == table.HoldingWorking || h.Phase != table.HoldingIdle && keepsPace(h)
+			if h.Class != table.ClientListener || !h.Connection || sound {
 				require.False(t, found && h.ID == id)
 				continue
 			}
--- a/internal/traffic/front/server.go
+++ b/internal/traffic/front/server.go
@@ -137,9 +137,11 @@
 	}
 	rc := http.NewResponseController(w)
 	s.startBodyRead(rc)
-	received := holding.Receive()
+	holding.Receive()
 	body, err := holding.ReadAll(r.Body, limit)
-	received()
+	if ended := holding.Work(); ended != nil {
+		err = ended
+	}
 	limited := s.endBodyRead(rc)
 	if err == nil {
 		// The deadline covers the body only: the HTTP server keeps reading the
--- a/internal/traffic/guard/guard.go
+++ b/internal/traffic/guard/guard.go
@@ -165,6 +165,16 @@
 	h.phase.Store(uint32(p))
 }
 
+// work begins the phase in which the holding does not end. An error means that it has ended
+// before, and that the request must not be worked on.
+func (h *Holding) work() error {
+	h.setPhase(table.HoldingWorking)
+	if h.ended.Load() {
+		return ErrEnded
+	}
+	return nil
+}
+
 func (h *Holding) phaseIs(p table.HoldingPhase) bool { return h.phase.Load() == uint32(p) }
 
 func (h *Holding) row(now time.Duration) table.Holding {
@@ -259,6 +269,12 @@
 		if row == nil || !(*row).ended.CompareAndSwap(false, true) {
 			continue
 		}
+		if (*row).phaseIs(table.HoldingWorking) {
+			// It has begun to be worked on since the decision. If it has seen the mark, it is
+			// refused; else it goes on.
+			(*row).ended.Store(false)
+			continue
+		}
 		count.Add(1)
 		g.used.Add(-(*row).bytes.Swap(0))
 		marked = append(marked, *row)
--- a/internal/traffic/guard/guard_test.go
+++ b/internal/traffic/guard/guard_test.go
@@ -178,3 +178,24 @@
 	close(release)
 	require.Equal(t, http.StatusOK, readStatus(t, first))
 }
+
+// Guards against a client that is told that its request did not run although it does: the
+// decision that it ends falls while its last bytes arrive.
+func TestRequestThatArrivesAsItEndsIsNotWorkedOn(t *testing.T) {
+	for range 2000 {
+		g := New(Limits{}, Policy{})
+		told := false
+		h := &Holding{class: table.ClientListener}
+		h.end = func() { told = h.phaseIs(table.HoldingReceiving) }
+		require.True(t, g.openConnection(h))
+		h.setPhase(table.HoldingReceiving)
+		worked := make(chan bool)
+		go func() { worked <- h.work() == nil }()
+		g.mu.Lock()
+		ended := g.markLocked(&g.counts.endedForMemory, h.id)
+		g.mu.Unlock()
+		endAll(ended)
+		require.False(t, <-worked && told)
+		require.False(t, len(ended) > 0 && h.work() == nil)
+	}
+}
--- a/internal/traffic/guard/request.go
+++ b/internal/traffic/guard/request.go
@@ -85,16 +85,20 @@
 	} else {
 		request.holding = c.holding
 	}
-	request.holding.setPhase(table.HoldingWorking)
 	if c == nil {
+		request.holding.setPhase(table.HoldingWorking)
 		return request, request.Grow(HeadBytes(r.Header))
 	}
 	if c.requests.Add(1) == 1 && c.streams {
 		c.holding.setPhase(table.HoldingWorking)
 	}
 	if c.streams {
+		request.holding.setPhase(table.HoldingWorking)
 		return request, request.Grow(streamBytes + HeadBytes(r.Header))
 	}
+	if err := c.holding.work(); err != nil {
+		return request, err
+	}
 	// What was charged while the head arrived becomes the request's.
 	head, charged := HeadBytes(r.Header), c.takeHead()
 	if charged > head {
@@ -112,8 +116,8 @@
 	if r.holding.connection {
 		r.holding.shrink(r.taken.Swap(0))
 		r.holding.served.Store(true)
-		// The server reads the rest of the body, and writes what is left of the answer.
-		r.holding.setPhase(table.HoldingReceiving)
+		// The server writes what is left of the answer, and reads the rest of the body.
+		r.holding.setPhase(table.HoldingSending)
 		c.requests.Add(-1)
 		return
 	}
@@ -145,13 +149,14 @@
 	r.taken.Add(-n)
 }
 
-// Receive marks that the request waits for its client until the returned function is called.
-func (r *Request) Receive() (done func()) {
-	r.holding.setPhase(table.HoldingReceiving)
-	return func() { r.holding.setPhase(table.HoldingWorking) }
-}
+// Receive marks that the request waits for its client to send the body.
+func (r *Request) Receive() { r.holding.setPhase(table.HoldingReceiving) }
 
-// Moved counts bytes that the client has sent.
+// Work marks that the request has arrived as a whole. An error means that it was ended before:
+// its client may have been told that it did not run.
+func (r *Request) Work() error { return r.holding.work() }
+
+// moved counts bytes that the client has sent.
 func (r *Request) moved(n int) { r.holding.moved.Add(int64(n)) }
 
 // ReadAll reads up to maxBytes until the end of a body that the client sends, or of an answer
@@ -266,11 +271,8 @@
 			return 0, b.options.BodyError(growErr)
 		}
 	}
-	if err != nil {
-		b.request.holding.setPhase(table.HoldingWorking)
-		if err != io.EOF && b.request.holding.ended.Load() {
-			err = b.options.BodyError(ErrEnded)
-		}
+	if err != nil && b.request.Work() != nil {
+		err = b.options.BodyError(ErrEnded)
 	}
 	return n, err
 }
