--- a/internal/traffic/guard/guard.go
+++ b/internal/traffic/guard/guard.go
@@ -45,6 +45,8 @@
 	ErrNoMemory = errors.New("no memory is left for what clients send and read")
 	// ErrEnded reports that a holding was ended to make room.
 	ErrEnded = errors.New("the connection was closed to make room for others")
+	// ErrTooLarge reports a body that is longer than allowed.
+	ErrTooLarge = errors.New("the body is too large")
 )
 
 // Limits are the limits of a process.
--- a/internal/traffic/guard/request.go
+++ b/internal/traffic/guard/request.go
@@ -20,16 +20,11 @@
 	maxBlockBytes   = 64 << 10
 )
 
-// ErrTooLarge reports a body that is longer than allowed.
-var ErrTooLarge = errorTooLarge{}
-
-type errorTooLarge struct{}
-
-func (errorTooLarge) Error() string { return "the body is too large" }
-
-type connKey struct{}
-
-type requestKey struct{}
+// connKey and requestKey are the context keys of the Conn and of the Request.
+type (
+	connKey    struct{}
+	requestKey struct{}
+)
 
 // Request is a request with what it holds.
 type Request struct {
@@ -71,8 +66,8 @@
 	return max(0, bytes-freeHeadBytes)
 }
 
-// Begin charges a request whose head was read. end must be called when it is answered. An
-// error means that there is no room; the request must be refused, and ended too.
+// Begin charges a request whose head was read. An error means that there is no room, and that
+// the request must be refused. End must be called in any case, when it is answered.
 func (g *Guard) Begin(r *http.Request) (request *Request, err error) {
 	c, _ := r.Context().Value(connKey{}).(*Conn)
 	request = &Request{conn: c}
