guard: clients that are told to continue, and stalled streams, still wait for their client

Two kinds of clients would have held their places for good: one that holds its body back after "100 Continue" (that write put the request among those that are being worked on), and connections of HTTP/2 all of whose requests wait for the rest of a body.

Change: a write leaves the phase as it was; a connection with streams counts which of its requests are being worked on, and waits for its client if none is.

TestClientThatIsToldToContinueStillSends failed before. TestConnectionWithStalledStreamsMakesRoom is new with the change; it was not run on the code before. TestStalledHeadMakesRoom hung in 2 of about 30 runs: the second head could arrive before all of the first, which then found no room; it waits for the whole first head now, and passes 60 runs under the race detector.

--- a/internal/traffic/guard/conn.go
+++ b/internal/traffic/guard/conn.go
@@ -97,6 +97,8 @@
 	began, streams bool
 
 	mu sync.Mutex
+	// working counts the streams whose requests are being worked on.
+	working int32
 	// headEstimate is what the head that arrives takes as far as it has arrived, and
 	// headBytes what is charged for it.
 	headEstimate, headBytes int64
@@ -172,17 +174,33 @@
 	if c.holding.ended.Load() {
 		return 0, ErrEnded
 	}
+	if c.streams {
+		// Answers share the connection with other requests.
+		return c.Conn.Write(p)
+	}
 	phase := table.HoldingPhase(c.holding.phase.Load())
 	c.holding.setPhase(table.HoldingSending)
 	n, err := c.Conn.Write(p)
+	c.holding.setPhase(phase)
+	return n, err
+}
+
+// countStreams counts the open requests of a connection that has streams, and those of them
+// that are being worked on. The connection waits for its client if none is.
+func (c *Conn) countStreams(open, working int32) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.working += working
+	phase := table.HoldingReceiving
 	switch {
-	case c.requests.Load() > 0:
-		phase = table.HoldingWorking
-	case c.streams:
+	case c.requests.Add(open) == 0:
 		phase = table.HoldingIdle
+	case c.working > 0:
+		phase = table.HoldingWorking
+	}
+	if !c.holding.phaseIs(phase) {
+		c.holding.setPhase(phase)
 	}
-	c.holding.setPhase(phase)
-	return n, err
 }
 
 // end closes the connection at once. A client that has sent a part of a request is told that
--- a/internal/traffic/guard/guard_test.go
+++ b/internal/traffic/guard/guard_test.go
@@ -127,8 +127,9 @@
 // Guards against a crowd that keeps others out: a stalled head ends, with the word that the
 // request did not run, when another request needs its memory or its connection.
 func TestStalledHeadMakesRoom(t *testing.T) {
+	const fields = 4000
 	small := "GET / HTTP/1.1\r\nHost: a\r\n"
-	large := small + strings.Repeat("a:\r\n", 4000)
+	large := small + strings.Repeat("a:\r\n", fields)
 	for name, c := range map[string]struct {
 		limits Limits
 		first  string
@@ -141,7 +142,8 @@
 			g := New(c.limits, Policy{ForMemory: endAllForMemory, ForConnection: endFirst})
 			address := startServer(t, g, func(http.ResponseWriter, *http.Request) {})
 			first := dial(t, address, c.first)
-			require.Eventually(t, func() bool { return g.Used() > connectionBytes || name == "connection" && g.Used() > 0 }, time.Minute, time.Millisecond)
+			// All of the first head has arrived.
+			require.Eventually(t, func() bool { return g.Used() > fields*fieldBytes || name == "connection" && g.Used() > 0 }, time.Minute, time.Millisecond)
 			if name == "connection" {
 				require.Eventually(t, func() bool {
 					g.mu.Lock()
@@ -199,3 +201,67 @@
 		require.False(t, len(ended) > 0 && h.work() == nil)
 	}
 }
+
+// Guards against a client that holds its body back and never ends to make room, because the
+// server has written "100 Continue" to it.
+func TestClientThatIsToldToContinueStillSends(t *testing.T) {
+	g := New(Limits{}, Policy{})
+	address := startServer(t, g, func(_ http.ResponseWriter, r *http.Request) { _, _ = io.Copy(io.Discard, r.Body) })
+	c := dial(t, address, "POST / HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 3\r\n\r\n")
+	_, err := io.ReadFull(c, make([]byte, len("HTTP/1.1 100 Continue\r\n\r\n")))
+	require.NoError(t, err)
+	_, err = io.WriteString(c, "a")
+	require.NoError(t, err)
+	row := func() table.Holding {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return g.rows(0)[0]
+	}
+	require.Eventually(t, func() bool { return row().Moved > 0 }, time.Minute, time.Millisecond)
+	require.Equal(t, table.HoldingReceiving, row().Phase)
+}
+
+// Guards against connections with streams that hold their places for good: all of their
+// requests wait for the rest of a body.
+func TestConnectionWithStalledStreamsMakesRoom(t *testing.T) {
+	g := New(Limits{Connections: [table.ListenerClasses]int{1, 1}}, Policy{ForConnection: endFirst})
+	l, err := g.ListenHTTP("127.0.0.1:0", table.ClientListener)
+	require.NoError(t, err)
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	server := &http.Server{Protocols: protocols, Handler: g.Handler(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+	}), HandlerOptions{})}
+	g.Attach(server)
+	go func() { _ = server.Serve(l) }()
+	defer server.Close()
+	streams := new(http.Protocols)
+	streams.SetUnencryptedHTTP2(true)
+	client := &http.Client{Transport: &http.Transport{Protocols: streams, MaxConnsPerHost: 1}}
+	ended := make(chan error, 2)
+	for range 2 {
+		body, send := io.Pipe()
+		defer send.Close()
+		go func() { _, _ = send.Write([]byte("a")) }()
+		go func() {
+			_, err := client.Post("http://"+l.Addr().String(), "text/plain", body)
+			ended <- err
+		}()
+	}
+	require.Eventually(t, func() bool {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		receiving := 0
+		for _, h := range g.rows(0) {
+			if h.Phase == table.HoldingReceiving {
+				receiving++
+			}
+		}
+		return receiving == 3
+	}, time.Minute, time.Millisecond, "two streams and their connection wait for the client")
+	require.Equal(t, http.StatusOK, readStatus(t, dial(t, l.Addr().String(), "GET / HTTP/1.1\r\nHost: a\r\n\r\n")))
+	for range 2 {
+		require.Error(t, <-ended)
+	}
+}
--- a/internal/traffic/guard/request.go
+++ b/internal/traffic/guard/request.go
@@ -32,6 +32,8 @@
 	conn    *Conn
 	// taken is what the request has charged to the holding.
 	taken atomic.Int64
+	// working is true if the connection of a stream counts it as being worked on.
+	working bool
 
 	mu sync.Mutex
 	// stop makes reads of the body fail, for a request that is a stream of its connection.
@@ -84,13 +86,13 @@
 		request.holding.setPhase(table.HoldingWorking)
 		return request, request.Grow(HeadBytes(r.Header))
 	}
-	if c.requests.Add(1) == 1 && c.streams {
-		c.holding.setPhase(table.HoldingWorking)
-	}
 	if c.streams {
 		request.holding.setPhase(table.HoldingWorking)
+		request.working = true
+		c.countStreams(1, 1)
 		return request, request.Grow(streamBytes + HeadBytes(r.Header))
 	}
+	c.requests.Add(1)
 	if err := c.holding.work(); err != nil {
 		return request, err
 	}
@@ -117,9 +119,24 @@
 		return
 	}
 	r.holding.guard.close(r.holding)
-	if c != nil && c.requests.Add(-1) == 0 {
+	if c != nil {
+		r.setWorking(false)
 		c.holding.served.Store(true)
-		c.holding.setPhase(table.HoldingIdle)
+		c.countStreams(-1, 0)
+	}
+}
+
+// setWorking tells the connection of a stream whether its request is being worked on. Only the
+// handler's goroutine calls it.
+func (r *Request) setWorking(working bool) {
+	if r.conn == nil || !r.conn.streams || r.working == working {
+		return
+	}
+	r.working = working
+	if working {
+		r.conn.countStreams(0, 1)
+	} else {
+		r.conn.countStreams(0, -1)
 	}
 }
 
@@ -145,11 +162,17 @@
 }
 
 // Receive marks that the request waits for its client to send the body.
-func (r *Request) Receive() { r.holding.setPhase(table.HoldingReceiving) }
+func (r *Request) Receive() {
+	r.holding.setPhase(table.HoldingReceiving)
+	r.setWorking(false)
+}
 
 // Work marks that the request has arrived as a whole. An error means that it was ended before:
 // its client may have been told that it did not run.
-func (r *Request) Work() error { return r.holding.work() }
+func (r *Request) Work() error {
+	r.setWorking(true)
+	return r.holding.work()
+}
 
 // moved counts bytes that the client has sent.
 func (r *Request) moved(n int) { r.holding.moved.Add(int64(n)) }
@@ -257,7 +280,7 @@
 func (b *chargedBody) Read(p []byte) (int, error) {
 	if !b.reading {
 		b.reading = true
-		b.request.holding.setPhase(table.HoldingReceiving)
+		b.request.Receive()
 	}
 	n, err := b.ReadCloser.Read(p)
 	if n > 0 {
