engine: connections are opened as before, with their timeout

Found by reading the change again: the client of engines and services opened its connections with a dialer of its own to detect resets, and so lost the timeout of 30 s and the keep-alive of the standard transport. The detection now wraps what the transport's dialer returns (tcp.DetectResets); nothing else changes.

--- a/internal/traffic/engine/engine.go
+++ b/internal/traffic/engine/engine.go
@@ -15,6 +15,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strings"
@@ -51,7 +52,14 @@
 // of an answer that has no length could look complete.
 var transport = func() http.RoundTripper {
 	t := http.DefaultTransport.(*http.Transport).Clone()
-	t.DialContext = tcp.DialDetectingResets
+	dial := t.DialContext
+	t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return tcp.DetectResets(c), nil
+	}
 	return t
 }()
 
--- a/internal/traffic/tcp/resets.go
+++ b/internal/traffic/tcp/resets.go
@@ -1,7 +1,6 @@
 package tcp
 
 import (
-	"context"
 	"io"
 	"net"
 	"os"
@@ -14,16 +13,10 @@
 // errResetWhileWriting ends the reads of a connection that was reset.
 var errResetWhileWriting = errors.New("the connection was reset while the request was written")
 
-// DialDetectingResets opens a connection whose reads end with io.EOF only if the peer has
-// closed it in order. The system reports a reset once: if a write receives it, the next read
-// returns io.EOF, and what the peer has sent so far looks complete.
-func DialDetectingResets(ctx context.Context, network, address string) (net.Conn, error) {
-	c, err := (&net.Dialer{}).DialContext(ctx, network, address)
-	if err != nil {
-		return nil, err
-	}
-	return &resetDetector{Conn: c}, nil
-}
+// DetectResets returns a connection whose reads end with io.EOF only if the peer has closed it
+// in order. The system reports a reset once: if a write receives it, the next read returns
+// io.EOF, and what the peer has sent so far looks complete.
+func DetectResets(c net.Conn) net.Conn { return &resetDetector{Conn: c} }
 
 type resetDetector struct {
 	net.Conn
