guard: what a head takes is computed once for each request

Found by reading the change again: a gateway summed up the fields of each head twice, when the request begins and for the copy of its attempt. The request keeps the sum. What is charged is the same.

--- a/internal/traffic/front/server.go
+++ b/internal/traffic/front/server.go
@@ -89,7 +89,7 @@
 	}
 	if err == nil {
 		// Each attempt has a copy of the head.
-		err = holding.Grow(guard.HeadBytes(r.Header))
+		err = holding.CopyHead()
 	}
 	if err != nil {
 		s.refuse(w, request.ID, http.StatusServiceUnavailable)
--- a/internal/traffic/guard/request.go
+++ b/internal/traffic/guard/request.go
@@ -30,6 +30,8 @@
 type Request struct {
 	holding *Holding
 	conn    *Conn
+	// headBytes is what its head takes.
+	headBytes int64
 	// taken is what the request has charged to the holding.
 	taken atomic.Int64
 	// working is true if the connection of a stream counts it as being worked on.
@@ -72,7 +74,7 @@
 // the request must be refused. End must be called in any case, when it is answered.
 func (g *Guard) Begin(r *http.Request) (request *Request, err error) {
 	c, _ := r.Context().Value(connKey{}).(*Conn)
-	request = &Request{conn: c}
+	request = &Request{conn: c, headBytes: HeadBytes(r.Header)}
 	if c == nil || c.streams {
 		request.holding = &Holding{end: request.endStream}
 		if c != nil {
@@ -84,20 +86,20 @@
 	}
 	if c == nil {
 		request.holding.setPhase(table.HoldingWorking)
-		return request, request.Grow(HeadBytes(r.Header))
+		return request, request.Grow(request.headBytes)
 	}
 	if c.streams {
 		request.holding.setPhase(table.HoldingWorking)
 		request.working = true
 		c.countStreams(1, 1)
-		return request, request.Grow(streamBytes + HeadBytes(r.Header))
+		return request, request.Grow(streamBytes + request.headBytes)
 	}
 	c.requests.Add(1)
 	if err := c.holding.work(); err != nil {
 		return request, err
 	}
 	// What was charged while the head arrived becomes the request's.
-	head, charged := HeadBytes(r.Header), c.takeHead()
+	head, charged := request.headBytes, c.takeHead()
 	if charged > head {
 		c.holding.shrink(charged - head)
 		charged = head
@@ -152,6 +154,9 @@
 	return nil
 }
 
+// CopyHead charges the head once more, for a copy of it.
+func (r *Request) CopyHead() error { return r.Grow(r.headBytes) }
+
 // Taken returns what the request has charged.
 func (r *Request) Taken() int64 { return r.taken.Load() }
 
