--- a/review/driver3/main.go
+++ b/review/driver3/main.go
@@ -19,10 +19,11 @@
 const maxTime = 115 * time.Second
 
 var cases = map[string]func(w *world) (broken bool){
-	"budget-after-restore":   budgetAfterRestore,
-	"route-after-restore":    routeAfterRestore,
-	"manifest-after-restore": manifestAfterRestore,
-	"drain-after-restore":    drainAfterRestore,
+	"budget-after-restore":       budgetAfterRestore,
+	"route-after-restore":        routeAfterRestore,
+	"manifest-after-restore":     manifestAfterRestore,
+	"removal-beside-cut-watches": removalBesideCutWatches,
+	"drain-after-restore":        drainAfterRestore,
 }
 
 // cleanUp ends the processes and removes the temporary folder.
--- a/review/driver3/store.go
+++ b/review/driver3/store.go
@@ -64,8 +64,8 @@
 	down    bool
 	changed chan struct{}
 	conns   map[net.Conn]struct{}
-	// onWrite, if set, is told of each change.
-	onWrite func(c change)
+	// watchLimit is after what time a watch that waits is cut off; 0 means never.
+	watchLimit time.Duration
 }
 
 func newStore(ip string) *store {
@@ -189,9 +189,6 @@
 	s.state.history = append(s.state.history, c)
 	close(s.changed)
 	s.changed = make(chan struct{})
-	if s.onWrite != nil {
-		s.onWrite(c)
-	}
 }
 
 func (s *store) watch(w http.ResponseWriter, r *http.Request, kind string) {
@@ -199,6 +196,12 @@
 	wait, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
 	deadline := time.NewTimer(time.Duration(min(wait, 30_000)) * time.Millisecond)
 	defer deadline.Stop()
+	var cut <-chan time.Time
+	s.mu.Lock()
+	if s.watchLimit > 0 {
+		cut = time.After(s.watchLimit)
+	}
+	s.mu.Unlock()
 	for expired := false; ; {
 		s.mu.Lock()
 		if s.down {
@@ -226,6 +229,9 @@
 		case <-changed:
 		case <-deadline.C:
 			expired = true
+		case <-cut:
+			// The server closes the connection.
+			panic(http.ErrAbortHandler)
 		case <-r.Context().Done():
 			return
 		}
@@ -253,6 +259,21 @@
 	return time.Now()
 }
 
+// cutWatches cuts off each watch that waits longer than a limit, from now on.
+func (s *store) cutWatches(limit time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.watchLimit = limit
+}
+
+// drop removes an object as the platform does, and returns when that was.
+func (s *store) drop(kind, name string) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.remove(kind, name)
+	return time.Now()
+}
+
 // copyState returns a copy of all that the store holds.
 func (s *store) copyState() state {
 	s.mu.Lock()
--- a/review/driver3/worker.go
+++ b/review/driver3/worker.go
@@ -39,7 +39,10 @@
 	running  int
 	born     int64
 	server   *http.Server
-	stopped  chan struct{}
+	// leaving is true if the worker leaves and its entry does not say so.
+	leaving bool
+	// stopped is closed when the worker writes its entry no more.
+	stopped chan struct{}
 }
 
 func (w *world) newWorker(ip, service, zone string, stream bool, slots int) *worker {
@@ -71,6 +74,11 @@
 // beat writes the entry at the usual interval until the worker stops.
 func (k *worker) beat() {
 	for {
+		select {
+		case <-k.stopped:
+			return
+		default:
+		}
 		k.world.store.write("servers", k.id, k.entry())
 		select {
 		case <-k.stopped:
@@ -88,10 +96,20 @@
 	return k.world.store.writeUntilTaken("servers", k.id, k.entry())
 }
 
+// leaveUnreported lets the worker leave without reporting that: its entry is removed, and it
+// goes on serving. It returns when the entry was removed.
+func (k *worker) leaveUnreported() time.Time {
+	k.mu.Lock()
+	k.leaving = true
+	k.mu.Unlock()
+	close(k.stopped)
+	return k.world.store.drop("servers", k.id)
+}
+
 func (k *worker) leaves() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.state == "draining"
+	return k.leaving || k.state == "draining"
 }
 
 func (k *worker) load() string {
