--- a/review/driver3/manifest.go
+++ b/review/driver3/manifest.go
@@ -9,8 +9,9 @@
 	shortCopyAge = 3 * time.Second
 	// applyTime is config_apply_ms of the smaller installation.
 	applyTime = 2 * time.Second
-	// joining is how many workers join: three in ten of the model's.
-	joining = 4
+	// joining is how many workers join within joinTime: three in ten of the model's.
+	joining  = 4
+	joinTime = 300 * time.Millisecond
 )
 
 // manifestAfterRestore checks CONFIG on three routers: a manifest that drops a key, and just
@@ -36,8 +37,8 @@
 	w.note("manifest 12, without the key %s, is confirmed at revision %d", keyTwo, w.store.revision())
 	for i := range joining {
 		go w.newWorker(w.nextIP(), model, zones[i%3], true, 64).beat()
+		time.Sleep(joinTime / joining)
 	}
-	time.Sleep(100 * time.Millisecond)
 	w.note("%d empty workers have joined, at revision %d", joining, w.store.revision())
 	time.Sleep(30 * time.Second)
 	close(stop)
