platform, era: the era of the store is known and carried with its revisions

Cause: nothing read Store-Era. A store that returns from an older copy gives revisions out again, and each place that compares revisions took them for positions in one history.

Change: the client of the store returns the era with each answer, refusals too, and begins a list again whose pages are of two eras. Events with revisions embed their era. The new system "era" runs first in a tick: it records the newest era (log line "store era", counter era.returns), and drops what has revisions of earlier ones (era.dropped). Message fields are added only; what a release without eras passes on is asked of the store. A store that names no era is served as before. The fake store makes copies and returns from them.

Unit tests of platform, fake, gateway and all systems pass.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -418,6 +418,7 @@
 // QuarantineList is the result of reading or writing the platform's list of
 // quarantined fingerprints. With CallOK, Entries are those now stored.
 type QuarantineList struct {
+	InEra
 	Status  CallStatus
 	Version uint64
 	Entries []QuarantineEntry
--- a/internal/event/exchange.go
+++ b/internal/event/exchange.go
@@ -159,8 +159,10 @@
 
 // ManifestReceived carries a configuration of the HTTP front.
 type ManifestReceived struct {
+	InEra
 	Manifest table.Manifest
-	// Revision is the store's revision of its last change.
+	// Revision is the store's revision of its last change, or 0 if the sender does not know
+	// that in its era.
 	Revision uint64
 	// Relayed is true if another router sent it, From.
 	Relayed bool            `msgpack:"-"`
@@ -177,6 +179,9 @@
 	Leaving bool
 	// StartedUnixMilli is the endpoint's start in milliseconds of Unix time.
 	StartedUnixMilli int64
+	// Sequence counts what the endpoint's process has written, or is 0 if that is unknown. It
+	// orders the entries of one process.
+	Sequence int64
 	// ColdKnown is true if the entry says whether the endpoint is cold, and ColdLeft for how
 	// long it stays so. Releases before these fields don't pass them on.
 	ColdKnown bool
@@ -186,6 +191,7 @@
 // EndpointChanges carries all changes of the platform's list of endpoints between two
 // revisions of the store, or, if Full, the whole list at a revision.
 type EndpointChanges struct {
+	InEra
 	Full bool
 	// Since and Covered are the revisions; Since is 0 if Full.
 	Since   uint64
@@ -207,6 +213,7 @@
 // EvacuationChanges carries the evacuated failure domains at a revision of the store, if
 // Full, or the changes of them between two revisions.
 type EvacuationChanges struct {
+	InEra
 	Full bool
 	// Since and Covered are the revisions; Since is 0 if Full.
 	Since   uint64
@@ -236,6 +243,7 @@
 // WatchResult is the end of a call that follows a kind of objects. The objects are
 // carried by events before it.
 type WatchResult struct {
+	InEra
 	Kind   table.WatchKind
 	Call   uint64
 	Status WatchStatus
@@ -247,6 +255,7 @@
 
 // LimitLedgerResult is the result of a call to the limit ledger.
 type LimitLedgerResult struct {
+	InEra
 	Status   CallStatus
 	Revision uint64
 	// Content is the ledger after the call, for CallOK and CallConflict.
@@ -256,6 +265,7 @@
 
 // RouterReport is a router's periodic report to the others.
 type RouterReport struct {
+	InEra
 	From table.Holder
 	// Available is what the sender may still spend of the totals that it holds limits
 	// of.
@@ -268,6 +278,9 @@
 	// LastChanges are the highest revisions of changes in the store that the sender
 	// knows, by kind of object.
 	LastChanges map[table.WatchKind]uint64
+	// ManifestVersion is the version of the configuration that is in force at the sender, or 0
+	// from releases that don't report it.
+	ManifestVersion uint64
 	// Wants are the kinds of objects of which the sender lacks changes that the store does
 	// not give it. Releases that don't know the field don't answer.
 	Wants map[table.WatchKind]WantedChanges
@@ -332,6 +345,8 @@
 	From table.Holder
 	// Covered is the revision up to which the sender has all changes.
 	Covered uint64
+	// ManifestVersion is the version of the configuration in force at the sender.
+	ManifestVersion uint64
 }
 
 // TransferRequest asks another router for part of what it may still spend. Need
@@ -357,13 +372,17 @@
 
 // LedgerChange reports a write of the limit ledger, so that other routers can
 // update their copies without a read.
-type LedgerChange struct{ table.LedgerStep }
+type LedgerChange struct {
+	InEra
+	table.LedgerStep
+}
 
 // LimitRequest asks the router that writes the limit ledger for others to raise
 // the sender's limits to those given, as far as the totals allow, and to record
 // what the sender has spent. It never lowers a limit, so it may be carried out
 // late.
 type LimitRequest struct {
+	InEra
 	From    table.Holder
 	Entries map[table.CustomerID]table.LimitEntry
 	// Urgent is true while a client's request waits for it.
--- a/internal/fake/platform.go
+++ b/internal/fake/platform.go
@@ -30,7 +30,9 @@
 	ReadsPerSecond, WritesPerSecond int
 	// MemberLag is the delay until the membership list shows a change.
 	MemberLag time.Duration
-	Clock     Clock
+	// Era is the store's first era. With 0, its answers name none until it returns from a copy.
+	Era   uint64
+	Clock Clock
 }
 
 // PlatformFaults are the injected faults. Setting them replaces all earlier ones.
@@ -108,6 +110,8 @@
 	// hasMore is true if the list continues after the last of the objects.
 	hasMore  bool
 	revision uint64
+	// era is that of the store when the call ended.
+	era uint64
 }
 
 type callID uint64
@@ -152,16 +156,31 @@
 	visibleAt time.Time
 }
 
+// storedState is what the store keeps, and what a copy of it holds.
+type storedState struct {
+	revision uint64
+	kinds    table.Table[string, kindRow]
+}
+
+func (s *storedState) clone() storedState {
+	c := storedState{revision: s.revision}
+	s.kinds.Each(func(kind string, k *kindRow) {
+		row := c.kinds.Put(kind, kindRow{revision: k.revision})
+		k.objects.Each(func(name string, o *object) { row.objects.Put(name, *o) })
+	})
+	return c
+}
+
 // platformWorld is the state of a platform. Only the goroutine of its event loop
 // accesses it.
 type platformWorld struct {
-	now            time.Time
-	memberLag      time.Duration
-	faults         PlatformFaults
-	readLimiter    *rate.Limiter
-	writeLimiter   *rate.Limiter
-	revision       uint64
-	kinds          table.Table[string, kindRow]
+	now          time.Time
+	memberLag    time.Duration
+	faults       PlatformFaults
+	readLimiter  *rate.Limiter
+	writeLimiter *rate.Limiter
+	storedState
+	era            uint64
 	calls          table.Table[callID, platformCall]
 	pendingCalls   table.Set[callID]
 	waitingWatches table.Set[callID]
@@ -197,7 +216,7 @@
 	count.Calls++
 	if failure := checkAvailable(w, c.op); failure != outcomeOK {
 		count.Refused++
-		c.result <- callResult{outcome: failure}
+		c.result <- callResult{outcome: failure, era: w.era}
 		return
 	}
 	c.applyAt = w.now.Add(time.Duration(w.faults.SlowMillis) * time.Millisecond)
@@ -251,6 +270,19 @@
 	}
 }
 
+type copyStore struct{ copied chan storedState }
+
+func (e copyStore) apply(w *platformWorld) { e.copied <- w.clone() }
+
+type returnFromCopy struct{ copied storedState }
+
+// apply begins the next era of the store with what a copy holds. Calls that are delayed take
+// effect on it.
+func (e returnFromCopy) apply(w *platformWorld) {
+	w.storedState = e.copied.clone()
+	w.era++
+}
+
 type setMember struct{ member Member }
 
 func (e setMember) apply(w *platformWorld) {
@@ -300,6 +332,7 @@
 
 // complete sends the result of a call and removes its row.
 func (w *platformWorld) complete(id callID, result callResult) {
+	result.era = w.era
 	w.calls.Get(id).result <- result
 	w.calls.Delete(id)
 	w.pendingCalls.Remove(id)
@@ -469,7 +502,7 @@
 	for _, id := range w.waitingWatches.Keys() {
 		c := w.calls.Get(id)
 		k := w.kinds.Get(c.kind)
-		if w.faults.DropHistory && c.revision < w.revision {
+		if w.faults.DropHistory && c.revision < w.revision || w.era > 0 && c.revision > w.revision {
 			w.complete(id, callResult{outcome: outcomeCompacted})
 			continue
 		}
--- a/internal/fake/platformhttp.go
+++ b/internal/fake/platformhttp.go
@@ -20,6 +20,9 @@
 	objectPath     = collectionPath + "/{name}"
 )
 
+// Copy is a copy of a store.
+type Copy struct{ state storedState }
+
 // Platform is a fake of the platform's store and its membership list. It implements
 // the public protocol of the store.
 type Platform struct {
@@ -30,7 +33,7 @@
 
 // NewPlatform starts a platform; Close stops it.
 func NewPlatform(cfg PlatformConfig) *Platform {
-	w := &platformWorld{memberLag: cfg.MemberLag, readLimiter: newLimiter(cfg.ReadsPerSecond), writeLimiter: newLimiter(cfg.WritesPerSecond)}
+	w := &platformWorld{era: cfg.Era, memberLag: cfg.MemberLag, readLimiter: newLimiter(cfg.ReadsPerSecond), writeLimiter: newLimiter(cfg.WritesPerSecond)}
 	p := &Platform{mux: http.NewServeMux(), loop: startLoop[platformEvent](cfg.Clock, w)}
 	p.mux.HandleFunc("GET "+objectPath, func(w http.ResponseWriter, r *http.Request) {
 		p.handleCall(w, r, platformCall{op: opGet})
@@ -65,6 +68,18 @@
 // SetFaults replaces the injected faults.
 func (p *Platform) SetFaults(f PlatformFaults) { p.loop.postAndWait(setPlatformFaults{f}) }
 
+// Copy returns a copy of all that the store holds, for ReturnFrom.
+func (p *Platform) Copy() Copy {
+	response := make(chan storedState, 1)
+	p.loop.post(copyStore{response})
+	copied, _ := receive(p.loop, response)
+	return Copy{copied}
+}
+
+// ReturnFrom lets the store come back from a copy: what was written since is lost, revisions
+// are given out again, and the era rises by one.
+func (p *Platform) ReturnFrom(c Copy) { p.loop.postAndWait(returnFromCopy{c.state}) }
+
 // SetMember sets a host to live or leaving, or removes it from the list.
 func (p *Platform) SetMember(m Member) { p.loop.postAndWait(setMember{m}) }
 
@@ -137,6 +152,9 @@
 	p.loop.post(c)
 	select {
 	case result := <-c.result:
+		if result.era > 0 {
+			w.Header().Set("Store-Era", strconv.FormatUint(result.era, 10))
+		}
 		writeCallResult(w, c.op, result)
 	case <-r.Context().Done():
 		p.loop.post(clientDisconnected{c.id})
--- a/internal/gateway/systems.go
+++ b/internal/gateway/systems.go
@@ -6,6 +6,7 @@
 	"laburnumroad.dev/laburnumroad/internal/system/catalog"
 	"laburnumroad.dev/laburnumroad/internal/system/drain"
 	"laburnumroad.dev/laburnumroad/internal/system/duration"
+	"laburnumroad.dev/laburnumroad/internal/system/era"
 	"laburnumroad.dev/laburnumroad/internal/system/evacuation"
 	"laburnumroad.dev/laburnumroad/internal/system/explain"
 	"laburnumroad.dev/laburnumroad/internal/system/health"
@@ -24,6 +25,7 @@
 // Systems returns the systems of a gateway in the order in which a tick runs them.
 func Systems() []world.System {
 	return []world.System{
+		world.SystemFunc(era.Run),
 		world.SystemFunc(watch.Run),
 		world.SystemFunc(catalog.Run),
 		world.SystemFunc(evacuation.Run),
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -42,16 +42,17 @@
 	var revision uint64
 	var err error
 	sentAt := time.Now()
+	callCtx, era := platform.TrackEra(ctx)
 	if c.Since == 0 {
-		objects, revision, err = g.store.List(ctx, kind)
+		objects, revision, err = g.store.List(callCtx, kind)
 	} else {
-		objects, revision, err = g.store.Watch(ctx, kind, c.Since, c.Wait)
+		objects, revision, err = g.store.Watch(callCtx, kind, c.Since, c.Wait)
 	}
 	if ctx.Err() != nil && err != nil {
 		// The call was stopped; a failure says nothing about the store.
 		return
 	}
-	result := event.WatchResult{Kind: c.Kind, Call: c.Call, Status: event.WatchOK, Covered: revision}
+	result := event.WatchResult{InEra: event.InEra{Era: *era}, Kind: c.Kind, Call: c.Call, Status: event.WatchOK, Covered: revision}
 	switch {
 	case errors.Is(err, platform.ErrCompacted):
 		result.Status = event.WatchCompacted
@@ -85,12 +86,12 @@
 		return
 	}
 	if c.Kind == table.WatchEvacuations {
-		changes := event.EvacuationChanges{Full: c.Since == 0, Since: c.Since, Covered: result.Covered, LastChange: result.LastChange}
+		changes := event.EvacuationChanges{InEra: result.InEra, Full: c.Since == 0, Since: c.Since, Covered: result.Covered, LastChange: result.LastChange}
 		g.addEvacuations(&changes, objects)
 		g.loop.Post(changes)
 		return
 	}
-	changes := event.EndpointChanges{Full: c.Since == 0, Since: c.Since, Covered: result.Covered, LastChange: result.LastChange}
+	changes := event.EndpointChanges{InEra: result.InEra, Full: c.Since == 0, Since: c.Since, Covered: result.Covered, LastChange: result.LastChange}
 	g.addEndpoints(&changes, objects)
 	g.loop.Post(changes)
 }
@@ -106,7 +107,7 @@
 		g.log.Error().Err(err).Msg("failed to decode configuration; keeping the current one")
 		return
 	}
-	g.loop.Post(event.ManifestReceived{Manifest: m, Revision: o.Version})
+	g.loop.Post(event.ManifestReceived{InEra: event.InEra{Era: o.Era}, Manifest: m, Revision: o.Version})
 }
 
 // addEndpoints adds the last state of each stored entry to changes. An invalid entry
--- a/internal/system/allowance/steps.go
+++ b/internal/system/allowance/steps.go
@@ -34,7 +34,7 @@
 	for _, h := range step.Removed {
 		logClosedEntry(w, s.Content.Find(h))
 	}
-	w.Out.LedgerChanges = append(w.Out.LedgerChanges, command.SendLedgerChange{Change: event.LedgerChange{LedgerStep: step}})
+	w.Out.LedgerChanges = append(w.Out.LedgerChanges, command.SendLedgerChange{Change: event.LedgerChange{InEra: event.InEra{Era: w.StoreEra.Number}, LedgerStep: step}})
 }
 
 // logClosedEntry logs the limits that a write closed for a router that exited
--- a/internal/system/watch/evacuations.go
+++ b/internal/system/watch/evacuations.go
@@ -17,7 +17,7 @@
 	for i := range w.In.RouterReports {
 		if r := &w.In.RouterReports[i]; r.EvacuationsCovered > 0 {
 			w.In.EvacuationChanges = append(w.In.EvacuationChanges, event.EvacuationChanges{
-				Full: true, Covered: r.EvacuationsCovered, Present: r.Evacuated, Relayed: true, SenderStoreDown: r.StoreDown,
+				InEra: r.InEra, Full: true, Covered: r.EvacuationsCovered, Present: r.Evacuated, Relayed: true, SenderStoreDown: r.StoreDown,
 			})
 		}
 	}
--- a/internal/system/watch/watch.go
+++ b/internal/system/watch/watch.go
@@ -364,7 +364,7 @@
 		return
 	case kind == table.WatchConfig && w.ManifestRevision > covered:
 		w.Out.ManifestRelays = append(w.Out.ManifestRelays, command.RelayManifest{
-			To: []table.Holder{to}, Manifest: event.ManifestReceived{Manifest: w.Manifest, Revision: w.ManifestRevision},
+			To: []table.Holder{to}, Manifest: event.ManifestReceived{InEra: event.InEra{Era: w.StoreEra.Number}, Manifest: w.Manifest, Revision: w.ManifestRevision},
 		})
 	case kind == table.WatchEndpoints && row.Listed && row.Covered > covered:
 		w.Out.EndpointRelays = append(w.Out.EndpointRelays, command.RelayEndpointChanges{To: []table.Holder{to}, Changes: endpointList(w, row)})
@@ -376,12 +376,12 @@
 
 // endpointList returns the list of endpoints as this router knows it.
 func endpointList(w *world.World, row *table.Watch) event.EndpointChanges {
-	changes := event.EndpointChanges{Full: true, Covered: row.Covered, LastChange: row.LastChange}
+	changes := event.EndpointChanges{InEra: event.InEra{Era: w.StoreEra.Number}, Full: true, Covered: row.Covered, LastChange: row.LastChange}
 	w.DirectEndpoints.Each(func(id table.EndpointID, e *table.DirectEndpoint) {
 		if e.RemovedAt == 0 {
 			entry := event.EndpointEntry{
 				ID: id, Service: e.Service, Address: e.Address, Domain: e.Domain, Slots: e.Slots, Leaving: e.Leaving, StartedUnixMilli: e.StartedUnixMilli,
-				ColdKnown: true,
+				Sequence: e.Sequence, ColdKnown: true,
 			}
 			if cold := w.ColdEndpoints.Get(id); cold != nil {
 				entry.ColdKnown, entry.ColdLeft = cold.MarkedUntil <= w.Now, max(0, cold.EntryUntil.Sub(w.Now))
--- a/internal/table/exchange.go
+++ b/internal/table/exchange.go
@@ -107,6 +107,8 @@
 
 	DirectEndpoints Table[EndpointID, DirectEndpoint]
 	DirectServices  Table[ServiceName, DirectService]
+	// DepartedEndpoints are endpoints whose rows were lately deleted.
+	DepartedEndpoints Table[EndpointID, DepartedEndpoint]
 	// EndpointNotices are what endpoints say of themselves, as far as it binds routers.
 	EndpointNotices Table[EndpointID, EndpointNotice]
 	// ColdEndpoints are the endpoints that are cold or have lately been.
@@ -157,6 +159,8 @@
 	// it, by the name of the route.
 	Link             Link
 	RouteAnswerSizes Table[string, RouteAnswerSize]
+	// StoreEra is the era of the store.
+	StoreEra StoreEra
 	// Watches are the kinds of objects in the store that this router follows.
 	Watches Table[WatchKind, Watch]
 	// PendingTransfers are other routers' requests that wait for a limit.
--- a/internal/table/route.go
+++ b/internal/table/route.go
@@ -150,6 +150,8 @@
 	// later one under the same id is a new process that has no state of the old
 	// one.
 	StartedUnixMilli int64
+	// Sequence is that of the latest known entry of the process, or 0.
+	Sequence int64
 	// ListedAt is when this process of the endpoint was first listed here.
 	ListedAt Instant
 
@@ -219,3 +221,13 @@
 	Endpoint EndpointID
 	Part     string
 }
+
+// DepartedEndpoint is an endpoint that left. A store that returns from a copy may list it
+// again.
+type DepartedEndpoint struct {
+	// StartedUnixMilli and Sequence are those of its last entry.
+	StartedUnixMilli int64
+	Sequence         int64
+	// ForgetAt is when the row is deleted.
+	ForgetAt Instant
+}
