watch: a configuration is new by its version, not by its revision

Cause: a gateway passed a configuration on only if its revision was above the last one known. The store had given out 538 before; the new configuration got 536. The logs show it "in force from the store" at four gateways and never at the other two.

Change: the version decides. Reports name the version in force, and a gateway with a lower one asks for it, so that one which starts before the operator has written again gets from the others what the store lost.

--- a/internal/system/watch/evacuations_test.go
+++ b/internal/system/watch/evacuations_test.go
@@ -20,7 +20,7 @@
 
 // evacuationChanges returns what a call since a revision returns, or a list if that is 0.
 func (f *fleet) evacuationChanges(since uint64) event.EvacuationChanges {
-	changes := event.EvacuationChanges{Full: since == 0, Since: since, Covered: f.revision}
+	changes := event.EvacuationChanges{InEra: f.inEra(), Full: since == 0, Since: since, Covered: f.revision}
 	for _, e := range f.evacuations {
 		if e.removed == 0 && e.begun > since {
 			changes.Present, changes.LastChange = append(changes.Present, e.domain), max(changes.LastChange, e.begun)
--- a/internal/system/watch/fleet_test.go
+++ b/internal/system/watch/fleet_test.go
@@ -12,6 +12,7 @@
 	"laburnumroad.dev/laburnumroad/internal/command"
 	"laburnumroad.dev/laburnumroad/internal/event"
 	"laburnumroad.dev/laburnumroad/internal/system/catalog"
+	"laburnumroad.dev/laburnumroad/internal/system/era"
 	evacuationsystem "laburnumroad.dev/laburnumroad/internal/system/evacuation"
 	"laburnumroad.dev/laburnumroad/internal/system/peers"
 	"laburnumroad.dev/laburnumroad/internal/system/watch"
@@ -35,15 +36,11 @@
 	now      table.Instant
 	routers  []*member
 	sessions uint64
-	// revision is the store's; config and endpoints are those of the last changes.
-	revision, config, endpoints uint64
-	version                     uint64
-	// live are the entries in the list of endpoints.
-	live []event.EndpointEntry
-	gone []removal
+	storeState
+	// era is the store's, or 0 if it names none.
+	era uint64
 	// evacuationBound is 0 in a deployment that evacuates no failure domains.
 	evacuationBound time.Duration
-	evacuations     []evacuation
 	// compacted is the revision up to which the store has dropped its history.
 	compacted uint64
 	// onCall, if set, is told of each call to the store.
@@ -53,6 +50,23 @@
 	silent bool
 }
 
+// storeState is what the store keeps, and what a copy of it holds.
+type storeState struct {
+	// revision is the store's; config and endpoints are those of the last changes.
+	revision, config, endpoints uint64
+	version                     uint64
+	// live are the entries in the list of endpoints.
+	live        []event.EndpointEntry
+	gone        []removal
+	evacuations []evacuation
+}
+
+func (s *storeState) clone() storeState {
+	c := *s
+	c.live, c.gone, c.evacuations = slices.Clone(s.live), slices.Clone(s.gone), slices.Clone(s.evacuations)
+	return c
+}
+
 type removal struct {
 	id       table.EndpointID
 	revision uint64
@@ -99,7 +113,16 @@
 func newFleet(routers, domains int) *fleet { return newFleetThatEvacuates(routers, domains, 0) }
 
 func newFleetThatEvacuates(routers, domains int, evacuationBound time.Duration) *fleet {
-	f := &fleet{now: table.Instant(time.Second), revision: 10, endpoints: 10, evacuationBound: evacuationBound}
+	return startFleet(routers, domains, &fleet{evacuationBound: evacuationBound})
+}
+
+// newFleetWithEras simulates a store that names its era.
+func newFleetWithEras(routers, domains int) *fleet {
+	return startFleet(routers, domains, &fleet{era: 1})
+}
+
+func startFleet(routers, domains int, f *fleet) *fleet {
+	f.now, f.revision, f.endpoints = table.Instant(time.Second), 10, 10
 	f.configure()
 	for i := range 5 {
 		f.live = append(f.live, event.EndpointEntry{ID: table.EndpointID(fmt.Sprintf("m%d", i)), Service: "model", Address: "10.0.0.1:80", Domain: fmt.Sprintf("d%d", i%3), Slots: 4})
@@ -161,6 +184,27 @@
 	f.gone = append(f.gone, removal{id, f.revision})
 }
 
+// returnFrom lets the store come back from a copy of its state, in its next era. All open calls
+// fail.
+func (f *fleet) returnFrom(copied *storeState) {
+	f.storeState = copied.clone()
+	f.era++
+	for _, m := range f.routers {
+		for _, c := range m.calls {
+			m.inbox = append(m.inbox, event.PlatformState{}, event.WatchResult{Kind: c.Kind, Call: c.Call, Status: event.WatchFailed})
+		}
+		m.calls = nil
+	}
+}
+
+// writeAgain lets the operator write the configuration of a version that the store lost.
+func (f *fleet) writeAgain(version uint64) {
+	f.revision++
+	f.version, f.config = version, f.revision
+}
+
+func (f *fleet) inEra() event.InEra { return event.InEra{Era: f.era} }
+
 func (f *fleet) find(id table.ProcessID) *member {
 	return f.routers[slices.IndexFunc(f.routers, func(m *member) bool { return m.process.Process == id })]
 }
@@ -204,7 +248,7 @@
 		e.AddTo(&m.world.In)
 	}
 	m.inbox = nil
-	m.world.Tick(f.now, []world.System{world.SystemFunc(watch.Run), world.SystemFunc(catalog.Run), world.SystemFunc(evacuationsystem.Run), world.SystemFunc(peers.Run)})
+	m.world.Tick(f.now, []world.System{world.SystemFunc(era.Run), world.SystemFunc(watch.Run), world.SystemFunc(catalog.Run), world.SystemFunc(evacuationsystem.Run), world.SystemFunc(peers.Run)})
 	out := m.world.Out
 	m.world.ClearOutbox()
 	for _, c := range out.EndpointUses {
@@ -263,8 +307,8 @@
 			return false
 		case m.turnedAway && age >= answerTime:
 			m.inbox = append(m.inbox, event.PlatformState{Reachable: false}, event.WatchResult{Kind: c.Kind, Call: c.Call, Status: event.WatchFailed})
-		case !m.turnedAway && age >= answerTime && c.Since > 0 && c.Since < f.compacted:
-			m.inbox = append(m.inbox, event.PlatformState{Reachable: true}, event.WatchResult{Kind: c.Kind, Call: c.Call, Status: event.WatchCompacted})
+		case !m.turnedAway && age >= answerTime && c.Since > 0 && (c.Since < f.compacted || c.Since > f.revision):
+			m.inbox = append(m.inbox, event.PlatformState{Reachable: true}, event.WatchResult{InEra: f.inEra(), Kind: c.Kind, Call: c.Call, Status: event.WatchCompacted})
 		case !m.turnedAway && age >= answerTime && (last > c.Since || age >= c.Wait):
 			f.answerWithChanges(m, c, last)
 		default:
@@ -290,18 +334,18 @@
 }
 
 func (f *fleet) answerWithChanges(m *member, c openCall, last uint64) {
-	result := event.WatchResult{Kind: c.Kind, Call: c.Call, Status: event.WatchOK, Covered: f.revision}
+	result := event.WatchResult{InEra: f.inEra(), Kind: c.Kind, Call: c.Call, Status: event.WatchOK, Covered: f.revision}
 	if last > c.Since {
 		result.LastChange = last
 	}
 	switch {
 	case result.LastChange == 0:
 	case c.Kind == table.WatchConfig:
-		m.inbox = append(m.inbox, event.ManifestReceived{Manifest: table.Manifest{Version: f.version}, Revision: f.config})
+		m.inbox = append(m.inbox, event.ManifestReceived{InEra: f.inEra(), Manifest: table.Manifest{Version: f.version}, Revision: f.config})
 	case c.Kind == table.WatchEvacuations:
 		m.inbox = append(m.inbox, f.evacuationChanges(c.Since))
 	default:
-		changes := event.EndpointChanges{Full: c.Since == 0, Since: c.Since, Covered: f.revision, LastChange: last, Present: f.live}
+		changes := event.EndpointChanges{InEra: f.inEra(), Full: c.Since == 0, Since: c.Since, Covered: f.revision, LastChange: last, Present: f.live}
 		for _, r := range f.gone {
 			if r.revision > c.Since && c.Since > 0 {
 				changes.Removed = append(changes.Removed, r.id)
--- a/internal/system/watch/watch.go
+++ b/internal/system/watch/watch.go
@@ -110,18 +110,22 @@
 	return changes
 }
 
-// onManifest records the revision of a configuration and passes it on if it is new. The
-// catalog never activates an older one.
+// onManifest records the revision of a configuration and passes it on if it is new. Its
+// version says whether it is: the revision only says where to go on watching, and may be lower
+// after the store returned from a copy. The catalog never activates an older one.
 func onManifest(w *world.World, e *event.ManifestReceived) {
 	row := watchOf(w, table.WatchConfig)
-	if e.Revision <= row.LastChange {
-		return
+	if e.Revision > row.LastChange {
+		row.LastChange = e.Revision
+		if e.Relayed {
+			// A configuration is a single object, which no earlier list is needed for.
+			row.Listed, row.Covered, row.BehindSince = true, max(row.Covered, e.Revision), 0
+		}
 	}
-	row.LastChange = e.Revision
-	if e.Relayed {
-		// A configuration is a single object, which no earlier list is needed for.
-		row.Listed, row.Covered, row.BehindSince = true, max(row.Covered, e.Revision), 0
+	if e.Manifest.Version <= row.ManifestVersion {
+		return
 	}
+	row.ManifestVersion = e.Manifest.Version
 	if to := recipients(w, table.WatchConfig, e.Relayed); len(to) > 0 {
 		w.Out.ManifestRelays = append(w.Out.ManifestRelays, command.RelayManifest{To: to, Manifest: *e})
 	}
@@ -303,6 +307,7 @@
 
 func onReport(w *world.World, e *event.RouterReport) {
 	judgeOutage(w, e)
+	onReportedManifest(w, e)
 	for kind, revision := range e.LastChanges {
 		row := w.Watches.Get(kind)
 		if row == nil {
@@ -329,6 +334,20 @@
 	row.ReportedChange, row.ReportedBy = revision, e.From
 }
 
+// onReportedManifest records that a later configuration is in force at another router. The
+// store may have lost it, so that no revision tells of it. A router that has none yet only
+// trusts one that the store answers.
+func onReportedManifest(w *world.World, e *event.RouterReport) {
+	row := watchOf(w, table.WatchConfig)
+	if e.ManifestVersion <= max(row.ManifestVersion, row.ReportedVersion) || row.ManifestVersion == 0 && e.StoreDown {
+		return
+	}
+	if row.MissingSince == 0 {
+		row.MissingSince = w.Now
+	}
+	row.ReportedVersion, row.ReportedBy = e.ManifestVersion, e.From
+}
+
 // Wants returns the kinds of objects of which this router lacks changes that the store
 // has not given it in time, with the router to ask for them: the last one that reported
 // to have them.
@@ -339,7 +358,7 @@
 			if wants == nil {
 				wants = make(map[table.WatchKind]event.WantedChanges)
 			}
-			wants[kind] = event.WantedChanges{From: row.ReportedBy, Covered: row.Covered}
+			wants[kind] = event.WantedChanges{From: row.ReportedBy, Covered: row.Covered, ManifestVersion: row.ManifestVersion}
 		}
 	})
 	return wants
@@ -351,22 +370,22 @@
 func SendWanted(w *world.World, e *event.RouterReport) {
 	for kind, wanted := range e.Wants {
 		if wanted.From == w.Self() {
-			sendState(w, kind, e.From, wanted.Covered)
+			sendState(w, kind, e.From, &wanted)
 		}
 	}
 }
 
-// sendState sends another router, which has all changes up to a revision, the whole state
-// of a kind of objects if this one knows a later one.
-func sendState(w *world.World, kind table.WatchKind, to table.Holder, covered uint64) {
+// sendState sends another router the whole state of a kind of objects if this one knows a
+// later one.
+func sendState(w *world.World, kind table.WatchKind, to table.Holder, wanted *event.WantedChanges) {
 	switch row := w.Watches.Get(kind); {
 	case row == nil:
 		return
-	case kind == table.WatchConfig && w.ManifestRevision > covered:
+	case kind == table.WatchConfig && (w.ManifestRevision > wanted.Covered || w.Manifest.Version > wanted.ManifestVersion):
 		w.Out.ManifestRelays = append(w.Out.ManifestRelays, command.RelayManifest{
 			To: []table.Holder{to}, Manifest: event.ManifestReceived{InEra: event.InEra{Era: w.StoreEra.Number}, Manifest: w.Manifest, Revision: w.ManifestRevision},
 		})
-	case kind == table.WatchEndpoints && row.Listed && row.Covered > covered:
+	case kind == table.WatchEndpoints && row.Listed && row.Covered > wanted.Covered:
 		w.Out.EndpointRelays = append(w.Out.EndpointRelays, command.RelayEndpointChanges{To: []table.Holder{to}, Changes: endpointList(w, row)})
 	default:
 		return
@@ -407,7 +426,7 @@
 func checkMissing(w *world.World, kind table.WatchKind, row *table.Watch) {
 	switch {
 	case row.MissingSince == 0:
-	case row.Covered >= row.ReportedChange:
+	case row.Covered >= row.ReportedChange && (kind != table.WatchConfig || row.ManifestVersion >= row.ReportedVersion):
 		if row.MissingLogged {
 			w.RecordStateChange("watch", kind.String(), "behind", "current", "after "+w.Now.Sub(row.MissingSince).Round(time.Millisecond).String())
 		}
--- a/internal/table/watch.go
+++ b/internal/table/watch.go
@@ -56,6 +56,10 @@
 	// true if the log says so.
 	ReportedChange uint64
 	ReportedBy     Holder
-	MissingSince   Instant
-	MissingLogged  bool
+	// ManifestVersion is the highest version of a configuration that this router received,
+	// and ReportedVersion of those that another router, ReportedBy, reported.
+	ManifestVersion uint64
+	ReportedVersion uint64
+	MissingSince    Instant
+	MissingLogged   bool
 }
