allowance: routers write the ledger again that the store has lost

Cause: routers compared revisions across the return. They dropped the copy as older and wrote on condition of a revision that was gone (their logs repeat revision 538), and a process that started anew took the copy for the whole ledger. What routers write to the ledger, nobody but they can write again.

Change: contents of the ledger have a version of their own. The first router that writes in a new era writes what it knew in place of the copy, each router states its own entry, and no limit is raised before that. A process that knows only the copy waits for the others or asks them. A write from before the return that is done after it is undone by its version.

Tests, on the code before: TestLimitsThatStoreLostAreNotGivenOutAgain (153,945 of 150,000), TestRestOfTotalIsServedAfterReturn, TestLimitOfDeadRouterIsRestored (166,735), TestProcessThatStartsInNewEraWaitsForOthers (166,200), TestLateWriteOfEarlierEraIsUndone (162,400), TestTwoReturnsInARow (305,000 of 300,000) and TestNoOverspendThroughReturns fail; TestRouterThatIsCutOffStatesItsEntryLater passed.

--- a/internal/command/exchange.go
+++ b/internal/command/exchange.go
@@ -100,8 +100,11 @@
 }
 
 // SendLedgerChange reports a write of the limit ledger to all connected
-// routers.
-type SendLedgerChange struct{ Change event.LedgerChange }
+// routers, or tells To, if that is set, of the whole ledger.
+type SendLedgerChange struct {
+	To     table.Holder
+	Change event.LedgerChange
+}
 
 // SendLimitRequest asks another router to record this one's limits.
 type SendLimitRequest struct {
--- a/internal/event/exchange.go
+++ b/internal/event/exchange.go
@@ -284,6 +284,9 @@
 	// Wants are the kinds of objects of which the sender lacks changes that the store does
 	// not give it. Releases that don't know the field don't answer.
 	Wants map[table.WatchKind]WantedChanges
+	// WantsLedgerOf is the router that is asked for the limit ledger as it knows it, by one
+	// that only knows an older copy. It is empty if the sender wants none.
+	WantsLedgerOf table.Holder
 	// Notices are what endpoints said of themselves to the sender itself, as far as it
 	// binds other routers.
 	Notices []ReportedNotice
@@ -391,6 +394,10 @@
 	// where other routers reach the sender.
 	Register bool
 	Address  string
+	// States is true if the sender's entry has to be written as Held says, whatever the ledger
+	// has: the store may have lost it.
+	States bool                                  `msgpack:",omitempty"`
+	Held   map[table.CustomerID]table.LimitEntry `msgpack:",omitempty"`
 }
 
 // AddTo implements Event.
--- a/internal/gateway/flush.go
+++ b/internal/gateway/flush.go
@@ -85,7 +85,11 @@
 		}
 	}
 	for i := range out.LedgerChanges {
-		g.broadcast(wire.TypeLedgerChange, &out.LedgerChanges[i].Change)
+		if c := &out.LedgerChanges[i]; c.To != (table.Holder{}) {
+			g.logSendError(g.peers.SendToIncarnation(c.To, wire.TypeLedgerChange, &c.Change))
+		} else {
+			g.broadcast(wire.TypeLedgerChange, &c.Change)
+		}
 	}
 	for i := range out.LimitRequests {
 		g.logSendError(g.peers.SendToIncarnation(out.LimitRequests[i].To, wire.TypeLimitRequest, &out.LimitRequests[i].Request))
--- a/internal/system/allowance/allowance.go
+++ b/internal/system/allowance/allowance.go
@@ -43,6 +43,9 @@
 // Run applies the results of ledger calls and other routers' messages, and reserves
 // budget for the waiting requests.
 func Run(w *world.World) {
+	if w.StoreEra.Returned {
+		beginEra(w)
+	}
 	for i := range w.In.LimitLedgerResults {
 		onLedgerResult(w, &w.In.LimitLedgerResults[i])
 	}
@@ -61,6 +64,11 @@
 	for i := range w.In.LedgerChanges {
 		onLedgerChange(w, &w.In.LedgerChanges[i])
 	}
+	for i := range w.In.RouterReports {
+		if r := &w.In.RouterReports[i]; r.WantsLedgerOf == w.Self() {
+			tellLedger(w, r.From)
+		}
+	}
 	w.Accounts.Each(func(_ table.CustomerID, a *table.Account) { a.SmallestShortfall, a.WaitingTokens = 0, 0 })
 	servePendingTransfers(w)
 	for _, id := range w.ExchangesWaiting.Keys() {
--- a/internal/system/allowance/fleet_test.go
+++ b/internal/system/allowance/fleet_test.go
@@ -9,6 +9,7 @@
 	"laburnumroad.dev/laburnumroad/internal/command"
 	"laburnumroad.dev/laburnumroad/internal/event"
 	"laburnumroad.dev/laburnumroad/internal/system/allowance"
+	"laburnumroad.dev/laburnumroad/internal/system/era"
 	"laburnumroad.dev/laburnumroad/internal/system/peers"
 	"laburnumroad.dev/laburnumroad/internal/table"
 	"laburnumroad.dev/laburnumroad/internal/world"
@@ -27,10 +28,11 @@
 	routers []*router
 	total   table.Tokens
 	// spent is what has run, as a central counter would record it.
-	spent    table.Tokens
-	revision uint64
-	ledger   table.LimitLedger
-	storeUp  bool
+	spent table.Tokens
+	storedLedger
+	storeUp bool
+	// era is the store's, or 0 if it names none.
+	era uint64
 	// pendingWrites are in transit to the store.
 	pendingWrites []pendingWrite
 	// delayedWrites are carried out later if the revision still matches.
@@ -53,6 +55,12 @@
 	unchangedWrites int
 }
 
+// storedLedger is what the store has of the ledger, and what a copy of it holds.
+type storedLedger struct {
+	revision uint64
+	ledger   table.LimitLedger
+}
+
 // writeTime is the duration of a write, which lets writes of several routers
 // overlap.
 const writeTime = 4 * time.Millisecond
@@ -89,8 +97,12 @@
 }
 
 func newFleet(seed uint64, count int, total table.Tokens) *fleet {
+	return newFleetInEra(0, seed, count, total)
+}
+
+func newFleetInEra(era, seed uint64, count int, total table.Tokens) *fleet {
 	f := &fleet{
-		now: table.Instant(time.Second), rand: rand.New(rand.NewPCG(seed, 7)), total: total, storeUp: true,
+		now: table.Instant(time.Second), rand: rand.New(rand.NewPCG(seed, 7)), total: total, storeUp: true, era: era,
 		refusals: map[table.Code]int{}, servedByPriority: map[int]int{},
 	}
 	for i := range count {
@@ -118,6 +130,9 @@
 	r.world.PlatformReachable = true
 	r.alive, r.paused, r.inbox, r.sessions = true, false, nil, map[table.ProcessID]uint64{}
 	f.configure(r)
+	if f.era > 0 && f.storeUp {
+		r.inbox = append(r.inbox, event.WatchResult{InEra: f.inEra(), Kind: table.WatchConfig, Status: event.WatchOK})
+	}
 	// The control loop ticks once at the start.
 	f.tick(r)
 }
@@ -186,7 +201,7 @@
 	}
 	r.inbox = nil
 	w.Tick(f.now, []world.System{
-		world.SystemFunc(peers.Run), world.SystemFunc(allowance.Run), world.SystemFunc(f.serve), world.SystemFunc(allowance.Settle),
+		world.SystemFunc(era.Run), world.SystemFunc(peers.Run), world.SystemFunc(allowance.Run), world.SystemFunc(f.serve), world.SystemFunc(allowance.Settle),
 	})
 	out := w.Out
 	w.ClearOutbox()
@@ -241,6 +256,10 @@
 		f.broadcast(r, func(h table.Holder) event.Event { c.Report.From = h; return c.Report })
 	}
 	for _, c := range out.LedgerChanges {
+		if c.To != (table.Holder{}) {
+			f.send(r, c.To, c.Change)
+			continue
+		}
 		f.broadcast(r, func(table.Holder) event.Event { return c.Change })
 	}
 	for _, c := range out.LimitRequests {
@@ -297,9 +316,36 @@
 		f.delayedWrites = append(f.delayedWrites, c)
 		reply(event.LimitLedgerResult{Status: event.CallOutcomeUnknown})
 	case f.applyWrite(c):
-		reply(event.LimitLedgerResult{Status: event.CallOK, Revision: f.revision, Content: c.Content})
+		reply(event.LimitLedgerResult{InEra: f.inEra(), Status: event.CallOK, Revision: f.revision, Content: c.Content})
 	default:
-		reply(event.LimitLedgerResult{Status: event.CallConflict, Revision: f.revision, Content: f.ledger})
+		reply(event.LimitLedgerResult{InEra: f.inEra(), Status: event.CallConflict, Revision: f.revision, Content: f.ledger})
+	}
+}
+
+func (f *fleet) inEra() event.InEra { return event.InEra{Era: f.era} }
+
+// returnFrom lets the store come back from a copy, in its next era. Open writes fail, also ones
+// that were done before. Their watches show it to the routers that reach the store.
+func (f *fleet) returnFrom(copied storedLedger) {
+	for _, write := range f.pendingWrites {
+		if f.rand.IntN(2) == 0 {
+			f.applyWrite(write.command)
+		}
+		if write.router.alive && write.router.world.Self() == write.from {
+			write.router.inbox = append(write.router.inbox, event.LimitLedgerResult{Status: event.CallOutcomeUnknown})
+		}
+	}
+	f.pendingWrites = nil
+	f.storedLedger = copied
+	f.era++
+	f.showEra()
+}
+
+func (f *fleet) showEra() {
+	for _, r := range f.routers {
+		if r.alive && f.storeUp && !r.storeUnreachable {
+			r.inbox = append(r.inbox, event.WatchResult{InEra: f.inEra(), Kind: table.WatchConfig, Status: event.WatchFailed})
+		}
 	}
 }
 
--- a/internal/system/allowance/ledger.go
+++ b/internal/system/allowance/ledger.go
@@ -22,13 +22,19 @@
 // onLedgerResult applies the result of a ledger call. After a call without an
 // answer, each limit stays at the lower of its old and proposed values until the
 // ledger has a higher revision than the call was conditional on. A later write that
-// is answered does not show that: one that changes nothing keeps the revision.
+// is answered does not show that: one that changes nothing keeps the revision. If the
+// store has returned since the call was sent, its outcome shows nothing about the ledger.
 func onLedgerResult(w *world.World, e *event.LimitLedgerResult) {
 	s := &w.LimitLedgerView
 	s.CallOpen = false
+	answered := e.Status == event.CallOK || e.Status == event.CallConflict
+	storeReturned := s.CallReturns != w.StoreEra.Returns
+	if storeReturned && !answered {
+		return
+	}
 	switch e.Status {
 	case event.CallOK, event.CallConflict:
-		if e.Status == event.CallOK {
+		if e.Status == event.CallOK && !storeReturned {
 			onWriteApplied(w, e)
 		}
 		if !s.ContentKnown {
@@ -40,7 +46,7 @@
 		// again.
 		s.LimitRequestOpen = false
 		if e.Revision >= s.Revision {
-			setContent(w, e.Revision, &e.Content)
+			receiveContent(w, e.Revision, &e.Content)
 		}
 		applyFollowingSteps(w)
 		if s.WriteOutcomeUnknown {
@@ -105,6 +111,10 @@
 		w.LimitLedgerView.EntryClosed = true
 		return
 	}
+	if !isRecorded(w, own) {
+		return
+	}
+	w.LimitLedgerView.StatedEra = w.StoreEra.Number
 	if own == nil {
 		// A later process of the same name closed the entry. The ledger counts its
 		// limits as spent, so this router may still spend them.
--- a/internal/system/allowance/limits.go
+++ b/internal/system/allowance/limits.go
@@ -84,6 +84,7 @@
 // wants and those that other routers requested.
 func proposeLedger(w *world.World) table.LimitLedger {
 	proposal := w.LimitLedgerView.Content.Clone()
+	advanceHistory(w, &proposal)
 	proposal.CloseEarlierIncarnations(w.Self())
 	entries := make(map[table.CustomerID]table.LimitEntry)
 	sums := proposal.SumEntries()
@@ -109,6 +110,7 @@
 	}
 	proposal.Holders = append(proposal.Holders, table.LimitHolder{
 		Holder: w.Self(), Address: w.Params.Front.PeerAddress, Entries: entries, ForcedChanges: forcedChanges(w),
+		StatedEra: w.StoreEra.Number,
 	})
 	grantRequests(w, &proposal)
 	return proposal
@@ -151,6 +153,9 @@
 	if w.Closing {
 		return used
 	}
+	if !mayRaise(w) {
+		return a.RecordedLimit
+	}
 	holders := delegate.For(w, string(a.Customer))
 	maxLimit := p.Total - (allocated - a.RecordedLimit)
 	unallocated := maxLimit - a.RecordedLimit
--- a/internal/system/allowance/plan.go
+++ b/internal/system/allowance/plan.go
@@ -34,7 +34,7 @@
 // if it is due.
 func planWrite(w *world.World) {
 	s := &w.LimitLedgerView
-	if s.CallOpen || s.EntryClosed || w.Manifest.Version == 0 || !writeDue(w) {
+	if s.CallOpen || s.EntryClosed || w.Manifest.Version == 0 || awaitRestoration(w) || !writeDue(w) {
 		return
 	}
 	if s.RetryAt > w.Now {
@@ -43,8 +43,15 @@
 	}
 	proposal := proposeLedger(w)
 	lowerLimits(w, &proposal)
-	s.CallOpen, s.CallSentAt, s.CallRevision = true, w.Now, s.Revision
-	w.Out.WriteLimitLedgers = append(w.Out.WriteLimitLedgers, command.WriteLimitLedger{Revision: s.Revision, Content: proposal})
+	sendWrite(w, s.Revision, proposal)
+}
+
+// sendWrite writes a content on condition of a revision, or if there is none if that is 0.
+func sendWrite(w *world.World, revision uint64, content table.LimitLedger) {
+	s := &w.LimitLedgerView
+	s.CallOpen, s.CallSentAt, s.CallRevision = true, w.Now, revision
+	s.CallRestores, s.CallReturns = s.RestoreDue || revision == 0 && w.StoreEra.Number > 0, w.StoreEra.Returns
+	w.Out.WriteLimitLedgers = append(w.Out.WriteLimitLedgers, command.WriteLimitLedger{Revision: revision, Content: content})
 	w.Count("allowance.writes")
 }
 
@@ -52,7 +59,7 @@
 // router writes for it, it sends that router a request instead.
 func writeDue(w *world.World) bool {
 	s := &w.LimitLedgerView
-	if !s.ContentKnown {
+	if !s.ContentKnown || s.RestoreDue && (s.Backoff == 0 || !needsStatement(w)) {
 		return true
 	}
 	own := s.Content.Find(w.Self())
@@ -67,7 +74,7 @@
 		// This write will conflict, and the answer will contain the whole ledger.
 		return w.DueOrWake(s.WrittenAt.Add(refillInterval))
 	}
-	if writer := chooseWriter(w, own != nil); writer != nil && !s.WriteOutcomeUnknown {
+	if writer := chooseWriter(w, own != nil); writer != nil && (!s.WriteOutcomeUnknown || needsStatement(w)) {
 		return !requestWrite(w, writer, own, need)
 	}
 	return urgencyDue(w, need.urgency, s.WrittenAt, scaleToFleet(w, refillInterval), scaleToFleet(w, spentReportInterval))
@@ -96,8 +103,9 @@
 
 func assessNeed(w *world.World, own *table.LimitHolder) writeNeed {
 	s := &w.LimitLedgerView
-	if own == nil {
-		// Nothing can be spent without an entry.
+	if own == nil || needsStatement(w) {
+		// Nothing can be spent without an entry, and nothing is given out while one is not
+		// stated.
 		return writeNeed{urgency: urgencyWaiting}
 	}
 	need := writeNeed{urgency: urgencyNone}
@@ -110,7 +118,7 @@
 		if unallocated < 0 && a.RecordedLimit > 0 {
 			need.urgency = max(need.urgency, urgencyRefill)
 		}
-		if a.SmallestShortfall > 0 && !transferPossible(w, a) && (unallocated >= a.SmallestShortfall || s.ConfirmedAt.Add(scaleToFleet(w, ledgerStaleAfter)) <= w.Now) {
+		if a.SmallestShortfall > 0 && mayRaise(w) && !transferPossible(w, a) && (unallocated >= a.SmallestShortfall || s.ConfirmedAt.Add(scaleToFleet(w, ledgerStaleAfter)) <= w.Now) {
 			need.urgency = urgencyWaiting
 		}
 		if a.Available() < margin/refillDivisor && target-a.RecordedLimit > margin/minChangeDivisor {
--- a/internal/system/allowance/requests.go
+++ b/internal/system/allowance/requests.go
@@ -86,7 +86,7 @@
 	s.LimitRequestOpen, s.LimitRequestUrgent, s.LimitRequestSentAt, s.LimitRequestSentTo = true, urgent, w.Now, writer.Holder
 	w.Out.LimitRequests = append(w.Out.LimitRequests, command.SendLimitRequest{
 		To: writer.Holder, Request: event.LimitRequest{
-			Entries: raisedEntries(w, own), Urgent: urgent, Register: own == nil, Address: w.Params.Front.PeerAddress,
+			InEra: event.InEra{Era: w.StoreEra.Number}, States: needsStatement(w), Held: heldEntries(w), Entries: raisedEntries(w, own), Urgent: urgent, Register: own == nil, Address: w.Params.Front.PeerAddress,
 		},
 	})
 	w.Count("allowance.requests")
@@ -124,6 +124,7 @@
 func onLimitRequest(w *world.World, e *event.LimitRequest) {
 	w.LimitRequests.Put(e.From.Process, table.LimitRequest{
 		Holder: e.From, Entries: e.Entries, Urgent: e.Urgent, Register: e.Register, Address: e.Address,
+		States: e.States, Held: e.Held,
 	})
 }
 
@@ -151,10 +152,19 @@
 		granted := table.LimitHolder{Holder: r.Holder, Address: r.Address}
 		if h := proposal.Find(r.Holder); h != nil {
 			granted = *h
-		} else if !r.Register {
+		} else if !r.Register && !r.States {
 			// The router has closed its entry.
 			return
 		}
+		if r.States && granted.StatedEra != w.StoreEra.Number {
+			// Once it is stated, the entry may have changed since the request was sent.
+			granted.Entries, granted.StatedEra = r.Held, w.StoreEra.Number
+			proposal.Put(granted)
+		}
+		if !mayRaise(w) {
+			proposal.Put(granted)
+			return
+		}
 		granted.Entries = raiseLimits(w, proposal, granted.Entries, r.Entries)
 		proposal.Put(granted)
 	})
--- a/internal/system/allowance/steps.go
+++ b/internal/system/allowance/steps.go
@@ -26,6 +26,10 @@
 	s := &w.LimitLedgerView
 	s.WrittenAt, s.ConsecutiveConflicts = s.CallSentAt, 0
 	removeWrittenRequests(w)
+	if s.CallRestores {
+		sendStep(w, e.Content.Whole(e.Revision))
+		return
+	}
 	if s.CallRevision == 0 || s.Revision != s.CallRevision || e.Revision <= s.Revision {
 		return
 	}
@@ -34,7 +38,13 @@
 	for _, h := range step.Removed {
 		logClosedEntry(w, s.Content.Find(h))
 	}
-	w.Out.LedgerChanges = append(w.Out.LedgerChanges, command.SendLedgerChange{Change: event.LedgerChange{InEra: event.InEra{Era: w.StoreEra.Number}, LedgerStep: step}})
+	sendStep(w, step)
+}
+
+func sendStep(w *world.World, step table.LedgerStep) {
+	w.Out.LedgerChanges = append(w.Out.LedgerChanges, command.SendLedgerChange{
+		Change: event.LedgerChange{InEra: event.InEra{Era: w.StoreEra.Number}, LedgerStep: step},
+	})
 }
 
 // logClosedEntry logs the limits that a write closed for a router that exited
@@ -54,9 +64,17 @@
 // order.
 func onLedgerChange(w *world.World, e *event.LedgerChange) {
 	s := &w.LimitLedgerView
+	if e.Full && e.Revision == 0 {
+		onEarlierLedger(w, &e.LedgerStep)
+		return
+	}
 	if !s.ContentKnown || e.Revision <= e.Previous || e.Revision <= s.Revision {
 		return
 	}
+	if e.Full {
+		onWholeLedger(w, &e.LedgerStep)
+		return
+	}
 	if len(s.OutOfOrderSteps) == 0 {
 		s.OutOfOrderSince = w.Now
 	}
@@ -71,7 +89,8 @@
 // and drops those that the known revision includes.
 func applyFollowingSteps(w *world.World) {
 	s := &w.LimitLedgerView
-	for {
+	// A content that the store does not have is no base for a step.
+	for !s.RestoreDue {
 		i := slices.IndexFunc(s.OutOfOrderSteps, func(step table.LedgerStep) bool { return step.Previous == s.Revision })
 		if i < 0 {
 			break
--- a/internal/table/limitledger.go
+++ b/internal/table/limitledger.go
@@ -24,6 +24,34 @@
 	// ForcedChanges counts the writes that had to change the ledger, so that an earlier one
 	// without an answer can no longer be carried out.
 	ForcedChanges uint64
+	// StatedEra is the store's era in which the holder itself last had its entry written, or 0
+	// from releases without eras. After a return of the store, only that shows that the entry
+	// has all that the holder may spend.
+	StatedEra uint64 `msgpack:",omitempty"`
+}
+
+// LedgerVersion orders the contents of the limit ledger over the returns of the store: a
+// content of a later era begins with what the routers knew of an earlier one.
+type LedgerVersion struct {
+	// Era is the store's era in which the content was written, or 0 if that is unknown, and
+	// Writes counts the writes up to it.
+	Era    uint64
+	Writes uint64
+}
+
+// Before reports whether v is of an earlier content than other.
+func (v LedgerVersion) Before(other LedgerVersion) bool {
+	return v.Era < other.Era || v.Era == other.Era && v.Writes < other.Writes
+}
+
+// LedgerHistory says how far the content of the limit ledger is known to be complete.
+type LedgerHistory struct {
+	Version LedgerVersion
+	// RestoredFrom is the version of an earlier era that the content of this era includes.
+	RestoredFrom LedgerVersion
+	// SettledEra is the last era in which all holders have stated their entries, or were given
+	// the time for it.
+	SettledEra uint64
 }
 
 // LimitLedger divides the customers' prepaid totals among the routers. It is
@@ -40,6 +68,7 @@
 	// they ended.
 	AbandonedEntries int
 	Holders          []LimitHolder
+	LedgerHistory
 }
 
 // Clone returns a copy whose map and slice may be changed. The copy shares the
@@ -47,7 +76,7 @@
 func (l *LimitLedger) Clone() LimitLedger {
 	c := LimitLedger{
 		ClosedTokens: make(map[CustomerID]Tokens, len(l.ClosedTokens)), LostTokens: make(map[CustomerID]Tokens, len(l.LostTokens)),
-		AbandonedEntries: l.AbandonedEntries, Holders: slices.Clone(l.Holders),
+		AbandonedEntries: l.AbandonedEntries, Holders: slices.Clone(l.Holders), LedgerHistory: l.LedgerHistory,
 	}
 	maps.Copy(c.ClosedTokens, l.ClosedTokens)
 	maps.Copy(c.LostTokens, l.LostTokens)
@@ -93,10 +122,13 @@
 // Diff returns the changes from l to a later content. The caller sets the
 // revisions.
 func (l *LimitLedger) Diff(next *LimitLedger) LedgerStep {
-	step := LedgerStep{ClosedTokens: next.ClosedTokens, LostTokens: next.LostTokens, AbandonedEntries: next.AbandonedEntries}
+	step := LedgerStep{
+		ClosedTokens: next.ClosedTokens, LostTokens: next.LostTokens, AbandonedEntries: next.AbandonedEntries, LedgerHistory: next.LedgerHistory,
+	}
 	for i := range next.Holders {
 		h := &next.Holders[i]
-		if old := l.Find(h.Holder); old == nil || old.Address != h.Address || old.ForcedChanges != h.ForcedChanges || !maps.Equal(old.Entries, h.Entries) {
+		if old := l.Find(h.Holder); old == nil || old.Address != h.Address || old.ForcedChanges != h.ForcedChanges ||
+			old.StatedEra != h.StatedEra || !maps.Equal(old.Entries, h.Entries) {
 			step.Holders = append(step.Holders, *h)
 		}
 	}
@@ -108,10 +140,19 @@
 	return step
 }
 
+// Whole returns the step from any content to l.
+func (l *LimitLedger) Whole(revision uint64) LedgerStep {
+	return LedgerStep{
+		Revision: revision, Full: true, Holders: l.Holders, ClosedTokens: l.ClosedTokens, LostTokens: l.LostTokens, AbandonedEntries: l.AbandonedEntries,
+		LedgerHistory: l.LedgerHistory,
+	}
+}
+
 // Apply returns the content after a step. It does not change l.
 func (l *LimitLedger) Apply(step *LedgerStep) LimitLedger {
 	next := LimitLedger{
 		ClosedTokens: step.ClosedTokens, LostTokens: step.LostTokens, AbandonedEntries: step.AbandonedEntries, Holders: slices.Clone(l.Holders),
+		LedgerHistory: step.LedgerHistory,
 	}
 	next.Holders = slices.DeleteFunc(next.Holders, func(h LimitHolder) bool { return slices.Contains(step.Removed, h.Holder) })
 	for _, h := range step.Holders {
@@ -120,6 +161,30 @@
 	return next
 }
 
+// Merge returns the content with what an earlier era's content has beyond it. Entries that
+// their holders have stated in the era count as they are; what else there is, is replaced by
+// what the earlier content says.
+func (l *LimitLedger) Merge(earlier *LimitLedger, era uint64) LimitLedger {
+	merged := l.Clone()
+	merged.Holders = slices.DeleteFunc(merged.Holders, func(h LimitHolder) bool { return h.StatedEra != 0 && h.StatedEra != era })
+	for _, h := range earlier.Holders {
+		if merged.Find(h.Holder) == nil {
+			merged.Holders = append(merged.Holders, h)
+		}
+	}
+	mergeLargest(merged.ClosedTokens, earlier.ClosedTokens)
+	mergeLargest(merged.LostTokens, earlier.LostTokens)
+	merged.AbandonedEntries = max(merged.AbandonedEntries, earlier.AbandonedEntries)
+	merged.RestoredFrom = earlier.Version
+	return merged
+}
+
+func mergeLargest(sums, others map[CustomerID]Tokens) {
+	for c, n := range others {
+		sums[c] = max(sums[c], n)
+	}
+}
+
 // Allocated returns the tokens of a customer's total that are closed or part of
 // a router's limit.
 func (l *LimitLedger) Allocated(c CustomerID) Tokens {
@@ -137,11 +202,29 @@
 	ContentKnown bool
 	Revision     uint64
 	Content      LimitLedger
+	// Complete is true once Content has all that the routers have written. It is false in a
+	// process that only knows what the store still has after a return.
+	Complete bool
+	// Earlier is the last content that was known before the store returned, until the ledger
+	// includes it; EarlierKnown is true until then.
+	EarlierKnown bool
+	Earlier      LimitLedger
+	// ReadInEraAt is when this router first received a content in this era of the store, or 0.
+	ReadInEraAt Instant
+	// RestoreDue is true while Content has more than the store has at Revision.
+	RestoreDue bool
+	// StatedEra is the store's era in which the ledger last recorded this router's own
+	// statement of its entry.
+	StatedEra uint64
 	// CallOpen is true while a call awaits its answer. CallSentAt is when it was
 	// sent, and CallRevision the revision that its write was conditional on.
 	CallOpen     bool
 	CallSentAt   Instant
 	CallRevision uint64
+	// CallRestores is true if the open call writes more than a change of what the store has.
+	// CallReturns is how often the store had returned when the call was sent.
+	CallRestores bool
+	CallReturns  int
 	// WriteOutcomeUnknown is true after a write without an answer, which may still be
 	// carried out, until the ledger is known to have a revision above UnansweredRevision,
 	// the highest that such a write was conditional on.
@@ -223,6 +306,16 @@
 	ClosedTokens     map[CustomerID]Tokens `msgpack:"Closed"`
 	LostTokens       map[CustomerID]Tokens `msgpack:"Lost"`
 	AbandonedEntries int                   `msgpack:"Deaths"`
+	// Full is true if Holders are all entries, whatever the ledger was before.
+	Full bool `msgpack:",omitempty"`
+	LedgerHistory
+}
+
+// Content returns the content that a full step leads to.
+func (s *LedgerStep) Content() *LimitLedger {
+	return &LimitLedger{
+		ClosedTokens: s.ClosedTokens, LostTokens: s.LostTokens, AbandonedEntries: s.AbandonedEntries, Holders: s.Holders, LedgerHistory: s.LedgerHistory,
+	}
 }
 
 // LimitRequest is another router's request to record its limits in the ledger.
@@ -235,6 +328,9 @@
 	// record in it.
 	Register bool
 	Address  string
+	// States is true if Held are all limits that the router has, and what it has spent.
+	States bool
+	Held   map[CustomerID]LimitEntry
 	// WriteOpen is true while a write that includes the request awaits its answer.
 	WriteOpen bool
 }
