watch: revisions of before a return of the store are dropped

Cause: a router kept the highest revision that it had seen as the one to go on from. The store refused each watch from it, and the router listed again, until the store gave that revision out a second time: what had changed since the last list was then skipped. The logs show the list every 0.5 s and never the configuration.

Change: in the tick in which a new era begins, a router drops all revisions and open calls, and lists again. What is in force stays; the configuration's revision is learned again with it. Since the system "era" lets only revisions of the newest era pass, all that compare are of one history.

Tests: TestConfigurationBesideOtherChangesAfterReturn, TestEvacuationAfterReturn and the property TestFleetKnowsLastChangesAfterReturns fail before; TestRemovalBesideOtherChangesAfterReturn passed before.

--- a/internal/system/catalog/catalog.go
+++ b/internal/system/catalog/catalog.go
@@ -77,6 +77,10 @@
 // active one.
 func applyManifest(w *world.World, e *event.ManifestReceived) {
 	m := &e.Manifest
+	if m.Version == w.Manifest.Version {
+		// The store may have got it again, after it returned from a copy.
+		w.ManifestRevision = max(w.ManifestRevision, e.Revision)
+	}
 	if m.Version <= w.Manifest.Version {
 		return
 	}
--- a/internal/system/watch/return_test.go
+++ b/internal/system/watch/return_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 )
 
 // Guards against delegates that do not pass a configuration on after the store returned from a
@@ -49,3 +50,107 @@
 		require.Empty(t, f.outdated(), "%d routers", routers)
 	}
 }
+
+// otherChanges lets the store's revision rise by changes of objects that no router follows.
+func (f *fleet) otherChanges(n uint64) { f.revision += n }
+
+// Guards against a configuration that all routers miss for good after the store returned from a
+// copy: their watches go on from a revision of before, which is given out again.
+func TestConfigurationBesideOtherChangesAfterReturn(t *testing.T) {
+	for _, routers := range []int{1, 3, 12, 103} {
+		f := newFleetWithEras(routers, 3)
+		copied := f.clone()
+		f.otherChanges(3)
+		f.configure()
+		f.run(settleTime)
+		version := f.version
+		f.returnFrom(&copied)
+		f.writeAgain(version)
+		f.run(settleTime)
+		f.configure()
+		f.otherChanges(8)
+		f.run(changeBound(routers))
+		require.Empty(t, f.outdated(), "%d routers", routers)
+	}
+}
+
+// Guards against the removal of an endpoint that is missed in the same way, also by routers
+// that the store turns away.
+func TestRemovalBesideOtherChangesAfterReturn(t *testing.T) {
+	for _, routers := range []int{4, 12, 29} {
+		f := newFleetWithEras(routers, 3)
+		copied := f.clone()
+		f.otherChanges(3)
+		f.run(settleTime)
+		f.returnFrom(&copied)
+		f.run(settleTime)
+		f.turnAway(f.inDomain("d1")...)
+		f.remove("m1")
+		f.otherChanges(8)
+		f.run(changeBound(routers))
+		require.Empty(t, f.outdated(), "%d routers", routers)
+	}
+}
+
+// Guards against an evacuation that is missed in the same way.
+func TestEvacuationAfterReturn(t *testing.T) {
+	for _, routers := range []int{3, 24} {
+		f := startFleet(routers, 3, &fleet{era: 1, evacuationBound: evacuationBound})
+		copied := f.clone()
+		f.otherChanges(6)
+		f.run(settleTime)
+		f.returnFrom(&copied)
+		f.run(settleTime)
+		f.evacuate("d1", true)
+		f.otherChanges(8)
+		f.run(2 * evacuationBound)
+		require.Empty(t, f.sendingTo("d1"), "%d routers", routers)
+	}
+}
+
+// Guards against any order of returns, outages, cuts and restarts after which a router that
+// reaches others lacks what they know, or goes back to an older configuration.
+func TestFleetKnowsLastChangesAfterReturns(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		routers := rapid.SampledFrom([]int{1, 3, 4, 7, 12}).Draw(t, "routers")
+		f := newFleetWithEras(routers, rapid.IntRange(1, 4).Draw(t, "domains"))
+		copies := []storeState{f.clone()}
+		accepted := f.version
+		for range rapid.IntRange(1, 12).Draw(t, "steps") {
+			m := f.routers[rapid.IntRange(0, routers-1).Draw(t, "router")]
+			switch rapid.IntRange(0, 8).Draw(t, "step") {
+			case 0:
+				m.turnedAway = !m.turnedAway
+			case 1:
+				m.cut = !m.cut
+				f.disconnect(m)
+			case 2:
+				f.start(m)
+			case 3:
+				f.writeAgain(accepted)
+				f.configure()
+				accepted = f.version
+			case 4:
+				f.otherChanges(uint64(rapid.IntRange(1, 20).Draw(t, "changes")))
+			case 5:
+				f.silent = !f.silent
+			case 6:
+				copies = append(copies, f.clone())
+			default:
+				f.returnFrom(&copies[rapid.IntRange(0, len(copies)-1).Draw(t, "copy")])
+			}
+			f.runWithoutReturn(t, time.Duration(rapid.IntRange(0, 300).Draw(t, "wait"))*fleetStep)
+		}
+		for _, m := range f.routers {
+			m.cut, m.turnedAway = false, false
+		}
+		f.silent = false
+		f.run(recoveryBound(routers))
+		f.writeAgain(accepted)
+		f.otherChanges(uint64(rapid.IntRange(0, 20).Draw(t, "other changes")))
+		f.configure()
+		f.remove(f.live[0].ID)
+		f.runWithoutReturn(t, 2*settleTime+changeBound(routers))
+		require.Empty(t, f.outdated())
+	})
+}
--- a/internal/system/watch/watch.go
+++ b/internal/system/watch/watch.go
@@ -68,6 +68,9 @@
 // Run applies the results of calls to the store, drops changes that this router has
 // already, and sends the next calls.
 func Run(w *world.World) {
+	if w.StoreEra.Returned {
+		dropRevisions(w)
+	}
 	for i := range w.In.Manifests {
 		onManifest(w, &w.In.Manifests[i])
 	}
@@ -91,6 +94,22 @@
 	}
 }
 
+// dropRevisions lets this router list all objects again after the store has returned from a
+// copy: a revision of before is no place to go on from, although the store may give it out
+// again. An open call may be one that goes on from there.
+func dropRevisions(w *world.World) {
+	w.Watches.Each(func(kind table.WatchKind, row *table.Watch) {
+		if row.Call != 0 {
+			w.Out.WatchStops = append(w.Out.WatchStops, command.StopWatch{Kind: kind})
+		}
+		*row = table.Watch{
+			ManifestVersion: row.ManifestVersion, CallSentAt: row.CallSentAt, AnsweredAt: row.AnsweredAt, ToldAt: row.ToldAt,
+			NextCallAt: w.Now, Overdue: row.Overdue,
+		}
+	})
+	w.ManifestRevision = 0
+}
+
 // delegates returns the routers that follow a kind of objects for the others.
 func delegates(w *world.World, kind table.WatchKind) *table.Delegates {
 	return delegate.For(w, kind.String())
