catalog: an entry of a copy does not overrule what an endpoint said later

Cause: each list was taken for news. A copy shows endpoints before they left, entries that were removed since, and earlier processes.

Change: endpoints count the entries that they write. For 30 s after a return, an entry that precedes the latest known one of its endpoint is not taken; endpoints that left are known for a minute for that. An endpoint that the copy lacks stays in use as after an outage.

--- a/internal/system/catalog/catalog.go
+++ b/internal/system/catalog/catalog.go
@@ -23,10 +23,19 @@
 	// outagePollInterval is how often a router without the store looks whether it is
 	// back, while lapsed entries are kept.
 	outagePollInterval = 500 * time.Millisecond
+	// copyTime is how long after a return of the store its entries may be those of the older
+	// copy. Copies are up to 20 s old, and endpoints write within seconds.
+	copyTime = 30 * time.Second
+	// departedTime is how long it is known of an endpoint that it left.
+	departedTime = 2 * copyTime
 )
 
 // Run applies the manifests and the endpoint changes of this tick.
 func Run(w *world.World) {
+	if w.StoreEra.Returned {
+		// What the copy lacks is written again as after an outage.
+		w.PlatformRestoredAt = w.Now
+	}
 	for _, e := range w.In.PlatformStates {
 		if isLateFailure(w, e) {
 			w.Count("catalog.late_failures")
@@ -131,10 +140,19 @@
 
 func applyEndpointChanges(w *world.World, changes *event.EndpointChanges) {
 	present := make(map[table.EndpointID]bool, len(changes.Present))
+	current := make([]event.EndpointEntry, 0, len(changes.Present))
 	for i := range changes.Present {
-		present[changes.Present[i].ID] = true
-		applyEndpoint(w, &changes.Present[i])
+		e := &changes.Present[i]
+		present[e.ID] = true
+		if isOfCopy(w, e) {
+			w.Count("catalog.entries_of_copies")
+			continue
+		}
+		current = append(current, *e)
+		applyEndpoint(w, e)
 	}
+	// The systems that follow read the entries as well.
+	changes.Present = current
 	// Of relayed changes, only their sender knows whether an outage caused them.
 	mayHaveLapsed := w.RecentOutage()
 	var graceEnd table.Instant
@@ -155,6 +173,36 @@
 	}
 }
 
+// isOfCopy reports whether an entry is older than what this router knows of the endpoint, as
+// shown by a store that has returned from a copy. Endpoints count the entries that they
+// write, so that the first one after the return is recognized.
+func isOfCopy(w *world.World, e *event.EndpointEntry) bool {
+	if w.StoreEra.Returns == 0 || w.Now >= w.StoreEra.Since.Add(copyTime) {
+		return false
+	}
+	if row := w.DirectEndpoints.Get(e.ID); row != nil {
+		gone := row.RemovedAt != 0 && row.Leaving
+		return precedes(e, row.StartedUnixMilli, row.Sequence) || gone && isSameEntry(e, row.StartedUnixMilli, row.Sequence)
+	}
+	departed := w.DepartedEndpoints.Get(e.ID)
+	return departed != nil &&
+		(precedes(e, departed.StartedUnixMilli, departed.Sequence) || isSameEntry(e, departed.StartedUnixMilli, departed.Sequence))
+}
+
+// precedes reports whether an entry was written before another one of the endpoint, which has
+// the given start and sequence number. The numbers of an endpoint that does not name its start
+// may begin anew.
+func precedes(e *event.EndpointEntry, startedUnixMilli, sequence int64) bool {
+	if e.StartedUnixMilli != startedUnixMilli {
+		return e.StartedUnixMilli < startedUnixMilli
+	}
+	return e.StartedUnixMilli != 0 && e.Sequence != 0 && e.Sequence < sequence
+}
+
+func isSameEntry(e *event.EndpointEntry, startedUnixMilli, sequence int64) bool {
+	return e.StartedUnixMilli == startedUnixMilli && e.Sequence == sequence
+}
+
 func applyEndpoint(w *world.World, e *event.EndpointEntry) {
 	row := w.DirectEndpoints.Get(e.ID)
 	if row == nil || row.StartedUnixMilli != e.StartedUnixMilli || row.Address != e.Address {
@@ -166,7 +214,7 @@
 		}
 		row = w.DirectEndpoints.Put(e.ID, table.DirectEndpoint{
 			ID: e.ID, Service: e.Service, Address: e.Address, Domain: e.Domain, Slots: e.Slots,
-			Leaving: e.Leaving, Withdrawn: withdrawn, StartedUnixMilli: e.StartedUnixMilli, ListedAt: w.Now, InFlight: inFlight, ReportedSlowdown: 1,
+			Leaving: e.Leaving, Withdrawn: withdrawn, StartedUnixMilli: e.StartedUnixMilli, Sequence: e.Sequence, ListedAt: w.Now, InFlight: inFlight, ReportedSlowdown: 1,
 		})
 		UpdateUse(w, row)
 		w.RecordStateChange("endpoint", string(e.ID), "", stateName(e.Leaving), "listed for "+string(e.Service)+" at "+e.Address)
@@ -176,7 +224,7 @@
 	if row.Leaving != leaving || row.RemovedAt != 0 {
 		w.RecordStateChange("endpoint", string(e.ID), stateName(row.Leaving), stateName(leaving), "entry changed")
 	}
-	row.Service, row.Domain, row.Slots, row.RemovedAt = e.Service, e.Domain, e.Slots, 0
+	row.Service, row.Domain, row.Slots, row.RemovedAt, row.Sequence = e.Service, e.Domain, e.Slots, 0, max(row.Sequence, e.Sequence)
 	SetLeaving(w, row, leaving)
 }
 
@@ -234,6 +282,7 @@
 // deleteRemoved ends the grace period of lapsed entries, and deletes the rows of
 // removed entries that have no open attempts.
 func deleteRemoved(w *world.World) {
+	w.DepartedEndpoints.DeleteIf(func(_ table.EndpointID, d *table.DepartedEndpoint) bool { return d.ForgetAt <= w.Now })
 	w.DirectEndpoints.DeleteIf(func(id table.EndpointID, e *table.DirectEndpoint) bool {
 		if e.RemovedAt == 0 {
 			return false
@@ -250,6 +299,7 @@
 		}
 		deleteCachedParts(w, id)
 		closeIdle(w, e.Address)
+		w.DepartedEndpoints.Put(id, table.DepartedEndpoint{StartedUnixMilli: e.StartedUnixMilli, Sequence: e.Sequence, ForgetAt: w.Now.Add(departedTime)})
 		// No attempt is left that the withdrawal binds.
 		w.Out.EndpointUses = append(w.Out.EndpointUses, command.SetEndpointUse{Endpoint: id, Allowed: true})
 		return true
--- a/internal/system/watch/return_test.go
+++ b/internal/system/watch/return_test.go
@@ -1,11 +1,15 @@
 package watch_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	"laburnumroad.dev/laburnumroad/internal/event"
+	"laburnumroad.dev/laburnumroad/internal/table"
 )
 
 // Guards against delegates that do not pass a configuration on after the store returned from a
@@ -154,3 +158,113 @@
 		require.Empty(t, f.outdated())
 	})
 }
+
+// entry returns an entry of the list for change.
+func (f *fleet) entry(id table.EndpointID) *event.EndpointEntry {
+	f.revision++
+	f.endpoints = f.revision
+	return &f.live[slices.IndexFunc(f.live, func(e event.EndpointEntry) bool { return e.ID == id })]
+}
+
+func (f *fleet) using(id table.EndpointID) int {
+	n := 0
+	for _, m := range f.routers {
+		if e := m.world.DirectEndpoints.Get(id); e != nil && !e.Leaving {
+			n++
+		}
+	}
+	return n
+}
+
+// runUnused advances the clock and fails if a router uses an endpoint.
+func (f *fleet) runUnused(t *testing.T, id table.EndpointID, d time.Duration) {
+	for end := f.now.Add(d); f.now < end; {
+		f.run(fleetStep)
+		require.Zero(t, f.using(id))
+	}
+}
+
+// Guards against requests to an endpoint that had said that it leaves, because the copy from
+// which the store returned shows it as it was before.
+func TestLeavingEndpointIsNotUsedAfterReturn(t *testing.T) {
+	for _, routers := range []int{1, 4, 29} {
+		f := newFleetWithEras(routers, 3)
+		e := f.entry("m1")
+		e.Sequence, e.StartedUnixMilli = 5, 1000
+		f.run(settleTime)
+		copied := f.clone()
+		e = f.entry("m1")
+		e.Sequence, e.Leaving = 9, true
+		f.run(settleTime)
+		f.returnFrom(&copied)
+		f.runUnused(t, "m1", settleTime)
+		e = f.entry("m1")
+		e.Sequence, e.Leaving = 14, true
+		f.runUnused(t, "m1", settleTime)
+	}
+}
+
+// Guards against requests to an endpoint whose entry was removed, because the copy still has it,
+// and against a later process of the same id that is then not used.
+func TestRemovedEndpointIsNotUsedAfterReturn(t *testing.T) {
+	for _, routers := range []int{1, 4, 29} {
+		f := newFleetWithEras(routers, 3)
+		e := f.entry("m1")
+		e.Sequence, e.StartedUnixMilli = 5, 1000
+		f.run(settleTime)
+		copied := f.clone()
+		f.remove("m1")
+		f.run(settleTime)
+		f.returnFrom(&copied)
+		f.runUnused(t, "m1", settleTime)
+		e = f.entry("m1")
+		e.Sequence, e.StartedUnixMilli = 1, 2000
+		f.run(changeBound(routers))
+		require.Equal(t, routers, f.using("m1"))
+	}
+}
+
+// Guards against a process of an endpoint that is replaced by the one before it, which the copy
+// shows.
+func TestEarlierProcessOfEndpointIsNotTakenFromCopy(t *testing.T) {
+	f := newFleetWithEras(4, 3)
+	e := f.entry("m1")
+	e.Sequence, e.StartedUnixMilli = 50, 1000
+	f.run(settleTime)
+	copied := f.clone()
+	e = f.entry("m1")
+	e.Sequence, e.StartedUnixMilli = 1, 2000
+	f.run(settleTime)
+	f.returnFrom(&copied)
+	f.run(settleTime)
+	for _, m := range f.routers {
+		require.Equal(t, int64(2000), m.world.DirectEndpoints.Get("m1").StartedUnixMilli)
+	}
+}
+
+// Guards against endpoints that are out of use until they have written again, because they
+// registered after the copy was made, where no call failed while the store was away.
+func TestEndpointThatCopyLacksStaysInUse(t *testing.T) {
+	for _, routers := range []int{1, 4, 29} {
+		f := newFleetWithEras(routers, 3)
+		copied := f.clone()
+		f.revision++
+		f.endpoints = f.revision
+		f.live = append(f.live, event.EndpointEntry{ID: "new", Service: "model", Address: "10.0.0.9:80", Domain: "d0", Slots: 4, Sequence: 1, StartedUnixMilli: 9})
+		f.run(settleTime)
+		require.Equal(t, routers, f.using("new"))
+		f.storeState = copied.clone()
+		f.era++
+		for range int(1200 * time.Millisecond / fleetStep) {
+			f.run(fleetStep)
+			require.Equal(t, routers, f.using("new"))
+		}
+		f.revision++
+		f.endpoints = f.revision
+		f.live = append(f.live, event.EndpointEntry{ID: "new", Service: "model", Address: "10.0.0.9:80", Domain: "d0", Slots: 4, Sequence: 3, StartedUnixMilli: 9})
+		for range int(settleTime / fleetStep) {
+			f.run(fleetStep)
+			require.Equal(t, routers, f.using("new"))
+		}
+	}
+}
