evacuation: an evacuation that the store lost stays in force until it can be written again

Callers would see: requests to an evacuated failure domain after the store returned from a copy that does not have the evacuation, until the operator has written it again.

Cause: each list of the store was taken for news.

Change: an evacuation carries the era in which the store last named it. One that the store has not named since its return stays in force for 10 s, and other routers are not told of it.

Test: TestEvacuationThatCopyLacksStaysInForce fails before (all 3 routers sent to the domain).

--- a/internal/system/evacuation/evacuation.go
+++ b/internal/system/evacuation/evacuation.go
@@ -22,6 +22,10 @@
 // asks the store itself if there are more.
 const maxReportedDomains = 100
 
+// rewriteTime is how long the operator may take to write an evacuation again that the store has
+// lost by its return from a copy.
+const rewriteTime = 10 * time.Second
+
 // Run puts the evacuations of this tick in force. Package watch has dropped those that are
 // not new.
 func Run(w *world.World) {
@@ -31,6 +35,7 @@
 	for i := range w.In.EvacuationChanges {
 		apply(w, &w.In.EvacuationChanges[i])
 	}
+	endLost(w)
 	if !w.EvacuationsKnown {
 		awaitFirstSet(w)
 	}
@@ -51,25 +56,31 @@
 		return nil, 0
 	}
 	var domains []string
-	w.Evacuations.Each(func(domain string, _ *table.Evacuation) { domains = append(domains, domain) })
+	w.Evacuations.Each(func(domain string, e *table.Evacuation) {
+		if !isLost(w, e) {
+			domains = append(domains, domain)
+		}
+	})
 	return domains, row.Covered
 }
 
 func apply(w *world.World, e *event.EvacuationChanges) {
 	changed := false
 	for _, domain := range e.Present {
-		if w.Evacuations.Get(domain) == nil {
-			w.Evacuations.Put(domain, table.Evacuation{Since: w.Now})
+		if row := w.Evacuations.Get(domain); row != nil {
+			row.Era = w.StoreEra.Number
+		} else {
+			w.Evacuations.Put(domain, table.Evacuation{Since: w.Now, Era: w.StoreEra.Number})
 			w.Count("evacuation.begun")
 			w.RecordStateChange("domain", domain, "in use", "evacuated", describe(w, domain))
 			changed = true
 		}
 	}
 	w.Evacuations.DeleteIf(func(domain string, row *table.Evacuation) bool {
-		if !slices.Contains(e.Removed, domain) && (!e.Full || slices.Contains(e.Present, domain)) {
+		if !slices.Contains(e.Removed, domain) && (!e.Full || slices.Contains(e.Present, domain) || isLost(w, row)) {
 			return false
 		}
-		w.RecordStateChange("domain", domain, "evacuated", "in use", "after "+w.Now.Sub(row.Since).Round(time.Millisecond).String())
+		logEnd(w, domain, row)
 		changed = true
 		return true
 	})
@@ -77,6 +88,34 @@
 		return
 	}
 	w.EvacuationsUnreported = w.EvacuationsUnreported || !e.Relayed
+	updateUses(w)
+}
+
+// isLost reports whether the store has not named an evacuation since it returned from a copy.
+func isLost(w *world.World, e *table.Evacuation) bool { return e.Era < w.StoreEra.Number }
+
+// endLost ends the evacuations that the operator has not written again.
+func endLost(w *world.World) {
+	ended := false
+	w.Evacuations.DeleteIf(func(domain string, row *table.Evacuation) bool {
+		if !isLost(w, row) || !w.DueOrWake(w.StoreEra.Since.Add(rewriteTime)) {
+			return false
+		}
+		logEnd(w, domain, row)
+		ended = true
+		return true
+	})
+	if ended {
+		updateUses(w)
+	}
+}
+
+func logEnd(w *world.World, domain string, row *table.Evacuation) {
+	w.RecordStateChange("domain", domain, "evacuated", "in use", "after "+w.Now.Sub(row.Since).Round(time.Millisecond).String())
+}
+
+// updateUses decides anew which endpoints may be sent to.
+func updateUses(w *world.World) {
 	w.DirectEndpoints.Each(func(_ table.EndpointID, row *table.DirectEndpoint) {
 		withdrawn := row.Withdrawn
 		catalog.UpdateUse(w, row)
--- a/internal/system/watch/return_test.go
+++ b/internal/system/watch/return_test.go
@@ -268,3 +268,32 @@
 		}
 	}
 }
+
+// Guards against requests to an evacuated failure domain after the store returned from a copy
+// that does not have the evacuation, until the operator has written it again, and against an
+// evacuation that does not end if the operator does not write it again.
+func TestEvacuationThatCopyLacksStaysInForce(t *testing.T) {
+	for _, routers := range []int{3, 24} {
+		for _, again := range []bool{false, true} {
+			f := startFleet(routers, 3, &fleet{era: 1, evacuationBound: evacuationBound})
+			copied := f.clone()
+			f.evacuate("d1", true)
+			f.run(2 * evacuationBound)
+			f.returnFrom(&copied)
+			for range 4 * int(time.Second/fleetStep) {
+				f.run(fleetStep)
+				require.Empty(t, f.sendingTo("d1"), "%d routers", routers)
+			}
+			if again {
+				f.evacuate("d1", true)
+			}
+			f.run(30 * time.Second)
+			if again {
+				require.Empty(t, f.sendingTo("d1"), "%d routers", routers)
+				f.evacuate("d1", false)
+				f.run(2 * evacuationBound)
+			}
+			require.Len(t, f.sendingTo("d1"), routers)
+		}
+	}
+}
--- a/internal/table/evacuation.go
+++ b/internal/table/evacuation.go
@@ -4,6 +4,8 @@
 type Evacuation struct {
 	// Since is when this router learned of it.
 	Since Instant
+	// Era is the era of the store in which it was last named.
+	Era uint64
 }
 
 // EvacuationTables are the evacuated failure domains as this router knows them.
