quarantine: the list of quarantined parts is written again after a return of the store

Callers would see: after the store returned from a copy without the list, or with an older one, a router that starts sends requests that crash endpoints.

Cause: the routers kept the version of the list and compared it across the return, in the store and in what they tell each other; nothing wrote lost entries again.

Change: a return voids the version. A router that has parts in quarantine reads the list again, in the order of ranks as for a write, and writes what is missing. Reports name the era of the version.

Test: TestListOfPartsIsWrittenAgainAfterReturn fails before (the list is not read again).

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -291,7 +291,9 @@
 	// StoredVersion is the version of the stored list that has just been written, with
 	// the entries of Stored, or 0.
 	StoredVersion uint64
-	Stored        []table.Fingerprint
+	// StoredEra is the era of the store to which the version belongs.
+	StoredEra uint64
+	Stored    []table.Fingerprint
 }
 
 // EndpointCrash names the prompt parts of the attempts that the crash of an endpoint cut
--- a/internal/gateway/parts_test.go
+++ b/internal/gateway/parts_test.go
@@ -499,3 +499,30 @@
 		})
 	}
 }
+
+// Guards against a quarantine that the store lost by its return from a copy and that is not
+// written again, so that a router which starts sends what crashes endpoints, and against
+// versions of the list that are compared across the return.
+func TestListOfPartsIsWrittenAgainAfterReturn(t *testing.T) {
+	h := newServingHarness(t)
+	h.step(event.QuarantineList{InEra: event.InEra{Era: 1}, Status: event.CallOK})
+	for range 3 {
+		h.crash("/feedback/1", "class", "tainted")
+		h.endAttempt(h.sendPrompt("/feedback/2", "class", "sound"), answeredAttempt)
+	}
+	require.Len(t, h.partStoreCalls, 1)
+	stored := h.partStoreCalls[0].Entries
+	h.step(event.QuarantineList{InEra: event.InEra{Era: 1}, Status: event.CallOK, Version: 90, Entries: stored})
+	reads := h.partStoreReads
+	h.step(event.WatchResult{InEra: event.InEra{Era: 2}, Kind: table.WatchConfig, Status: event.WatchFailed})
+	h.advance(3 * time.Second)
+	require.Equal(t, reads+1, h.partStoreReads)
+	h.step(event.QuarantineList{InEra: event.InEra{Era: 2}, Status: event.CallOK, Version: 7})
+	require.Len(t, h.partStoreCalls, 2)
+	require.Equal(t, uint64(7), h.partStoreCalls[1].Version)
+	require.Equal(t, stored[0].Fingerprint, h.partStoreCalls[1].Entries[0].Fingerprint)
+	h.step(event.Crash{Parts: &event.PartReport{StoredEra: 1, StoredVersion: 95}})
+	require.Equal(t, uint64(7), h.world.PartList.Version)
+	h.step(event.Crash{Parts: &event.PartReport{StoredEra: 2, StoredVersion: 9}})
+	require.Equal(t, uint64(9), h.world.PartList.Version)
+}
--- a/internal/system/quarantine/partlist.go
+++ b/internal/system/quarantine/partlist.go
@@ -19,6 +19,13 @@
 // of their ranks, so that usually one of them does.
 func runPartList(w *world.World, own *event.PartReport) {
 	l := &w.PartList
+	if w.StoreEra.Returned {
+		// The store may lack entries, and has given out the version again.
+		l.Known, l.Version = false, 0
+		if entries := quarantinedEntries(w); len(entries) > 0 {
+			scheduleListCheck(w, entries[0].Fingerprint)
+		}
+	}
 	for i := range w.In.QuarantineLists {
 		applyPartList(w, &w.In.QuarantineLists[i], own)
 	}
@@ -54,7 +61,7 @@
 	setStored(l, result.Version, stored)
 	l.CheckAt = w.Now
 	if wrote {
-		own.StoredVersion, own.Stored = result.Version, stored
+		own.StoredEra, own.StoredVersion, own.Stored = w.StoreEra.Number, result.Version, stored
 		return
 	}
 	for _, e := range result.Entries {
