world, catalog: a call that is cut off is no outage in which entries lapse

Cause: each failed call counted as an outage of the store, and began the grace for entries that may have lapsed in it again. The logs show the store "down" for 30 ms about once a second, and the endpoints "unlisted: entry lapsed around an outage of the store".

Change: an entry lapses after three intervals without a report of its endpoint. The time since the store's last answer bounds the outage; below two intervals (heartbeat_ms of the settings file) no entry can have lapsed in it. Without that setting each failure counts, as before.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -178,6 +178,7 @@
 			ShutdownGrace: g.settings.ShutdownGrace, PeerAddress: peerAddress, ChangeBound: g.settings.ChangeBound, RecoveryBound: g.settings.RecoveryBound,
 			LinkBytesPerSecond: g.settings.LinkBytesPerSecond,
 			ColdOvershoot:      g.settings.ColdOvershoot, ColdAllowance: g.settings.ColdAllowance, EvacuationBound: g.settings.EvacuationBound,
+			EntryInterval: g.settings.EntryInterval,
 		},
 	}
 }
--- a/internal/system/allowance/restore.go
+++ b/internal/system/allowance/restore.go
@@ -20,12 +20,12 @@
 
 const (
 	// minRestatementTime is how long routers always have to state their entries after the
-	// ledger was first read in a new era. One that started just before is in no ledger that another router knows, and
-	// takes connectTime to connect.
+	// ledger was first read in a new era. One that started just before is in no ledger that
+	// another router knows, and takes connectTime to connect.
 	minRestatementTime = connectTime + 400*time.Millisecond
 	// restatementTimeout is how long routers may take to state their entries after the ledger
-	// was first read in a new era. Then those that did not are taken to have what the others know of them: they
-	// have ended, or reach neither the store nor another router.
+	// was first read in a new era. Then those that did not are taken to have what the others
+	// know of them: they have ended, or reach neither the store nor another router.
 	restatementTimeout = 5 * time.Second
 	// restorePollInterval is how often a process that knows no ledger but the copy looks
 	// whether another router has restored it.
--- a/internal/system/catalog/catalog.go
+++ b/internal/system/catalog/catalog.go
@@ -60,6 +60,7 @@
 }
 
 func onPlatformState(w *world.World, reachable bool) {
+	mayHaveLapsed := w.MayHaveLapsed()
 	if reachable {
 		w.PlatformAnsweredAt = w.Now
 	}
@@ -71,7 +72,7 @@
 		from, to = to, from
 	}
 	w.RecordStateChange("platform", "store", from, to, "last call")
-	if reachable && w.PlatformStateSince != 0 {
+	if reachable && w.PlatformStateSince != 0 && mayHaveLapsed {
 		w.PlatformRestoredAt = w.Now
 	}
 	w.PlatformReachable, w.PlatformStateSince = reachable, max(w.Now, 1)
--- a/internal/system/watch/fleet_test.go
+++ b/internal/system/watch/fleet_test.go
@@ -45,6 +45,10 @@
 	compacted uint64
 	// onCall, if set, is told of each call to the store.
 	onCall func(table.WatchKind)
+	// cutAfter is after what time the store cuts off a call that waits, or 0.
+	cutAfter time.Duration
+	// entryInterval is how often endpoints write their entries, or 0 if routers don't know it.
+	entryInterval time.Duration
 	// silent is true while the store answers nothing. Calls that are open then stay
 	// without an answer.
 	silent bool
@@ -146,7 +150,7 @@
 	m.inbox, m.calls, m.sessions, m.withdrawn = nil, nil, make(map[table.ProcessID]uint64), make(map[table.EndpointID]bool)
 	m.world = world.New(world.Params{Self: m.process, Front: world.FrontParams{
 		PeerAddress: string(m.process.Process), ChangeBound: changeBound(len(f.routers)), RecoveryBound: recoveryBound(len(f.routers)),
-		EvacuationBound: f.evacuationBound,
+		EvacuationBound: f.evacuationBound, EntryInterval: f.entryInterval,
 	}}, uint64(m.process.Incarnation))
 	for _, other := range f.routers {
 		f.register(other, m)
@@ -311,6 +315,8 @@
 			m.inbox = append(m.inbox, event.PlatformState{Reachable: true}, event.WatchResult{InEra: f.inEra(), Kind: c.Kind, Call: c.Call, Status: event.WatchCompacted})
 		case !m.turnedAway && age >= answerTime && (last > c.Since || age >= c.Wait):
 			f.answerWithChanges(m, c, last)
+		case f.cutAfter > 0 && age >= f.cutAfter:
+			m.inbox = append(m.inbox, event.PlatformState{}, event.WatchResult{Kind: c.Kind, Call: c.Call, Status: event.WatchFailed})
 		default:
 			return false
 		}
@@ -672,6 +678,35 @@
 	})
 }
 
+// Guards against endpoints that left and stay in use while the store cuts off calls that wait,
+// because each cut counts as an outage in which their entries may have lapsed.
+func TestRemovalBesideCallsThatAreCutOffTakesEffect(t *testing.T) {
+	for _, routers := range []int{1, 3, 12, 29} {
+		for _, cutAfter := range []time.Duration{100 * time.Millisecond, time.Second, 2 * time.Second} {
+			f := startFleet(routers, 3, &fleet{entryInterval: 1200 * time.Millisecond})
+			f.cutAfter = cutAfter
+			f.run(settleTime)
+			f.remove("m1")
+			f.run(changeBound(routers))
+			require.Empty(t, f.outdated(), "%d routers, cut after %s", routers, cutAfter)
+		}
+	}
+}
+
+// Guards against endpoints that are taken for gone because their entries lapsed in an outage
+// of the store that was long enough for it.
+func TestEntriesThatLapsedInOutageStayInUse(t *testing.T) {
+	for _, routers := range []int{1, 3, 12, 29} {
+		f := startFleet(routers, 3, &fleet{entryInterval: 1200 * time.Millisecond})
+		f.silent = true
+		f.run(4 * time.Second)
+		f.remove("m1")
+		f.silent = false
+		f.run(time.Second)
+		require.Equal(t, routers, f.using("m1"), "%d routers", routers)
+	}
+}
+
 // Guards against any series of outages, of the store or of some routers alone, after which
 // a change is not in force in time.
 func TestChangeAfterOutagesIsInForceWithinRecoveryBound(t *testing.T) {
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -89,6 +89,8 @@
 	// EvacuationBound is the time within which an evacuated failure domain must get no
 	// more requests; 0 if the deployment evacuates none.
 	EvacuationBound time.Duration
+	// EntryInterval is how often endpoints write their entries in the store; 0 if unknown.
+	EntryInterval time.Duration
 }
 
 // Tables are the rows of all entities of the process.
@@ -228,12 +230,24 @@
 // after the outage.
 const outageWindow = 2 * time.Second
 
+// lapseIntervals is how many intervals between two entries of an endpoint an outage of the
+// store lasts at least in which its entry may lapse. It lapses after three, of which one may
+// have passed before the outage.
+const lapseIntervals = 2
+
+// MayHaveLapsed reports whether entries may have lapsed since the store last answered. A call
+// that is cut off while the store serves the endpoints is no outage for their entries.
+func (w *World) MayHaveLapsed() bool {
+	interval := w.Params.Front.EntryInterval
+	return interval == 0 || w.PlatformAnsweredAt == 0 || w.Now.Sub(w.PlatformAnsweredAt) >= lapseIntervals*interval
+}
+
 // RecentOutage reports whether the store is out of reach, or was so until shortly
-// before. An outage in which the store served another router does not count: it was
-// this router's alone.
+// before, for long enough that entries may have lapsed. An outage in which the store served
+// another router does not count: it was this router's alone.
 func (w *World) RecentOutage() bool {
 	end := w.Now
-	if w.PlatformReachable {
+	if w.PlatformReachable || !w.MayHaveLapsed() {
 		end = w.PlatformRestoredAt
 		if end == 0 || w.Now.Sub(end) >= outageWindow {
 			return false
