watch: a test shows a removal just before a silence of the store

In virtual time an endpoint that leaves 0.2 s before the store is silent for 7.5 s is in use 3 s after the store is back, when it counts as stable again. Cause: the grace for lapsed entries counts from the first answer after the silence, which may be 1.9 s late, because a lost call has to time out first.

--- a/internal/system/watch/fleet_test.go
+++ b/internal/system/watch/fleet_test.go
@@ -743,3 +743,25 @@
 		require.Empty(t, f.outdated())
 	})
 }
+
+// Guards against an endpoint that left just before a silence of the store, which the routers
+// learn after it only, and that stays in use beyond the time within which entries that lapsed
+// are listed again and the store counts as stable.
+func TestRemovalJustBeforeSilenceTakesEffectWhenStoreIsStable(t *testing.T) {
+	const stableTime = 3 * time.Second
+	for _, routers := range []int{1, 3, 12} {
+		for d := 7500 * time.Millisecond; d < 8500*time.Millisecond; d += 70 * time.Millisecond {
+			f := startFleet(routers, 3, &fleet{entryInterval: 1200 * time.Millisecond})
+			f.configure()
+			f.entry("m2").Slots = 5
+			f.run(50 * time.Millisecond)
+			f.remove("m1")
+			f.run(200 * time.Millisecond)
+			f.silent = true
+			f.run(d)
+			f.silent = false
+			f.run(stableTime)
+			require.Empty(t, f.outdated(), "%d routers, silent for %s", routers, d)
+		}
+	}
+}
