--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -66,6 +66,7 @@
 	// tokenLimit and configVersion are those of the latest configuration.
 	tokenLimit    int
 	configVersion int
+	lastConfig    string
 }
 
 func envInt(t *testing.T, name string, defaultValue int) int {
@@ -78,10 +79,10 @@
 	return n
 }
 
-func newSoak(t *testing.T, seed int) *soak {
+func newSoak(t *testing.T, seed, tokenLimit int, store fake.PlatformConfig) *soak {
 	s := &soak{
-		t: t, rng: rand.New(rand.NewPCG(uint64(seed), 1)), platform: fake.NewPlatform(fake.PlatformConfig{}),
-		history: &history{requests: map[string]*requestRecord{}}, tokenLimit: initialTokenLimit,
+		t: t, rng: rand.New(rand.NewPCG(uint64(seed), 1)), platform: fake.NewPlatform(store),
+		history: &history{requests: map[string]*requestRecord{}}, tokenLimit: tokenLimit,
 	}
 	server := httptest.NewServer(s.platform)
 	t.Cleanup(func() {
@@ -122,17 +123,23 @@
 		return fmt.Sprintf(`{"name":%q,"hostname":%q,"path_prefix":"/%s/","route_type":%q,"timeout_ms":5000,"slo_ms":800,"backend":%q,"max_attempts":%d%s}`,
 			name, hostname, name, routeType, backend, maxAttempts, extraFields)
 	}
-	return fmt.Sprintf(`{"version":%d,"routes":[%s,%s,%s,%s],"backends":[{"name":"model","runtime":{"stride":%d}},{"name":"desk"}],
+	s.lastConfig = fmt.Sprintf(`{"version":%d,"routes":[%s,%s,%s,%s],"backends":[{"name":"model","runtime":{"stride":%d}},{"name":"desk"}],
 		"limits":{"max_body_bytes":100000},"tenants":[{"name":%q,"api_keys":[%q],"reserved":%d}]}`, s.configVersion,
 		route("review", "streaming", "model", 2, ""), route("notes", "streaming", "model", 3, `,"resumable":true`),
 		route("booking", "unsafe", "desk", 2, ""), route("lookup", "safe", "desk", 3, ""), eventTokens, tenant, apiKey, s.tokenLimit)
+	return s.lastConfig
 }
 
 // raiseTokenLimit increases the tenant's token limit like an operator. Its calls do not
 // pass through a proxy.
-func (s *soak) raiseTokenLimit() {
-	s.tokenLimit += tokenLimitIncrease
-	value := []byte(s.nextConfig())
+func (s *soak) raiseTokenLimit(increase int) {
+	s.tokenLimit += increase
+	s.writeConfig(s.nextConfig())
+}
+
+// writeConfig writes a configuration until the store has it.
+func (s *soak) writeConfig(config string) {
+	value := []byte(config)
 	require.Eventually(s.t, func() bool {
 		o, err := s.storeClient.Get(s.t.Context(), "config", "main")
 		if err != nil {
@@ -229,7 +236,7 @@
 		addFault("store", func() { s.platform.SetFaults(fake.PlatformFaults{}) })
 	case 8:
 		if len(s.faults) == 0 {
-			s.raiseTokenLimit()
+			s.raiseTokenLimit(tokenLimitIncrease)
 		}
 	}
 	if s.rng.IntN(25) == 0 {
@@ -248,7 +255,13 @@
 	seed := envInt(t, "SOAK_SEED", defaultSeed)
 	seconds := envInt(t, "SOAK_SECONDS", defaultSeconds)
 	t.Logf("seed %d, %d seconds", seed, seconds)
-	s := newSoak(t, seed)
+	s := newSoak(t, seed, initialTokenLimit, fake.PlatformConfig{})
+	s.play(seed, seconds, s.runTick)
+}
+
+// play lets clients send requests while runTick is called in each tick, and checks what came
+// of it.
+func (s *soak) play(seed, seconds int, runTick func()) {
 	var wg sync.WaitGroup
 	var served atomic.Int64
 	stop := make(chan struct{})
@@ -266,7 +279,7 @@
 	defer ticker.Stop()
 	for range seconds * int(time.Second/tickInterval) {
 		<-ticker.C
-		s.runTick()
+		runTick()
 	}
 	close(stop)
 	wg.Wait()
