testproc: a free port is returned once

The tests of routers draw the callers' and operators' ports in one call of FreePorts and those for peers and metrics in a second one. Which two were equal in the failed run is not known, its settings files are gone; only one process was open at that address, whose ports were bound.

FreePorts returns no port twice within a test process now. The tests of gateways draw theirs with it too instead of with a copy of it.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -23,6 +22,7 @@
 	"laburnumroad.dev/laburnumroad/internal/event"
 	"laburnumroad.dev/laburnumroad/internal/fake"
 	"laburnumroad.dev/laburnumroad/internal/table"
+	"laburnumroad.dev/laburnumroad/internal/testproc"
 	"laburnumroad.dev/laburnumroad/platform"
 )
 
@@ -135,25 +135,12 @@
 	return lines
 }
 
-// freePorts returns different free ports. All are open at the same time, or the system
-// could return one of them twice.
-func freePorts(t *testing.T, count int) []int {
-	var ports []int
-	for range count {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		require.NoError(t, err)
-		defer l.Close()
-		ports = append(ports, l.Addr().(*net.TCPAddr).Port)
-	}
-	return ports
-}
-
 func (c *testCluster) startGateway(name string) *testGateway {
 	return c.startGatewayWithGrace(name, 4*time.Second)
 }
 
 func (c *testCluster) startGatewayWithGrace(name string, grace time.Duration) *testGateway {
-	ports := freePorts(c.t, 3)
+	ports := testproc.FreePorts(c.t, "127.0.0.1", 3)
 	s := &platform.Settings{
 		Name: name, IP: "127.0.0.1", Domain: "a", Region: "r", ShutdownGrace: grace, RetryRatio: 0.2, RetryBurst: 10,
 		ClientAddress: fmt.Sprintf("127.0.0.1:%d", ports[0]), ReadinessAddress: fmt.Sprintf("127.0.0.1:%d", ports[1]),
--- a/internal/testproc/testproc.go
+++ b/internal/testproc/testproc.go
@@ -65,15 +65,34 @@
 	return binary
 }
 
-// FreePorts returns different free ports. All are open at the same time, or the system
+// drawnPorts are the ports that FreePorts has returned, by host.
+var drawnPorts = struct {
+	sync.Mutex
+	byHost map[string]map[int]bool
+}{byHost: make(map[string]map[int]bool)}
+
+// FreePorts returns different free ports, none of which it has returned before: a process
+// may not have opened its own yet. Ports stay open until all are drawn, or the system
 // could return one of them twice.
-func FreePorts(t *testing.T, host string, count int) []int {
+func FreePorts(t testing.TB, host string, count int) []int {
+	drawnPorts.Lock()
+	defer drawnPorts.Unlock()
+	drawn := drawnPorts.byHost[host]
+	if drawn == nil {
+		drawn = make(map[int]bool)
+		drawnPorts.byHost[host] = drawn
+	}
 	var ports []int
-	for range count {
+	for len(ports) < count {
 		l, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
 		require.NoError(t, err)
 		defer l.Close()
-		ports = append(ports, l.Addr().(*net.TCPAddr).Port)
+		port := l.Addr().(*net.TCPAddr).Port
+		if drawn[port] {
+			continue
+		}
+		drawn[port] = true
+		ports = append(ports, port)
 	}
 	return ports
 }
