--- a/Makefile
+++ b/Makefile
@@ -69,7 +69,7 @@
 	@echo "property: $(CASES) cases each, seed $(SEED)"
 	go test -count=1 -timeout 2h -run TestNoOverspendUnderFailures ./internal/system/budget \
 		-rapid.checks=$(CASES) -rapid.seed=$(SEED) -rapid.nofailfile
-	go test -count=1 -timeout 2h -run TestNoOverspendOfLimits ./internal/system/allowance \
+	go test -count=1 -timeout 2h -run 'TestNoOverspendOfLimits|TestNoOverspendThroughReturns' ./internal/system/allowance \
 		-rapid.checks=$(CASES) -rapid.seed=$(SEED) -rapid.nofailfile
 
 # Injects faults into real gateway processes. SOAK_SEED and SOAK_SECONDS set the seed and
