watch: a configuration that the store lost is asked of whoever last reported it

A gateway that starts after a return of the store learns from the others' reports that they have a later configuration than the copy, and asks the one that reported it. It kept the first one that did, and passed over reports of the same version by others: if that one was lost before it answered, the gateway served the older configuration until the operator wrote again.

The last one that reports the version is asked now.

--- a/internal/system/watch/return_test.go
+++ b/internal/system/watch/return_test.go
@@ -55,6 +55,32 @@
 	}
 }
 
+// Guards against a router that goes on asking a lost router for the configuration that the
+// store lost, although others report the same version.
+func TestConfigurationThatStoreLostIsAskedOfAnotherRouter(t *testing.T) {
+	for _, routers := range []int{4, 12, 29} {
+		f := newFleetWithEras(routers, 3)
+		copied := f.clone()
+		f.configure()
+		f.run(settleTime)
+		version := f.version
+		f.returnFrom(&copied)
+		f.run(time.Second)
+		started := f.routers[1]
+		f.start(started)
+		row := func() *table.Watch { return started.world.Watches.Get(table.WatchConfig) }
+		for row() == nil || row().ReportedVersion != version {
+			f.run(fleetStep)
+		}
+		require.NotEqual(t, version, started.world.Manifest.Version)
+		reporter := f.find(row().ReportedBy.Process)
+		reporter.cut = true
+		f.disconnect(reporter)
+		f.run(settleTime)
+		require.Equal(t, version, started.world.Manifest.Version, "%d routers", routers)
+	}
+}
+
 // otherChanges lets the store's revision rise by changes of objects that no router follows.
 func (f *fleet) otherChanges(n uint64) { f.revision += n }
 
--- a/internal/system/watch/watch.go
+++ b/internal/system/watch/watch.go
@@ -358,7 +358,7 @@
 // trusts one that the store answers.
 func onReportedManifest(w *world.World, e *event.RouterReport) {
 	row := watchOf(w, table.WatchConfig)
-	if e.ManifestVersion <= max(row.ManifestVersion, row.ReportedVersion) || row.ManifestVersion == 0 && e.StoreDown {
+	if e.ManifestVersion <= row.ManifestVersion || e.ManifestVersion < row.ReportedVersion || row.ManifestVersion == 0 && e.StoreDown {
 		return
 	}
 	if row.MissingSince == 0 {
