soak: gateways are killed while the store returns from copies

Only ends with SIGTERM were played. A kill leaves the entry in the ledger to the others, which have to close it once, also over a return.

--- a/internal/soak/return_test.go
+++ b/internal/soak/return_test.go
@@ -13,6 +13,9 @@
 	maxCopyAgeTicks = 40
 	maxAwayTicks    = 10
 	restTicks       = 30
+	// settleTicks is how long processes take after a start until the others know what they
+	// have, in ticks.
+	settleTicks = 20
 	// The token limit is spent after some seconds, and then once more after each increase.
 	returnTokenLimit         = 20_000
 	returnTokenLimitIncrease = 4_000
@@ -25,13 +28,18 @@
 	// leaveTick, returnTick and nextCopyTick are when the store is away, when it returns, and
 	// when the next copy is made.
 	leaveTick, returnTick, nextCopyTick int
-	count                               int
+	// settledTick is when all processes will have run for settleTicks.
+	settledTick  int
+	count, kills int
 }
 
 func (r *returns) runTick() {
 	r.tick++
 	r.revertFaults(false)
 	r.restartProcesses()
+	if !r.allRunning() {
+		r.settledTick = r.tick + settleTicks
+	}
 	switch r.tick {
 	case r.nextCopyTick:
 		r.copied = r.platform.Copy()
@@ -51,9 +59,9 @@
 	}
 }
 
-// disturb restarts one process at a time, or lets endpoints fail, or raises the token limit
-// while the store serves. What a process knew that ends while no other is connected with it is
-// known to nobody once the store has lost it, so that kills are left out.
+// disturb ends one process at a time, or lets endpoints fail, or raises the token limit while
+// the store serves. What a process knew that is killed while no other is connected with it is
+// known to nobody once the store has lost it, so that kills wait until all have settled.
 func (r *returns) disturb() {
 	if r.rng.IntN(100) >= faultPercent {
 		return
@@ -63,7 +71,12 @@
 	away := r.tick >= r.leaveTick && r.tick <= r.returnTick
 	switch r.rng.IntN(3) {
 	case 0:
-		if r.allRunning() {
+		switch {
+		case !r.allRunning():
+		case r.tick >= r.settledTick && r.rng.IntN(4) > 0:
+			p.kill()
+			r.kills++
+		default:
 			p.signal(syscall.SIGTERM, processTerminating)
 		}
 	case 1:
@@ -86,12 +99,12 @@
 }
 
 // Guards against violations that only show with real processes while the store returns from
-// older copies and processes are restarted in turn, of the promises of TestPromisesUnderFaults.
+// older copies and processes are restarted or killed in turn, of the promises of TestPromisesUnderFaults.
 func TestPromisesThroughReturnsOfStore(t *testing.T) {
 	seed := envInt(t, "SOAK_SEED", defaultSeed)
 	seconds := envInt(t, "SOAK_SECONDS", defaultSeconds)
 	s := newSoak(t, seed, returnTokenLimit, fake.PlatformConfig{Era: 1})
 	r := &returns{soak: s, nextCopyTick: 1 + s.rng.IntN(restTicks)}
 	s.play(seed, seconds, r.runTick)
-	t.Logf("seed %d, %d seconds, %d returns", seed, seconds, r.count)
+	t.Logf("seed %d, %d seconds, %d returns, %d kills", seed, seconds, r.count, r.kills)
 }
