evacuation: a gateway that starts after a return learns evacuations that the store lost

Callers would see: after the store returned from a copy without an evacuation, the gateways keep it for 10 s, but one that starts meanwhile sends requests to the domain until the operator writes it again.

Cause: reports name the set of the store only, so that one gateway's older set can't override the store's word.

Change: reports name lost evacuations apart. A gateway takes them only if it has not seen the return itself, and ends them after the same 10 s.

Test: TestStartedRouterLearnsEvacuationThatStoreLost fails before (the started one of 4 sends to the domain 5 s after its start).

--- a/internal/event/exchange.go
+++ b/internal/event/exchange.go
@@ -294,6 +294,9 @@
 	// the store. The revision is 0 if the sender does not say which are.
 	Evacuated          []string
 	EvacuationsCovered uint64
+	// EvacuationsLost are domains that stay evacuated at the sender although the store has not
+	// named them since it returned from a copy.
+	EvacuationsLost []string
 	// LinkFull is true while the sender's link has no room for more requests. Releases
 	// that don't know the field never report it.
 	LinkFull bool
--- a/internal/system/era/era.go
+++ b/internal/system/era/era.go
@@ -83,7 +83,7 @@
 	}
 	for i := range w.In.RouterReports {
 		if e := &w.In.RouterReports[i]; e.Era < current {
-			e.LastChanges, e.Wants, e.Evacuated, e.EvacuationsCovered = nil, nil, nil, 0
+			e.LastChanges, e.Wants, e.Evacuated, e.EvacuationsCovered, e.EvacuationsLost = nil, nil, nil, 0, nil
 		}
 	}
 	for i := range w.In.WatchResults {
--- a/internal/system/evacuation/evacuation.go
+++ b/internal/system/evacuation/evacuation.go
@@ -35,6 +35,9 @@
 	for i := range w.In.EvacuationChanges {
 		apply(w, &w.In.EvacuationChanges[i])
 	}
+	for i := range w.In.RouterReports {
+		learnLost(w, w.In.RouterReports[i].EvacuationsLost)
+	}
 	endLost(w)
 	if !w.EvacuationsKnown {
 		awaitFirstSet(w)
@@ -48,20 +51,22 @@
 }
 
 // Report returns the evacuated domains for a report to the other routers, and the revision
-// of the store at which they are; 0 if this router can't say that.
-func Report(w *world.World) ([]string, uint64) {
+// of the store at which they are, 0 if this router can't say that. Those that the store has
+// lost are apart.
+func Report(w *world.World) (domains []string, covered uint64, lost []string) {
 	w.EvacuationsUnreported = false
 	row := w.Watches.Get(table.WatchEvacuations)
 	if row == nil || w.Evacuations.Len() > maxReportedDomains {
-		return nil, 0
+		return nil, 0, nil
 	}
-	var domains []string
 	w.Evacuations.Each(func(domain string, e *table.Evacuation) {
-		if !isLost(w, e) {
+		if isLost(w, e) {
+			lost = append(lost, domain)
+		} else {
 			domains = append(domains, domain)
 		}
 	})
-	return domains, row.Covered
+	return domains, row.Covered, lost
 }
 
 func apply(w *world.World, e *event.EvacuationChanges) {
@@ -94,6 +99,25 @@
 // isLost reports whether the store has not named an evacuation since it returned from a copy.
 func isLost(w *world.World, e *table.Evacuation) bool { return e.Era < w.StoreEra.Number }
 
+// learnLost adds evacuations that the store has lost, if this router has started since and
+// only knows what the store has.
+func learnLost(w *world.World, domains []string) {
+	if w.StoreEra.Number == 0 || w.StoreEra.Returns > 0 || w.Now >= w.StoreEra.Since.Add(rewriteTime) {
+		return
+	}
+	added := false
+	for _, domain := range domains {
+		if w.Evacuations.Get(domain) == nil {
+			w.Evacuations.Put(domain, table.Evacuation{Since: w.Now, Era: w.StoreEra.Number - 1})
+			w.RecordStateChange("domain", domain, "in use", "evacuated", "the store lost it; "+describe(w, domain))
+			added = true
+		}
+	}
+	if added {
+		updateUses(w)
+	}
+}
+
 // endLost ends the evacuations that the operator has not written again.
 func endLost(w *world.World) {
 	ended := false
--- a/internal/system/peers/peers.go
+++ b/internal/system/peers/peers.go
@@ -137,11 +137,11 @@
 	}
 	w.ReportSentAt, w.ReportedStoreDown = w.Now, storeDown
 	w.WakeAt(w.Now.Add(ReportInterval(w)))
-	evacuated, evacuationsCovered := evacuation.Report(w)
+	evacuated, evacuationsCovered, evacuationsLost := evacuation.Report(w)
 	w.Out.RouterReports = append(w.Out.RouterReports, command.SendRouterReport{Report: event.RouterReport{
 		InEra: event.InEra{Era: w.StoreEra.Number}, Available: allowance.HeldTokens(w), StoreDown: storeDown, FollowedFor: watch.FollowedFor(w), LastChanges: watch.LastChanges(w),
 		ManifestVersion: w.Manifest.Version, WantsLedgerOf: allowance.WantsLedgerOf(w),
-		Wants: wants, Notices: notice.Report(w), Evacuated: evacuated, EvacuationsCovered: evacuationsCovered, Lost: warmup.Report(w), LinkFull: link.IsFull(w),
+		Wants: wants, Notices: notice.Report(w), Evacuated: evacuated, EvacuationsCovered: evacuationsCovered, EvacuationsLost: evacuationsLost, Lost: warmup.Report(w), LinkFull: link.IsFull(w),
 		Loads: load.Report(w, ReportInterval(w)), SendRates: load.SendRates(w),
 	}})
 }
--- a/internal/system/watch/return_test.go
+++ b/internal/system/watch/return_test.go
@@ -323,3 +323,25 @@
 		}
 	}
 }
+
+// Guards against requests to an evacuated failure domain from a router that started after the
+// store had returned from a copy without the evacuation.
+func TestStartedRouterLearnsEvacuationThatStoreLost(t *testing.T) {
+	for _, routers := range []int{4, 24} {
+		f := startFleet(routers, 3, &fleet{era: 1, evacuationBound: evacuationBound})
+		copied := f.clone()
+		f.evacuate("d1", true)
+		f.run(2 * evacuationBound)
+		f.returnFrom(&copied)
+		f.run(time.Second)
+		f.start(f.routers[1])
+		f.run(evacuationBound)
+		require.Empty(t, f.sendingTo("d1"), "%d routers", routers)
+		f.evacuate("d1", true)
+		f.run(30 * time.Second)
+		require.Empty(t, f.sendingTo("d1"), "%d routers", routers)
+		f.evacuate("d1", false)
+		f.run(2 * evacuationBound)
+		require.Len(t, f.sendingTo("d1"), routers)
+	}
+}
