--- a/internal/system/era/era_test.go
+++ b/internal/system/era/era_test.go
@@ -71,7 +71,10 @@
 		event.EndpointChanges{InEra: in(1), Covered: 90}, event.EndpointChanges{InEra: in(1), Covered: 91, Relayed: true},
 		event.EvacuationChanges{InEra: in(1), Covered: 90}, event.LedgerChange{InEra: in(1)}, event.LimitRequest{InEra: in(1)},
 		event.ManifestReceived{InEra: in(1), Manifest: table.Manifest{Version: 7}, Revision: 90},
-		event.RouterReport{InEra: in(1), LastChanges: map[table.WatchKind]uint64{table.WatchConfig: 90}, EvacuationsCovered: 90, ManifestVersion: 7, LinkFull: true},
+		event.RouterReport{
+			InEra: in(1), LastChanges: map[table.WatchKind]uint64{table.WatchConfig: 90}, EvacuationsCovered: 90, EvacuationsLost: []string{"a"},
+			ManifestVersion: 7, LinkFull: true,
+		},
 		event.WatchResult{InEra: in(1), Status: event.WatchOK, Covered: 90}, event.LimitLedgerResult{InEra: in(1), Status: event.CallOK},
 		event.QuarantineList{InEra: in(1), Status: event.CallConflict, Version: 90})
 	require.Empty(t, left.EndpointChanges)
