era: versions in reports about prompt parts pass the same gate

The quarantine compared the era of the stored list's version itself, as the only system that did, and a report of a later era was passed over. The gate in era clears the version of an earlier era now, as it does with all other events, and learns a new era from such a report too; the quarantine only compares versions. Otherwise nothing changes: what else the report says still counts.

The tests of era play this event as well; those of the quarantine are unchanged and pass.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -278,6 +278,14 @@
 	Quarantined []QuarantineEntry `msgpack:",omitempty"`
 }
 
+// StoreEra returns the era to which the version in the report belongs, or 0.
+func (c Crash) StoreEra() uint64 {
+	if c.Parts == nil {
+		return 0
+	}
+	return c.Parts.StoredEra
+}
+
 // PartReport is what a router reports about prompt parts that may crash endpoints.
 type PartReport struct {
 	// Crashes are the crashes of endpoints that the router observed.
--- a/internal/system/era/era.go
+++ b/internal/system/era/era.go
@@ -31,7 +31,7 @@
 func newestEra(in *event.Inbox) uint64 {
 	return max(
 		newestOf(in.Manifests), newestOf(in.EndpointChanges), newestOf(in.EvacuationChanges), newestOf(in.WatchResults), newestOf(in.LimitLedgerResults),
-		newestOf(in.QuarantineLists), newestOf(in.RouterReports), newestOf(in.LedgerChanges), newestOf(in.LimitRequests))
+		newestOf(in.QuarantineLists), newestOf(in.Crashes), newestOf(in.RouterReports), newestOf(in.LedgerChanges), newestOf(in.LimitRequests))
 }
 
 func newestOf[E interface{ StoreEra() uint64 }](events []E) uint64 {
@@ -86,6 +86,11 @@
 			e.LastChanges, e.Wants, e.Evacuated, e.EvacuationsCovered, e.EvacuationsLost = nil, nil, nil, 0, nil
 		}
 	}
+	for i := range w.In.Crashes {
+		if p := w.In.Crashes[i].Parts; p != nil && p.StoredEra < current {
+			p.StoredVersion, p.Stored = 0, nil
+		}
+	}
 	for i := range w.In.WatchResults {
 		if e := &w.In.WatchResults[i]; e.Status == event.WatchOK && isEarlier(w, e.Era, false) {
 			e.Status = event.WatchCompacted
--- a/internal/system/era/era_test.go
+++ b/internal/system/era/era_test.go
@@ -43,6 +43,7 @@
 		event.ManifestReceived{InEra: in(2)}, event.EndpointChanges{InEra: in(3)}, event.EvacuationChanges{InEra: in(4)},
 		event.WatchResult{InEra: in(5), Status: event.WatchFailed}, event.LimitLedgerResult{InEra: in(6), Status: event.CallOutcomeUnknown},
 		event.QuarantineList{InEra: in(7)}, event.RouterReport{InEra: in(8)}, event.LedgerChange{InEra: in(9)}, event.LimitRequest{InEra: in(10)},
+		event.Crash{Parts: &event.PartReport{StoredEra: 11}},
 	} {
 		tick(w, e)
 		require.True(t, w.StoreEra.Returned, "%T", e)
@@ -76,13 +77,15 @@
 			ManifestVersion: 7, LinkFull: true,
 		},
 		event.WatchResult{InEra: in(1), Status: event.WatchOK, Covered: 90}, event.LimitLedgerResult{InEra: in(1), Status: event.CallOK},
-		event.QuarantineList{InEra: in(1), Status: event.CallConflict, Version: 90})
+		event.QuarantineList{InEra: in(1), Status: event.CallConflict, Version: 90},
+		event.Crash{Parts: &event.PartReport{StoredEra: 1, StoredVersion: 90, Stored: []table.Fingerprint{4}, Cleared: []table.Fingerprint{5}}})
 	require.Empty(t, left.EndpointChanges)
 	require.Empty(t, left.EvacuationChanges)
 	require.Empty(t, left.LedgerChanges)
 	require.Empty(t, left.LimitRequests)
 	require.Equal(t, []event.ManifestReceived{{InEra: in(1), Manifest: table.Manifest{Version: 7}}}, left.Manifests)
 	require.Equal(t, []event.RouterReport{{InEra: in(1), ManifestVersion: 7, LinkFull: true}}, left.RouterReports)
+	require.Equal(t, []event.Crash{{Parts: &event.PartReport{StoredEra: 1, Cleared: []table.Fingerprint{5}}}}, left.Crashes)
 	require.Equal(t, event.WatchCompacted, left.WatchResults[0].Status)
 	require.Equal(t, event.CallOutcomeUnknown, left.LimitLedgerResults[0].Status)
 	require.Equal(t, event.CallOutcomeUnknown, left.QuarantineLists[0].Status)
--- a/internal/system/quarantine/parts.go
+++ b/internal/system/quarantine/parts.go
@@ -142,7 +142,7 @@
 			endQuarantine(w, key, "another router found that others explain the crashes")
 		}
 	}
-	if l := &w.PartList; r.StoredEra == w.StoreEra.Number && r.StoredVersion > l.Version {
+	if l := &w.PartList; r.StoredVersion > l.Version {
 		setStored(l, r.StoredVersion, r.Stored)
 	}
 }
