allowance: whether limits may rise is decided once per plan

Until an era of the store is settled, mayRaise looks at all entries of the ledger and at all connected routers. It was called for each customer with a limited total, in the plan of each tick, in each proposal and for each request of another router, although it is the same for all of them.

Each of these decides once and passes the word on. What is proposed and granted is the same. Two loops over the holders are slices.ContainsFunc now.

--- a/internal/system/allowance/limits.go
+++ b/internal/system/allowance/limits.go
@@ -84,12 +84,13 @@
 // wants and those that other routers requested.
 func proposeLedger(w *world.World) table.LimitLedger {
 	proposal := w.LimitLedgerView.Content.Clone()
-	advanceHistory(w, &proposal)
+	raise := mayRaise(w)
+	advanceHistory(w, &proposal, raise)
 	proposal.CloseEarlierIncarnations(w.Self())
 	entries := make(map[table.CustomerID]table.LimitEntry)
 	sums := proposal.SumEntries()
 	forEachLimited(w, func(c table.CustomerID, p *table.PrepaidCustomer, a *table.Account) {
-		if e := proposeEntry(w, a, p, sums[c].Allocated); e != (table.LimitEntry{}) {
+		if e := proposeEntry(w, a, p, sums[c].Allocated, raise); e != (table.LimitEntry{}) {
 			entries[c] = e
 		}
 	})
@@ -112,7 +113,7 @@
 		Holder: w.Self(), Address: w.Params.Front.PeerAddress, Entries: entries, ForcedChanges: forcedChanges(w),
 		StatedEra: w.StoreEra.Number,
 	})
-	grantRequests(w, &proposal)
+	grantRequests(w, &proposal, raise)
 	return proposal
 }
 
@@ -133,8 +134,8 @@
 // proposeEntry returns the entry that this router proposes for a customer. It is
 // empty if the router spends only what others transferred to it: their entries
 // count that.
-func proposeEntry(w *world.World, a *table.Account, p *table.PrepaidCustomer, allocated table.Tokens) table.LimitEntry {
-	limit := proposeLimit(w, a, p, allocated, targetMargin(w, a, p))
+func proposeEntry(w *world.World, a *table.Account, p *table.PrepaidCustomer, allocated table.Tokens, raise bool) table.LimitEntry {
+	limit := proposeLimit(w, a, p, allocated, targetMargin(w, a, p), raise)
 	if limit == 0 && a.RecordedLimit == 0 && !w.Closing && !delegate.For(w, string(a.Customer)).IncludesSelf {
 		return table.LimitEntry{}
 	}
@@ -145,15 +146,15 @@
 // the margin is available. One write takes only a part of the unallocated tokens
 // beyond what waiting requests need, so that a router without need does not
 // hold the last tokens of a total. A router that is no holder returns tokens by
-// transfer, so its limit does not fall.
-func proposeLimit(w *world.World, a *table.Account, p *table.PrepaidCustomer, allocated, margin table.Tokens) table.Tokens {
+// transfer, so its limit does not fall. raise is what mayRaise says, which looks at all routers.
+func proposeLimit(w *world.World, a *table.Account, p *table.PrepaidCustomer, allocated, margin table.Tokens, raise bool) table.Tokens {
 	// Tokens transferred in are covered by the limit of the router that sent them,
 	// so the result may be negative.
 	used := a.RequiredLimit() - a.ClosedLimit
 	if w.Closing {
 		return used
 	}
-	if !mayRaise(w) {
+	if !raise {
 		return a.RecordedLimit
 	}
 	holders := delegate.For(w, string(a.Customer))
--- a/internal/system/allowance/plan.go
+++ b/internal/system/allowance/plan.go
@@ -109,16 +109,17 @@
 		return writeNeed{urgency: urgencyWaiting}
 	}
 	need := writeNeed{urgency: urgencyNone}
+	raise := mayRaise(w)
 	forEachLimited(w, func(c table.CustomerID, p *table.PrepaidCustomer, a *table.Account) {
 		allocated := s.Sums[c].Allocated
 		unallocated := p.Total - allocated
 		margin := targetMargin(w, a, p)
-		target := proposeLimit(w, a, p, allocated, margin)
+		target := proposeLimit(w, a, p, allocated, margin, raise)
 		need.returnsLimit = need.returnsLimit || target < a.RecordedLimit
 		if unallocated < 0 && a.RecordedLimit > 0 {
 			need.urgency = max(need.urgency, urgencyRefill)
 		}
-		if a.SmallestShortfall > 0 && mayRaise(w) && !transferPossible(w, a) && (unallocated >= a.SmallestShortfall || s.ConfirmedAt.Add(scaleToFleet(w, ledgerStaleAfter)) <= w.Now) {
+		if a.SmallestShortfall > 0 && raise && !transferPossible(w, a) && (unallocated >= a.SmallestShortfall || s.ConfirmedAt.Add(scaleToFleet(w, ledgerStaleAfter)) <= w.Now) {
 			need.urgency = urgencyWaiting
 		}
 		if a.Available() < margin/refillDivisor && target-a.RecordedLimit > margin/minChangeDivisor {
--- a/internal/system/allowance/requests.go
+++ b/internal/system/allowance/requests.go
@@ -111,8 +111,9 @@
 // entry in the ledger. Their limits are not below the recorded ones.
 func raisedEntries(w *world.World, own *table.LimitHolder) map[table.CustomerID]table.LimitEntry {
 	entries := make(map[table.CustomerID]table.LimitEntry)
+	raise := mayRaise(w)
 	forEachLimited(w, func(c table.CustomerID, p *table.PrepaidCustomer, a *table.Account) {
-		e := proposeEntry(w, a, p, w.LimitLedgerView.Sums[c].Allocated)
+		e := proposeEntry(w, a, p, w.LimitLedgerView.Sums[c].Allocated, raise)
 		e.Limit = max(a.RecordedLimit, e.Limit)
 		if own == nil && e != (table.LimitEntry{}) || own != nil && e != own.Entries[c] {
 			entries[c] = e
@@ -143,8 +144,8 @@
 }
 
 // grantRequests adds the entries and raises the limits that other routers
-// requested, within the totals.
-func grantRequests(w *world.World, proposal *table.LimitLedger) {
+// requested, within the totals. Without raise, it only adds what they hold.
+func grantRequests(w *world.World, proposal *table.LimitLedger, raise bool) {
 	w.LimitRequests.Each(func(_ table.ProcessID, r *table.LimitRequest) {
 		r.WriteOpen = true
 		if r.Register {
@@ -162,11 +163,9 @@
 			granted.Entries, granted.StatedEra = r.Held, w.StoreEra.Number
 			proposal.Put(granted)
 		}
-		if !mayRaise(w) {
-			proposal.Put(granted)
-			return
+		if raise {
+			granted.Entries = raiseLimits(w, proposal, granted.Entries, r.Entries)
 		}
-		granted.Entries = raiseLimits(w, proposal, granted.Entries, r.Entries)
 		proposal.Put(granted)
 	})
 }
--- a/internal/system/allowance/restore.go
+++ b/internal/system/allowance/restore.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"laburnumroad.dev/laburnumroad/internal/command"
@@ -193,10 +194,8 @@
 // stated their entries in this era. What was restored may be older than a router's entry.
 func allStated(w *world.World) bool {
 	s := &w.LimitLedgerView
-	for i := range s.Content.Holders {
-		if h := &s.Content.Holders[i]; h.StatedEra != 0 && h.StatedEra != w.StoreEra.Number {
-			return false
-		}
+	if slices.ContainsFunc(s.Content.Holders, func(h table.LimitHolder) bool { return h.StatedEra != 0 && h.StatedEra != w.StoreEra.Number }) {
+		return false
 	}
 	missing := false
 	w.RouterPeers.Each(func(_ table.ProcessID, p *table.RouterPeer) {
@@ -206,12 +205,12 @@
 }
 
 // advanceHistory sets the version of a content that is about to be written.
-func advanceHistory(w *world.World, proposal *table.LimitLedger) {
+func advanceHistory(w *world.World, proposal *table.LimitLedger, raise bool) {
 	current := w.StoreEra.Number
 	if current == 0 {
 		return
 	}
-	if mayRaise(w) {
+	if raise {
 		proposal.SettledEra = current
 	}
 	proposal.Version = table.LedgerVersion{Era: current, Writes: proposal.Version.Writes + 1}
@@ -243,12 +242,7 @@
 
 // hasOtherRouters reports whether the ledger has entries of other processes than this one.
 func hasOtherRouters(w *world.World) bool {
-	for _, h := range w.LimitLedgerView.Content.Holders {
-		if h.Process != w.Self().Process {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(w.LimitLedgerView.Content.Holders, func(h table.LimitHolder) bool { return h.Process != w.Self().Process })
 }
 
 // heldEntries returns the limits that this router has and what it has spent, if it has to
