--- a/internal/system/allowance/requests.go
+++ b/internal/system/allowance/requests.go
@@ -86,7 +86,7 @@
 	s.LimitRequestOpen, s.LimitRequestUrgent, s.LimitRequestSentAt, s.LimitRequestSentTo = true, urgent, w.Now, writer.Holder
 	w.Out.LimitRequests = append(w.Out.LimitRequests, command.SendLimitRequest{
 		To: writer.Holder, Request: event.LimitRequest{
-			InEra: event.InEra{Era: w.StoreEra.Number}, Entries: raisedEntries(w, own), Urgent: urgent, Register: own == nil,
+			InEra: w.InEra(), Entries: raisedEntries(w, own), Urgent: urgent, Register: own == nil,
 			Address: w.Params.Front.PeerAddress, States: needsStatement(w), Held: heldEntries(w),
 		},
 	})
--- a/internal/system/allowance/restore.go
+++ b/internal/system/allowance/restore.go
@@ -132,7 +132,7 @@
 		return
 	}
 	w.Out.LedgerChanges = append(w.Out.LedgerChanges, command.SendLedgerChange{
-		To: to, Change: event.LedgerChange{InEra: event.InEra{Era: w.StoreEra.Number}, LedgerStep: s.Earlier.Whole(0)},
+		To: to, Change: event.LedgerChange{InEra: w.InEra(), LedgerStep: s.Earlier.Whole(0)},
 	})
 	w.Count("allowance.ledgers_told")
 }
--- a/internal/system/allowance/return_test.go
+++ b/internal/system/allowance/return_test.go
@@ -10,9 +10,6 @@
 	"laburnumroad.dev/laburnumroad/internal/table"
 )
 
-// serveFor sends the same requests to all routers for a time.
-func (f *fleet) serveFor(d time.Duration) { f.runSteadyLoad(d) }
-
 // spendRest sends requests until none is served any more.
 func (f *fleet) spendRest() {
 	for range 400 {
@@ -32,7 +29,7 @@
 func newFleetForReturn(t require.TestingT, routers int, total table.Tokens) *fleet {
 	f := newFleetInEra(1, 1, routers, total)
 	f.allComplete = true
-	f.serveFor(2 * time.Second)
+	f.runSteadyLoad(2 * time.Second)
 	require.Positive(t, f.served)
 	return f
 }
@@ -43,9 +40,9 @@
 	for _, routers := range []int{3, 23} {
 		f := newFleetForReturn(t, routers, 150_000*table.Tokens(routers)/3)
 		copied := f.storedLedger
-		f.serveFor(5 * time.Second)
+		f.runSteadyLoad(5 * time.Second)
 		f.returnFrom(copied)
-		f.serveFor(time.Second)
+		f.runSteadyLoad(time.Second)
 		f.kill(f.routers[0])
 		f.run(200 * time.Millisecond)
 		f.start(f.routers[0])
@@ -60,11 +57,11 @@
 	for _, routers := range []int{1, 3, 23} {
 		f := newFleetForReturn(t, routers, 300_000*table.Tokens(routers))
 		copied := f.storedLedger
-		f.serveFor(5 * time.Second)
+		f.runSteadyLoad(5 * time.Second)
 		f.returnFrom(copied)
 		f.run(time.Second)
 		before, refused := f.served, f.refusals[table.CodeBudgetUnreachable]
-		f.serveFor(2 * time.Second)
+		f.runSteadyLoad(2 * time.Second)
 		require.Equal(t, refused, f.refusals[table.CodeBudgetUnreachable], "%d routers", routers)
 		require.Equal(t, 20*routers, f.served-before, "%d routers", routers)
 		f.spendRest()
@@ -77,7 +74,7 @@
 func TestLimitOfDeadRouterIsRestored(t *testing.T) {
 	f := newFleetForReturn(t, 3, 150_000)
 	copied := f.storedLedger
-	f.serveFor(5 * time.Second)
+	f.runSteadyLoad(5 * time.Second)
 	f.kill(f.routers[0])
 	f.returnFrom(copied)
 	f.run(100 * time.Millisecond)
@@ -92,12 +89,12 @@
 	for _, delay := range []time.Duration{0, 10 * time.Millisecond, time.Second, 3 * time.Second} {
 		f := newFleetForReturn(t, 3, 150_000)
 		copied := f.storedLedger
-		f.serveFor(5 * time.Second)
+		f.runSteadyLoad(5 * time.Second)
 		f.routers[1].storeUnreachable, f.routers[2].storeUnreachable = true, true
 		f.kill(f.routers[0])
 		f.returnFrom(copied)
 		f.start(f.routers[0])
-		f.serveFor(delay)
+		f.runSteadyLoad(delay)
 		f.routers[1].storeUnreachable, f.routers[2].storeUnreachable = false, false
 		f.showEra()
 		f.spendRest()
@@ -110,9 +107,9 @@
 func TestLateWriteOfEarlierEraIsUndone(t *testing.T) {
 	f := newFleetForReturn(t, 3, 150_000)
 	late := f.storedLedger
-	f.serveFor(2 * time.Second)
+	f.runSteadyLoad(2 * time.Second)
 	f.returnFrom(late)
-	f.serveFor(time.Second)
+	f.runSteadyLoad(time.Second)
 	f.storedLedger = storedLedger{revision: f.revision + 1, ledger: late.ledger}
 	f.kill(f.routers[0])
 	f.run(100 * time.Millisecond)
@@ -126,7 +123,7 @@
 func TestRouterThatIsCutOffStatesItsEntryLater(t *testing.T) {
 	f := newFleetForReturn(t, 3, 150_000)
 	copied := f.storedLedger
-	f.serveFor(5 * time.Second)
+	f.runSteadyLoad(5 * time.Second)
 	cut := f.routers[1]
 	cut.storeUnreachable, cut.peersUnreachable = true, true
 	for _, r := range f.routers {
@@ -134,7 +131,7 @@
 		f.disconnect(cut, r.name)
 	}
 	f.returnFrom(copied)
-	f.serveFor(20 * time.Second)
+	f.runSteadyLoad(20 * time.Second)
 	cut.storeUnreachable, cut.peersUnreachable = false, false
 	f.showEra()
 	f.spendRest()
@@ -145,14 +142,14 @@
 func TestTwoReturnsInARow(t *testing.T) {
 	f := newFleetForReturn(t, 3, 300_000)
 	copied := f.storedLedger
-	f.serveFor(5 * time.Second)
+	f.runSteadyLoad(5 * time.Second)
 	f.routers[0].storeUnreachable = true
 	f.returnFrom(copied)
-	f.serveFor(20 * time.Millisecond)
+	f.runSteadyLoad(20 * time.Millisecond)
 	f.returnFrom(copied)
 	f.routers[0].storeUnreachable = false
 	f.showEra()
-	f.serveFor(time.Second)
+	f.runSteadyLoad(time.Second)
 	f.kill(f.routers[1])
 	f.run(100 * time.Millisecond)
 	f.start(f.routers[1])
@@ -175,7 +172,7 @@
 		}
 		f.restore()
 		f.showEra()
-		f.serveFor(8 * time.Second)
+		f.runSteadyLoad(8 * time.Second)
 		checkSpent(t, f)
 	})
 }
@@ -245,7 +242,7 @@
 	for _, routers := range []int{3, 30, 103} {
 		f := newFleetForReturn(t, routers, 300_000*table.Tokens(routers))
 		copied := f.storedLedger
-		f.serveFor(5 * time.Second)
+		f.runSteadyLoad(5 * time.Second)
 		f.returnFrom(copied)
 		before := f.writeCalls
 		f.run(300 * time.Millisecond)
--- a/internal/system/allowance/steps.go
+++ b/internal/system/allowance/steps.go
@@ -43,7 +43,7 @@
 
 func sendStep(w *world.World, step table.LedgerStep) {
 	w.Out.LedgerChanges = append(w.Out.LedgerChanges, command.SendLedgerChange{
-		Change: event.LedgerChange{InEra: event.InEra{Era: w.StoreEra.Number}, LedgerStep: step},
+		Change: event.LedgerChange{InEra: w.InEra(), LedgerStep: step},
 	})
 }
 
--- a/internal/system/peers/peers.go
+++ b/internal/system/peers/peers.go
@@ -139,7 +139,7 @@
 	w.WakeAt(w.Now.Add(ReportInterval(w)))
 	evacuated, evacuationsCovered, evacuationsLost := evacuation.Report(w)
 	w.Out.RouterReports = append(w.Out.RouterReports, command.SendRouterReport{Report: event.RouterReport{
-		InEra: event.InEra{Era: w.StoreEra.Number}, Available: allowance.HeldTokens(w), StoreDown: storeDown, FollowedFor: watch.FollowedFor(w), LastChanges: watch.LastChanges(w),
+		InEra: w.InEra(), Available: allowance.HeldTokens(w), StoreDown: storeDown, FollowedFor: watch.FollowedFor(w), LastChanges: watch.LastChanges(w),
 		ManifestVersion: w.Manifest.Version, WantsLedgerOf: allowance.WantsLedgerOf(w),
 		Wants: wants, Notices: notice.Report(w), Evacuated: evacuated, EvacuationsCovered: evacuationsCovered, EvacuationsLost: evacuationsLost, Lost: warmup.Report(w), LinkFull: link.IsFull(w),
 		Loads: load.Report(w, ReportInterval(w)), SendRates: load.SendRates(w),
--- a/internal/system/watch/return_test.go
+++ b/internal/system/watch/return_test.go
@@ -33,18 +33,26 @@
 	}
 }
 
+// startRouterAfterReturn returns a fleet whose store came back from a copy without the last
+// configuration, a router that has started since, and the version of that configuration.
+func startRouterAfterReturn(routers int) (f *fleet, started *member, version uint64) {
+	f = newFleetWithEras(routers, 3)
+	copied := f.clone()
+	f.configure()
+	f.run(settleTime)
+	version = f.version
+	f.returnFrom(&copied)
+	f.run(time.Second)
+	started = f.routers[1]
+	f.start(started)
+	return f, started, version
+}
+
 // Guards against a router that starts between the return of the store and the operator's next
 // write, and serves the older configuration of the copy although others know the later one.
 func TestStartedRouterLearnsConfigurationThatStoreLost(t *testing.T) {
 	for _, routers := range []int{4, 12, 29} {
-		f := newFleetWithEras(routers, 3)
-		copied := f.clone()
-		f.configure()
-		f.run(settleTime)
-		version := f.version
-		f.returnFrom(&copied)
-		f.run(time.Second)
-		f.start(f.routers[1])
+		f, _, version := startRouterAfterReturn(routers)
 		f.run(settleTime)
 		for _, m := range f.routers {
 			require.Equal(t, version, m.world.Manifest.Version, "%s of %d", m.process.Process, routers)
@@ -59,15 +67,7 @@
 // store lost, although others report the same version.
 func TestConfigurationThatStoreLostIsAskedOfAnotherRouter(t *testing.T) {
 	for _, routers := range []int{4, 12, 29} {
-		f := newFleetWithEras(routers, 3)
-		copied := f.clone()
-		f.configure()
-		f.run(settleTime)
-		version := f.version
-		f.returnFrom(&copied)
-		f.run(time.Second)
-		started := f.routers[1]
-		f.start(started)
+		f, started, version := startRouterAfterReturn(routers)
 		row := func() *table.Watch { return started.world.Watches.Get(table.WatchConfig) }
 		for row() == nil || row().ReportedVersion != version {
 			f.run(fleetStep)
--- a/internal/system/watch/watch.go
+++ b/internal/system/watch/watch.go
@@ -402,7 +402,7 @@
 		return
 	case kind == table.WatchConfig && (w.ManifestRevision > wanted.Covered || w.Manifest.Version > wanted.ManifestVersion):
 		w.Out.ManifestRelays = append(w.Out.ManifestRelays, command.RelayManifest{
-			To: []table.Holder{to}, Manifest: event.ManifestReceived{InEra: event.InEra{Era: w.StoreEra.Number}, Manifest: w.Manifest, Revision: w.ManifestRevision},
+			To: []table.Holder{to}, Manifest: event.ManifestReceived{InEra: w.InEra(), Manifest: w.Manifest, Revision: w.ManifestRevision},
 		})
 	case kind == table.WatchEndpoints && row.Listed && row.Covered > wanted.Covered:
 		w.Out.EndpointRelays = append(w.Out.EndpointRelays, command.RelayEndpointChanges{To: []table.Holder{to}, Changes: endpointList(w, row)})
@@ -414,7 +414,7 @@
 
 // endpointList returns the list of endpoints as this router knows it.
 func endpointList(w *world.World, row *table.Watch) event.EndpointChanges {
-	changes := event.EndpointChanges{InEra: event.InEra{Era: w.StoreEra.Number}, Full: true, Covered: row.Covered, LastChange: row.LastChange}
+	changes := event.EndpointChanges{InEra: w.InEra(), Full: true, Covered: row.Covered, LastChange: row.LastChange}
 	w.DirectEndpoints.Each(func(id table.EndpointID, e *table.DirectEndpoint) {
 		if e.RemovedAt == 0 {
 			entry := event.EndpointEntry{
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -202,6 +202,9 @@
 // Self returns the holder that this process acts as.
 func (w *World) Self() table.Holder { return w.Params.Self.Holder }
 
+// InEra returns the era of the store to which the revisions belong that this process knows.
+func (w *World) InEra() event.InEra { return event.InEra{Era: w.StoreEra.Number} }
+
 // NextCall returns a number for a call to another process, which is unique
 // within an incarnation.
 func (w *World) NextCall() uint64 {
